--- /dev/null
+++ b/figford/__init__.py
@@ -0,0 +1,3 @@
+"""Serving system for models that span several instances."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/figford/administration.py
@@ -0,0 +1,300 @@
+"""The operators', upstreams' and metrics ports of an entry."""
+
+import hmac
+import json
+import typing
+
+import attrs
+from twisted.web import resource
+from twisted.web import server
+
+from figford import codec
+from figford import errors
+from figford import messages
+from figford import operators
+from figford import problems
+
+BODY_LIMIT_BYTES = 16 << 20
+ANNOUNCEMENTS_PER_REQUEST = 1_000
+
+Handler = typing.Callable[[server.Request], typing.Any]
+
+
+def write_json(
+    request: server.Request, document: object, status: int = 200
+) -> None:
+    """Answers a request with JSON."""
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", b"application/json")
+    request.write(json.dumps(document, sort_keys=True).encode())
+    request.finish()
+
+
+def write_refusal(request: server.Request, refusal: errors.Refusal) -> None:
+    """Answers a request with a problem document."""
+    request.setResponseCode(refusal.status)
+    for name, value in problems.headers(refusal).items():
+        request.responseHeaders.setRawHeaders(name, [value])
+    request.write(problems.body(refusal))
+    request.finish()
+
+
+def read_json(request: server.Request) -> typing.Any:
+    """Returns the JSON body of a request; raises BadRequest or TooLarge."""
+    body = request.content.read(BODY_LIMIT_BYTES + 1)
+    if len(body) > BODY_LIMIT_BYTES:
+        raise errors.TooLarge("the body is too large")
+    try:
+        return json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise errors.BadRequest("the body is not JSON") from error
+
+
+class Route(resource.Resource):
+    """One path with one handler per method."""
+
+    isLeaf = True
+
+    def __init__(self, handlers: dict[bytes, Handler]) -> None:
+        """Makes a route."""
+        super().__init__()
+        self._handlers = handlers
+
+    def render(self, request: server.Request) -> typing.Any:
+        """Calls the handler; refusals become problem documents."""
+        handler = self._handlers.get(request.method)
+        try:
+            if handler is None:
+                raise errors.BadRequest("the method is not allowed here")
+            handler(request)
+        except errors.Refusal as refusal:
+            write_refusal(request, refusal)
+        except errors.MessageError as error:
+            write_refusal(request, errors.BadRequest(str(error)))
+        return server.NOT_DONE_YET
+
+
+class QuietSite(server.Site):
+    """A site that writes no line per request."""
+
+    def __init__(self, root: resource.Resource) -> None:
+        """Makes the site."""
+        super().__init__(root, timeout=60)
+        self.displayTracebacks = False
+
+    def log(self, request: typing.Any) -> None:
+        """Writes nothing; counters tell."""
+
+
+class EntryPort(typing.Protocol):
+    """What the ports need of an entry; implemented by the daemon."""
+
+    def announce(self, announcement: messages.Announcement) -> None:
+        """Takes an upstream's announcement."""
+
+    def submit(
+        self,
+        command: messages.Submit,
+        on_outcome: typing.Callable[[messages.Outcome | None], None],
+    ) -> None:
+        """Commits a configuration."""
+
+    def status(self) -> dict:
+        """Returns the state of this entry and what it knows."""
+
+    def configuration(self) -> messages.ConfigurationView:
+        """Returns the configuration in force."""
+
+    def in_force(self, version: int) -> dict:
+        """Returns which entries have a version in force."""
+
+    def stop(self) -> None:
+        """Begins a graceful stop."""
+
+    def is_ready(self) -> bool:
+        """Returns whether callers may be served."""
+
+    def render_metrics(self, accepts: list[str]) -> tuple[bytes, dict]:
+        """Returns the text of the metrics and its headers."""
+
+    def block_links(self, instances: set[str]) -> None:
+        """Cuts links, where the settings allow faults."""
+
+
+def upstreams_root(entry: EntryPort) -> resource.Resource:
+    """Returns the resource of the upstreams' port."""
+
+    def announce(request: server.Request) -> None:
+        document = read_json(request)
+        many = document if isinstance(document, list) else [document]
+        if len(many) > ANNOUNCEMENTS_PER_REQUEST:
+            raise errors.TooLarge("too many announcements in one request")
+        announcements = [
+            codec.from_plain(item, messages.Announcement) for item in many
+        ]
+        for announcement in announcements:
+            entry.announce(announcement)
+        write_json(request, {"announced": len(announcements)})
+
+    root = resource.Resource()
+    root.putChild(b"announce", Route({b"POST": announce}))
+    return root
+
+
+def metrics_root(entry: EntryPort) -> resource.Resource:
+    """Returns the resource of the metrics port."""
+
+    def read_metrics(request: server.Request) -> None:
+        accepts = request.requestHeaders.getRawHeaders("accept", [])
+        content, headers = entry.render_metrics(accepts)
+        for name, value in headers.items():
+            request.setHeader(name, value)
+        request.write(content)
+        request.finish()
+
+    def health(request: server.Request) -> None:
+        if entry.is_ready():
+            write_json(request, {"ready": True})
+        else:
+            write_json(request, {"ready": False}, status=503)
+
+    root = resource.Resource()
+    root.putChild(b"metrics", Route({b"GET": read_metrics}))
+    root.putChild(b"health", Route({b"GET": health}))
+    return root
+
+
+@attrs.define
+class OperatorsPort:
+    """Handlers of the operators' port; `key` guards it where set."""
+
+    entry: EntryPort
+    key: bytes | None = None
+    allow_faults: bool = False
+
+    def root(self) -> resource.Resource:
+        """Returns the resource of the operators' port."""
+        root = resource.Resource()
+        for path, handlers in {
+            b"submit": {b"POST": self._submit},
+            b"configuration": {b"GET": self._configuration},
+            b"status": {b"GET": self._status},
+            b"in-force": {b"GET": self._in_force},
+            b"drain": {b"POST": self._drain},
+            b"faults": {b"POST": self._faults},
+        }.items():
+            guarded = {
+                method: self._guard(handler)
+                for method, handler in handlers.items()
+            }
+            root.putChild(path, Route(guarded))
+        return root
+
+    def _guard(self, handler: Handler) -> Handler:
+        def guarded(request: server.Request) -> None:
+            if self.key is not None:
+                given = request.getHeader("authorization") or ""
+                expected = b"Bearer " + self.key
+                if not hmac.compare_digest(given.encode(), expected):
+                    raise errors.UnknownAccount("the operator key is needed")
+            handler(request)
+
+        return guarded
+
+    def _submit(self, request: server.Request) -> None:
+        document = read_json(request)
+        command = _read_submission(document)
+        problems_found = _check_submission(command, self.entry.configuration())
+        if problems_found:
+            raise errors.ConfigurationInvalid("; ".join(problems_found))
+
+        def decided(outcome: messages.Outcome | None) -> None:
+            self._answer_submission(request, outcome)
+
+        self.entry.submit(command, decided)
+
+    def _answer_submission(
+        self, request: server.Request, outcome: messages.Outcome | None
+    ) -> None:
+        if request._disconnected:
+            return
+        match outcome:
+            case messages.Accepted(version):
+                answer = {"version": version, **self.entry.in_force(version)}
+                write_json(request, answer)
+            case messages.Conflict(version, winner):
+                refusal = errors.ConfigurationConflict(
+                    f"version {version} is in force, submitted by {winner}"
+                )
+                write_refusal(request, refusal)
+            case _:
+                write_refusal(
+                    request,
+                    errors.NoQuorum(
+                        "the replicated log is out of reach; send the same"
+                        " submission again to learn its outcome",
+                        run_state=errors.RunState.UNKNOWN,
+                    ),
+                )
+
+    def _configuration(self, request: server.Request) -> None:
+        view = self.entry.configuration()
+        write_json(
+            request, {"version": view.version, "document": view.document}
+        )
+
+    def _status(self, request: server.Request) -> None:
+        write_json(request, self.entry.status())
+
+    def _in_force(self, request: server.Request) -> None:
+        stated = request.args.get(b"version", [b""])[0]
+        if not stated.isdigit():
+            raise errors.BadRequest("version must be a whole number")
+        write_json(request, self.entry.in_force(int(stated)))
+
+    def _drain(self, request: server.Request) -> None:
+        self.entry.stop()
+        write_json(request, {"draining": True})
+
+    def _faults(self, request: server.Request) -> None:
+        if not self.allow_faults:
+            raise errors.NotAllowed("allow_faults is off in the settings")
+        document = read_json(request)
+        blocked = document.get("blocked") if document else None
+        if not isinstance(blocked, list):
+            raise errors.BadRequest("blocked must be a list of instances")
+        self.entry.block_links({str(item) for item in blocked})
+        write_json(request, {"blocked": blocked})
+
+
+def _read_submission(document: object) -> messages.Submit:
+    if not isinstance(document, dict):
+        raise errors.BadRequest("the submission must be an object")
+    submission = document.get("submission")
+    base_version = document.get("base_version")
+    author = document.get("author", "")
+    content = document.get("document")
+    if not isinstance(submission, str) or not 0 < len(submission) <= 200:
+        raise errors.BadRequest("submission must be a text of 1 to 200")
+    if not isinstance(base_version, int) or base_version < 0:
+        raise errors.BadRequest("base_version must be a whole number")
+    if not isinstance(author, str) or len(author) > 200:
+        raise errors.BadRequest("author must be a text of at most 200")
+    if not isinstance(content, dict):
+        raise errors.BadRequest("document must be an object")
+    return messages.Submit(submission, base_version, content, author)
+
+
+def _check_submission(
+    command: messages.Submit, current: messages.ConfigurationView
+) -> list[str]:
+    """Returns what is wrong with a submitted configuration."""
+    try:
+        new = operators.Configuration.from_document(command.document)
+    except ExceptionGroup as group:
+        return [str(error) for error in group.exceptions]
+    if command.base_version != current.version:
+        # The log decides; the transition is checked against its base.
+        return []
+    old = operators.Configuration.from_document(current.document)
+    return [str(error) for error in operators.transition_problems(old, new)]
--- /dev/null
+++ b/figford/agreement.py
@@ -0,0 +1,623 @@
+"""Leader election and log replication among the voters.
+
+A pure state machine. Each call returns an `Output`: records to be synced
+first, then messages to be sent, entries that are now committed and a
+snapshot to be loaded. The caller sends messages only after the records of
+this and all earlier outputs are synced, and reports that by `synced`.
+"""
+
+import datetime
+import enum
+import random
+
+import attrs
+
+from figford import messages
+from figford import replicatedlog
+
+HEARTBEAT = datetime.timedelta(milliseconds=150)
+ELECTION_TIMEOUT = datetime.timedelta(milliseconds=900)
+ENTRIES_PER_APPEND = 200
+# A learner is made a voter when it is this close to the leader's log.
+PROMOTION_LAG_ENTRIES = 20
+
+
+class Role(enum.Enum):
+    """The part that a voter plays in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@attrs.define
+class Output:
+    """What one call asks its caller to do, in this order."""
+
+    records: list[messages.Record] = attrs.field(factory=list)
+    sends: list[messages.Addressed] = attrs.field(factory=list)
+    restored: messages.Snapshot | None = None
+    committed: list[messages.Entry] = attrs.field(factory=list)
+    confirmed_reads: list[str] = attrs.field(factory=list)
+
+
+@attrs.define
+class Progress:
+    """What the leader knows of one follower."""
+
+    next_index: int
+    match_index: int = 0
+    acked_round: int = 0
+    last_heard: datetime.timedelta = datetime.timedelta(0)
+
+
+@attrs.define
+class _PendingRead:
+    read: str
+    round: int
+    index: int
+
+
+@attrs.define
+class Agreement:
+    """One voter, or a learner until the voters name its disk."""
+
+    voter: str
+    rng: random.Random
+    log: replicatedlog.ReplicatedLog = attrs.field(
+        factory=replicatedlog.ReplicatedLog
+    )
+    term: int = 0
+    voted_for: str | None = None
+    role: Role = Role.FOLLOWER
+    leader: str | None = None
+    commit_index: int = 0
+    check_quorum: bool = True
+    _synced_index: int = 0
+    _votes: set[str] = attrs.field(factory=set)
+    _progress_by_voter: dict[str, Progress] = attrs.field(factory=dict)
+    _learners: set[str] = attrs.field(factory=set)
+    _reads: list[_PendingRead] = attrs.field(factory=list)
+    _round: int = 0
+    _term_start_index: int = 0
+    _led_since: datetime.timedelta = datetime.timedelta(0)
+    _log_time_base: datetime.timedelta = datetime.timedelta(0)
+    _heard_leader: datetime.timedelta = datetime.timedelta(0)
+    _election_due: datetime.timedelta = datetime.timedelta(0)
+    _heartbeat_due: datetime.timedelta = datetime.timedelta(0)
+    _quorum_due: datetime.timedelta = datetime.timedelta(0)
+
+    # ---- Restoring and reading state ------------------------------------
+
+    def restore(
+        self, records: list[messages.Record], now: datetime.timedelta
+    ) -> Output:
+        """Loads the journal's records; called once, before anything else."""
+        for record in records:
+            self._restore_record(record)
+        self.commit_index = self.log.snapshot.index
+        self._synced_index = self.log.last_index
+        self._reset_election(now)
+        output = Output()
+        if self.log.snapshot.index:
+            output.restored = self.log.snapshot
+        return output
+
+    def _restore_record(self, record: messages.Record) -> None:
+        match record:
+            case messages.HardState(term, voted_for):
+                self.term = term
+                self.voted_for = voted_for
+            case messages.Appended(entries):
+                self.log.replace_from(entries)
+            case messages.Compacted(snapshot):
+                self.log.compact(snapshot)
+            case messages.Identity(voter):
+                self.voter = voter
+
+    @property
+    def voters(self) -> list[str]:
+        """Returns the voters by the newest entry, committed or not."""
+        return self.log.voters()
+
+    @property
+    def leading(self) -> bool:
+        """Returns whether this voter leads its term."""
+        return self.role is Role.LEADER
+
+    @property
+    def settled(self) -> bool:
+        """Returns whether a leader has committed in its own term."""
+        return self.leading and self.commit_index >= self._term_start_index
+
+    def hears_leader(self, now: datetime.timedelta) -> bool:
+        """Returns whether this voter leads or heard its leader lately."""
+        if self.leading:
+            return self.settled
+        heard_lately = now - self._heard_leader < ELECTION_TIMEOUT * 2
+        return self.leader is not None and heard_lately
+
+    def all_records(self) -> list[messages.Record]:
+        """Returns records that restore the present state."""
+        records: list[messages.Record] = [messages.Identity(self.voter)]
+        if self.log.snapshot.index:
+            records.append(messages.Compacted(self.log.snapshot))
+        records.append(messages.HardState(self.term, self.voted_for))
+        if self.log.entries:
+            records.append(messages.Appended(list(self.log.entries)))
+        return records
+
+    # ---- Events ---------------------------------------------------------
+
+    def tick(self, now: datetime.timedelta) -> Output:
+        """Starts elections, sends heartbeats and checks the quorum."""
+        output = Output()
+        if self.leading:
+            self._lead(now, output)
+        elif now >= self._election_due and self.voter in self.voters:
+            self._campaign(now, output)
+        return output
+
+    def synced(self, index: int, term: int, now: datetime.timedelta) -> Output:
+        """Notes that entries up to `index` are on this voter's disk."""
+        output = Output()
+        if self.log.term_at(index) == term:
+            self._synced_index = max(self._synced_index, index)
+        if self.leading:
+            self._advance_commit(output)
+        return output
+
+    def propose(
+        self,
+        command: messages.Command,
+        now: datetime.timedelta,
+    ) -> tuple[int, Output]:
+        """Appends a command as leader; returns its index."""
+        if not self.leading:
+            raise AssertionError("only a leader proposes")
+        output = Output()
+        index = self._append_own(command, now, output)
+        self._replicate(now, output)
+        return index, output
+
+    def propose_voters(
+        self,
+        voters: list[str],
+        now: datetime.timedelta,
+    ) -> Output | None:
+        """Proposes other voters; None while an earlier change is open.
+
+        A change differs from the voters in force by one voter at most.
+        """
+        if len(set(voters) ^ set(self.voters)) != 1:
+            raise AssertionError("voters change one at a time")
+        open_change = self.log.voter_change_index() > self.commit_index
+        if not self.settled or open_change:
+            return None
+        command = messages.VoterChange(voters=sorted(voters))
+        return self.propose(command, now)[1]
+
+    def read(self, read: str, now: datetime.timedelta) -> Output | None:
+        """Starts a read that a quorum confirms; None if not settled."""
+        if not self.settled:
+            return None
+        output = Output()
+        self._round += 1
+        self._reads.append(_PendingRead(read, self._round, self.commit_index))
+        self._replicate(now, output)
+        self._confirm_reads(output)
+        return output
+
+    def set_learners(
+        self, learners: set[str], now: datetime.timedelta
+    ) -> None:
+        """Names the disks that the leader brings up to date."""
+        self._learners = learners - set(self.voters)
+        if self.leading:
+            self._refresh_progress(now)
+
+    def caught_up(self, learner: str) -> bool:
+        """Returns whether a learner is close enough to become a voter."""
+        progress = self._progress_by_voter.get(learner)
+        if progress is None or not progress.match_index:
+            return False
+        lag = self.log.last_index - progress.match_index
+        return lag <= PROMOTION_LAG_ENTRIES
+
+    def compact(self, index: int, state: bytes) -> Output:
+        """Replaces the log up to a committed index by a snapshot."""
+        if index > self.commit_index:
+            raise AssertionError("snapshot of uncommitted entries")
+        term = self.log.term_at(index)
+        if term is None or index <= self.log.snapshot.index:
+            return Output()
+        snapshot = messages.Snapshot(
+            index=index,
+            term=term,
+            voters=self.log.voters_at(index),
+            state=state,
+            at=self.log.at(index),
+        )
+        self.log.compact(snapshot)
+        return Output(records=[messages.Compacted(snapshot)])
+
+    def handle(
+        self, message: messages.AgreementMessage, now: datetime.timedelta
+    ) -> Output:
+        """Handles a message from another voter."""
+        output = Output()
+        if message.term > self.term and not self._term_is_tentative(message):
+            self._become_follower(message.term, None, now, output)
+        match message:
+            case messages.VoteRequest():
+                self._on_vote_request(message, now, output)
+            case messages.VoteReply():
+                self._on_vote_reply(message, now, output)
+            case messages.Append():
+                self._on_append(message, now, output)
+            case messages.InstallSnapshot():
+                self._on_snapshot(message, now, output)
+            case messages.AppendReply():
+                self._on_append_reply(message, now, output)
+        return output
+
+    # ---- Elections ------------------------------------------------------
+
+    @staticmethod
+    def _term_is_tentative(message: messages.AgreementMessage) -> bool:
+        """Returns whether the term is only asked about, not begun."""
+        match message:
+            case messages.VoteRequest(preliminary=True):
+                return True
+            case messages.VoteReply(preliminary=True, granted=True):
+                return True
+        return False
+
+    def _reset_election(self, now: datetime.timedelta) -> None:
+        spread = 1 + self.rng.random()
+        self._election_due = now + ELECTION_TIMEOUT * spread
+
+    def _become_follower(
+        self,
+        term: int,
+        leader: str | None,
+        now: datetime.timedelta,
+        output: Output,
+    ) -> None:
+        if term > self.term:
+            self.term = term
+            self.voted_for = None
+            output.records.append(messages.HardState(term, None))
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self._reads.clear()
+        self._reset_election(now)
+
+    def _campaign(self, now: datetime.timedelta, output: Output) -> None:
+        self.role = Role.PRE_CANDIDATE
+        self.leader = None
+        self._votes = {self.voter}
+        self._reset_election(now)
+        self._request_votes(self.term + 1, True, output)
+        self._count_votes(now, output)
+
+    def _stand(self, now: datetime.timedelta, output: Output) -> None:
+        self.role = Role.CANDIDATE
+        self.term += 1
+        self.voted_for = self.voter
+        self._votes = {self.voter}
+        self._reset_election(now)
+        output.records.append(messages.HardState(self.term, self.voter))
+        self._request_votes(self.term, False, output)
+        self._count_votes(now, output)
+
+    def _request_votes(
+        self, term: int, preliminary: bool, output: Output
+    ) -> None:
+        request = messages.VoteRequest(
+            term=term,
+            candidate=self.voter,
+            last_index=self.log.last_index,
+            last_term=self.log.last_term,
+            preliminary=preliminary,
+        )
+        for voter in self._others():
+            output.sends.append(messages.Addressed(voter, request))
+
+    def _on_vote_request(
+        self,
+        request: messages.VoteRequest,
+        now: datetime.timedelta,
+        output: Output,
+    ) -> None:
+        current = (request.last_term, request.last_index) >= (
+            self.log.last_term,
+            self.log.last_index,
+        )
+        if request.preliminary:
+            granted = (
+                current
+                and request.term > self.term
+                and not self._leader_is_fresh(now)
+            )
+        else:
+            granted = (
+                current
+                and request.term == self.term
+                and self.voted_for in (None, request.candidate)
+            )
+        if granted and not request.preliminary:
+            self.voted_for = request.candidate
+            self._reset_election(now)
+            output.records.append(
+                messages.HardState(self.term, self.voted_for)
+            )
+        term = request.term if granted else self.term
+        reply = messages.VoteReply(
+            term, self.voter, granted, request.preliminary
+        )
+        output.sends.append(messages.Addressed(request.candidate, reply))
+
+    def _leader_is_fresh(self, now: datetime.timedelta) -> bool:
+        if self.leading:
+            return True
+        heard_lately = now - self._heard_leader < ELECTION_TIMEOUT
+        return self.leader is not None and heard_lately
+
+    def _on_vote_reply(
+        self,
+        reply: messages.VoteReply,
+        now: datetime.timedelta,
+        output: Output,
+    ) -> None:
+        expected = {
+            Role.PRE_CANDIDATE: (True, self.term + 1),
+            Role.CANDIDATE: (False, self.term),
+        }.get(self.role)
+        if not reply.granted or expected != (reply.preliminary, reply.term):
+            return
+        self._votes.add(reply.voter)
+        self._count_votes(now, output)
+
+    def _count_votes(self, now: datetime.timedelta, output: Output) -> None:
+        if not self._is_quorum(self._votes):
+            return
+        match self.role:
+            case Role.PRE_CANDIDATE:
+                self._stand(now, output)
+            case Role.CANDIDATE:
+                self._become_leader(now, output)
+
+    def _become_leader(self, now: datetime.timedelta, output: Output) -> None:
+        self.role = Role.LEADER
+        self.leader = self.voter
+        self._progress_by_voter = {}
+        self._refresh_progress(now)
+        self._quorum_due = now + ELECTION_TIMEOUT
+        self._led_since = now
+        self._log_time_base = self.log.last_at
+        self._term_start_index = self._append_own(messages.Noop(), now, output)
+        self._replicate(now, output)
+
+    # ---- Leading --------------------------------------------------------
+
+    def _others(self) -> list[str]:
+        return [voter for voter in self.voters if voter != self.voter]
+
+    def _is_quorum(self, voters: set[str]) -> bool:
+        electorate = set(self.voters)
+        return 2 * len(voters & electorate) > len(electorate)
+
+    def _refresh_progress(self, now: datetime.timedelta) -> None:
+        targets = (set(self.voters) | self._learners) - {self.voter}
+        for voter in sorted(targets - set(self._progress_by_voter)):
+            self._progress_by_voter[voter] = Progress(
+                next_index=self.log.last_index + 1, last_heard=now
+            )
+        for voter in set(self._progress_by_voter) - targets:
+            del self._progress_by_voter[voter]
+
+    def _append_own(
+        self,
+        command: messages.Command,
+        now: datetime.timedelta,
+        output: Output,
+    ) -> int:
+        at = self._log_time_base + (now - self._led_since)
+        entry = messages.Entry(self.log.last_index + 1, self.term, at, command)
+        self.log.replace_from([entry])
+        output.records.append(messages.Appended([entry]))
+        if isinstance(command, messages.VoterChange):
+            self._refresh_progress(now)
+        return entry.index
+
+    def _lead(self, now: datetime.timedelta, output: Output) -> None:
+        if now >= self._quorum_due:
+            self._check_quorum(now, output)
+        if self.leading and now >= self._heartbeat_due:
+            self._round += 1
+            self._replicate(now, output)
+
+    def _check_quorum(self, now: datetime.timedelta, output: Output) -> None:
+        self._quorum_due = now + ELECTION_TIMEOUT
+        heard = {self.voter}
+        for voter, progress in self._progress_by_voter.items():
+            if now - progress.last_heard <= ELECTION_TIMEOUT:
+                heard.add(voter)
+        if self.check_quorum and not self._is_quorum(heard):
+            self._become_follower(self.term, None, now, output)
+
+    def _replicate(self, now: datetime.timedelta, output: Output) -> None:
+        self._heartbeat_due = now + HEARTBEAT
+        for voter, progress in self._progress_by_voter.items():
+            message = self._next_message(progress)
+            output.sends.append(messages.Addressed(voter, message))
+
+    def _next_message(
+        self, progress: Progress
+    ) -> messages.Append | messages.InstallSnapshot:
+        previous = progress.next_index - 1
+        previous_term = self.log.term_at(previous)
+        if previous_term is None:
+            return messages.InstallSnapshot(
+                self.term, self.voter, self.log.snapshot, self._round
+            )
+        entries = self.log.after(previous, ENTRIES_PER_APPEND)
+        # Sent optimistically; a failure reply moves next_index back.
+        progress.next_index += len(entries)
+        return messages.Append(
+            term=self.term,
+            leader=self.voter,
+            previous_index=previous,
+            previous_term=previous_term,
+            entries=entries,
+            commit=self.commit_index,
+            round=self._round,
+        )
+
+    def _on_append_reply(
+        self,
+        reply: messages.AppendReply,
+        now: datetime.timedelta,
+        output: Output,
+    ) -> None:
+        progress = self._progress_by_voter.get(reply.voter)
+        if not self.leading or reply.term != self.term or progress is None:
+            return
+        progress.last_heard = now
+        progress.acked_round = max(progress.acked_round, reply.round)
+        if reply.success:
+            progress.match_index = max(progress.match_index, reply.match_index)
+            progress.next_index = max(
+                progress.next_index, progress.match_index + 1
+            )
+            self._advance_commit(output)
+        else:
+            progress.next_index = max(
+                progress.match_index + 1,
+                min(reply.match_index, self.log.last_index) + 1,
+            )
+        self._confirm_reads(output)
+        behind = progress.next_index <= self.log.last_index
+        if behind or not reply.success:
+            message = self._next_message(progress)
+            output.sends.append(messages.Addressed(reply.voter, message))
+
+    def _advance_commit(self, output: Output) -> None:
+        matched = [self._synced_index] if self.voter in self.voters else []
+        for voter in self._others():
+            matched.append(self._progress_by_voter[voter].match_index)
+        matched.sort(reverse=True)
+        index = matched[len(self.voters) // 2]
+        # Only an entry of the own term commits what came before it.
+        if index > self.commit_index and (
+            self.log.term_at(index) == self.term
+        ):
+            self._commit_to(index, output)
+
+    def _commit_to(self, index: int, output: Output) -> None:
+        if index > self.log.last_index:
+            raise AssertionError("commit beyond the log")
+        start = self.commit_index - self.log.snapshot.index
+        stop = index - self.log.snapshot.index
+        output.committed.extend(self.log.entries[start:stop])
+        self.commit_index = index
+
+    def _confirm_reads(self, output: Output) -> None:
+        waiting = []
+        for pending in self._reads:
+            acked = {self.voter}
+            for voter, progress in self._progress_by_voter.items():
+                if progress.acked_round >= pending.round:
+                    acked.add(voter)
+            if self._is_quorum(acked):
+                output.confirmed_reads.append(pending.read)
+            else:
+                waiting.append(pending)
+        self._reads = waiting
+
+    # ---- Following ------------------------------------------------------
+
+    def _follow(
+        self,
+        message: messages.Append | messages.InstallSnapshot,
+        now: datetime.timedelta,
+        output: Output,
+    ) -> bool:
+        """Accepts the sender as leader unless its term is over."""
+        if message.term < self.term:
+            self._reply(message, False, self.log.last_index, output)
+            return False
+        if self.leading:
+            raise AssertionError("two leaders in one term")
+        self._become_follower(message.term, message.leader, now, output)
+        self._heard_leader = now
+        return True
+
+    def _on_append(
+        self,
+        message: messages.Append,
+        now: datetime.timedelta,
+        output: Output,
+    ) -> None:
+        if not self._follow(message, now, output):
+            return
+        previous = message.previous_index
+        held = self.log.term_at(previous)
+        if previous < self.log.snapshot.index:
+            # Everything up to the snapshot is committed, so it matches.
+            self._reply(message, True, self.log.snapshot.index, output)
+            return
+        if held != message.previous_term:
+            hint = min(self.log.last_index, previous - 1)
+            self._reply(message, False, max(hint, self.commit_index), output)
+            return
+        self._store_entries(message.entries, output)
+        last = previous + len(message.entries)
+        commit = min(message.commit, last)
+        if commit > self.commit_index:
+            self._commit_to(commit, output)
+        self._reply(message, True, last, output)
+
+    def _store_entries(
+        self, entries: list[messages.Entry], output: Output
+    ) -> None:
+        for position, entry in enumerate(entries):
+            if self.log.term_at(entry.index) == entry.term:
+                continue
+            if entry.index <= self.commit_index:
+                raise AssertionError("a committed entry would change")
+            fresh = entries[position:]
+            self.log.replace_from(fresh)
+            self._synced_index = min(self._synced_index, entry.index - 1)
+            output.records.append(messages.Appended(fresh))
+            return
+
+    def _on_snapshot(
+        self,
+        message: messages.InstallSnapshot,
+        now: datetime.timedelta,
+        output: Output,
+    ) -> None:
+        if not self._follow(message, now, output):
+            return
+        snapshot = message.snapshot
+        if snapshot.index > self.commit_index:
+            self.log.compact(snapshot)
+            self.commit_index = snapshot.index
+            output.records.append(messages.Compacted(snapshot))
+            output.restored = snapshot
+        self._reply(message, True, snapshot.index, output)
+
+    def _reply(
+        self,
+        message: messages.Append | messages.InstallSnapshot,
+        success: bool,
+        match_index: int,
+        output: Output,
+    ) -> None:
+        reply = messages.AppendReply(
+            self.term, self.voter, success, match_index, message.round
+        )
+        output.sends.append(messages.Addressed(message.leader, reply))
--- /dev/null
+++ b/figford/answers.py
@@ -0,0 +1,113 @@
+"""Puts the pieces of a streamed answer in order and finds its end.
+
+Each piece is one server-sent event whose `id` names the request and the
+position: `id: REQUEST:POSITION`. Pieces of other requests and repeated ones
+are dropped, early ones are held back, and a gap that stays is an error.
+"""
+
+import attrs
+
+from figford import errors
+
+SEPARATOR = b"\n\n"
+END_OF_ANSWER = b"\ndata: [DONE]"
+# Pieces that are held back while an earlier one is missing.
+HELD_PIECES_LIMIT = 64
+PIECE_SIZE_LIMIT_BYTES = 1 << 20
+
+
+class GapError(errors.FigfordError):
+    """A piece of the answer never arrived."""
+
+
+class PieceError(errors.FigfordError):
+    """A piece is malformed or too long, or reports an error."""
+
+
+@attrs.define
+class AnswerStream:
+    """The pieces of one answer, over one or more attempts."""
+
+    request: str
+    next_position: int = 0
+    ended: bool = False
+    dropped: int = 0
+    _prefix: bytes = b""
+    _rest: bytes = b""
+    _held: dict[int, bytes] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Prepares the prefix that every piece must have."""
+        self._prefix = f"id: {self.request}:".encode()
+
+    def begin_attempt(self) -> None:
+        """Forgets what an earlier attempt left unfinished."""
+        self._rest = b""
+        self._held.clear()
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Returns the pieces that are next in order, each in full.
+
+        Raises PieceError or GapError; what came before stays valid.
+        """
+        if self.ended:
+            self.dropped += 1
+            return []
+        if self._rest:
+            data = self._rest + data
+        pieces = data.split(SEPARATOR)
+        self._rest = pieces.pop()
+        if len(self._rest) > PIECE_SIZE_LIMIT_BYTES:
+            raise PieceError("a piece of the answer is too long")
+        ready: list[bytes] = []
+        for piece in pieces:
+            self._take(piece, ready)
+            if self.ended:
+                break
+        return ready
+
+    def _take(self, piece: bytes, ready: list[bytes]) -> None:
+        if not piece.startswith(self._prefix):
+            self._reject(piece)
+            return
+        head, _, _ = piece[len(self._prefix) : 200].partition(b"\n")
+        if not head.isdigit():
+            raise PieceError("a piece of the answer has no position")
+        position = int(head)
+        if position != self.next_position:
+            self._take_out_of_order(position, piece)
+            return
+        self._append(piece, ready)
+        while self._held and not self.ended:
+            held = self._held.pop(self.next_position, None)
+            if held is None:
+                break
+            self._append(held, ready)
+
+    def _append(self, piece: bytes, ready: list[bytes]) -> None:
+        self.next_position += 1
+        self.ended = piece.endswith(END_OF_ANSWER)
+        ready.append(piece)
+
+    def _take_out_of_order(self, position: int, piece: bytes) -> None:
+        if position < self.next_position or position in self._held:
+            self.dropped += 1
+            return
+        if len(self._held) >= HELD_PIECES_LIMIT:
+            raise GapError(
+                f"piece {self.next_position} of the answer is missing"
+            )
+        self._held[position] = piece
+
+    def _reject(self, piece: bytes) -> None:
+        if piece.startswith(b"event: error"):
+            raise PieceError("the upstream reported an error")
+        # Comments keep a connection alive; other requests' pieces stray.
+        self.dropped += 1
+
+    def check_ended(self) -> None:
+        """Raises GapError unless the whole answer was seen."""
+        if not self.ended:
+            raise GapError(
+                f"the answer stopped before piece {self.next_position}"
+            )
--- /dev/null
+++ b/figford/callers.py
@@ -0,0 +1,442 @@
+"""The callers' side: HTTP requests to models and plain services."""
+
+import datetime
+import hashlib
+import json
+import typing
+
+import attrs
+from twisted.internet import interfaces
+from twisted.web import http
+from twisted.web import resource
+from twisted.web import server
+from zope import interface
+
+from figford import access
+from figford import dispatch
+from figford import errors
+from figford import gateway as gateways
+from figford import modelcalls
+from figford import operators
+from figford import problems
+from figford import routing
+from figford import servicecalls
+from figford import settings
+from figford import upstreams
+
+CHAT_PATH = b"/v1/chat/completions"
+HEALTH_PATH = b"/health"
+KEY_LENGTH_LIMIT = 200
+MESSAGES_LIMIT = 1_000
+HEADER_COUNT_LIMIT = 100
+# Headers of a caller that are not passed on to a plain service.
+_KEPT_BACK = upstreams.HOP_HEADERS | {b"authorization", b"expect"}
+
+
+class CallerRequest(server.Request):
+    """A request whose size and time to arrive are limited."""
+
+    def __init__(self, channel: http.HTTPChannel, *args: typing.Any) -> None:
+        """Starts the time in which the whole request must arrive."""
+        super().__init__(channel, *args)
+        self._received = 0
+        self._refused = False
+        self._late: typing.Any = None
+
+    @property
+    def _site(self) -> "CallerSite":
+        return self.channel.site
+
+    @property
+    def _limits(self) -> settings.Limits:
+        return self._site.limits
+
+    def gotLength(self, length: int | None) -> None:
+        """Refuses a body whose stated length is over the limit."""
+        super().gotLength(length)
+        self._late = self._site.reactor.callLater(
+            self._limits.request_timeout.total_seconds(), self._arrives_late
+        )
+        if length is not None and length > self._limits.body_bytes:
+            self._refuse_early(errors.TooLarge("the body is too large"))
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Takes a part of the body, up to the limit."""
+        self._received += len(data)
+        if self._refused:
+            return
+        if self._received > self._limits.body_bytes:
+            self._refuse_early(errors.TooLarge("the body is too large"))
+            return
+        super().handleContentChunk(data)
+
+    def requestReceived(
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Handles the request now that all of it is there."""
+        self._cancel_late()
+        if self._refused:
+            return
+        super().requestReceived(command, path, version)
+
+    def connectionLost(self, reason: typing.Any) -> None:
+        """Notes that the caller is gone."""
+        self._cancel_late()
+        super().connectionLost(reason)
+
+    def _cancel_late(self) -> None:
+        late, self._late = self._late, None
+        if late is not None and late.active():
+            late.cancel()
+
+    def _arrives_late(self) -> None:
+        self._late = None
+        self._refuse_early(errors.SlowCaller("the request came too slowly"))
+
+    def _refuse_early(self, refusal: errors.Refusal) -> None:
+        """Refuses while the body still arrives, and hangs up."""
+        if self._refused or self._disconnected:
+            return
+        self._refused = True
+        self._cancel_late()
+        self._site.count_refusal(refusal)
+        body = problems.body(refusal)
+        head = f"HTTP/1.1 {refusal.status} Refused\r\n".encode()
+        fields = {
+            **problems.headers(refusal),
+            b"content-length": str(len(body)).encode(),
+            b"connection": b"close",
+        }
+        lines = [name + b": " + value for name, value in fields.items()]
+        self.channel.transport.write(
+            head + b"\r\n".join(lines) + b"\r\n\r\n" + body
+        )
+        self.channel.loseConnection()
+
+
+class CallerSite(server.Site):
+    """The callers' port, with a limit on open connections."""
+
+    def __init__(
+        self,
+        root: resource.Resource,
+        limits: settings.Limits,
+        reactor: typing.Any,
+        count_refusal: typing.Callable[[errors.Refusal], None],
+    ) -> None:
+        """Makes the site."""
+        super().__init__(
+            root,
+            requestFactory=CallerRequest,
+            timeout=int(limits.idle_timeout.total_seconds()),
+            reactor=reactor,
+        )
+        self.limits = limits
+        self.count_refusal = count_refusal
+        self.displayTracebacks = False
+        self.open_connections = 0
+
+    def buildProtocol(self, addr: object) -> typing.Any:
+        """Returns the protocol of a connection; None over the limit."""
+        if self.open_connections >= self.limits.connections:
+            self.count_refusal(
+                errors.TooManyRequests("too many open connections")
+            )
+            return None
+        self.open_connections += 1
+        channel = super().buildProtocol(addr)
+        channel._channel.totalHeadersSize = self.limits.header_bytes
+        channel._channel.maxHeaders = HEADER_COUNT_LIMIT
+        lost = channel.connectionLost
+
+        def connection_lost(reason: typing.Any) -> None:
+            self.open_connections -= 1
+            lost(reason)
+
+        channel.connectionLost = connection_lost
+        return channel
+
+    def log(self, request: typing.Any) -> None:
+        """Writes no line per request; counters tell."""
+
+
+@interface.implementer(interfaces.IPushProducer)
+class HttpResponder:
+    """A caller's connection, as the calls use it."""
+
+    def __init__(self, request: server.Request) -> None:
+        """Wraps a request."""
+        self._request = request
+        self._call: typing.Any = None
+        self._over = False
+
+    def attach(self, call: typing.Any) -> None:
+        """Names the call that is told when the caller leaves."""
+        self._call = call
+        self._request.notifyFinish().addErrback(self._left)
+
+    def _left(self, _: object) -> None:
+        if not self._over:
+            self._over = True
+            self._call.caller_left()
+
+    def begin(self, status: int, headers: dict[bytes, bytes]) -> None:
+        """Sends status and headers."""
+        self._request.setResponseCode(status)
+        for name, value in headers.items():
+            self._request.responseHeaders.setRawHeaders(name, [value])
+        if hasattr(self._call, "pause"):
+            self._request.registerProducer(self, True)
+
+    def write(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        if not self._over:
+            self._request.write(data)
+
+    def finish(self) -> None:
+        """Ends the answer."""
+        if self._over:
+            return
+        self._over = True
+        if self._request.producer is not None:
+            self._request.unregisterProducer()
+        self._request.finish()
+
+    def refuse(self, refusal: errors.Refusal) -> None:
+        """Sends a refusal as the whole answer."""
+        if self._over:
+            return
+        self._over = True
+        _write_refusal(self._request, refusal)
+
+    def abort(self) -> None:
+        """Drops the connection."""
+        self._over = True
+        self._request.channel.abortConnection()
+
+    def pauseProducing(self) -> None:
+        """Tells the call that the caller is slow."""
+        self._call.pause()
+
+    def resumeProducing(self) -> None:
+        """Tells the call that the caller reads again."""
+        self._call.resume()
+
+    def stopProducing(self) -> None:
+        """Does nothing; the end of the connection is reported."""
+
+
+def _write_refusal(request: server.Request, refusal: errors.Refusal) -> None:
+    body = problems.body(refusal)
+    request.setResponseCode(refusal.status)
+    for name, value in problems.headers(refusal).items():
+        request.responseHeaders.setRawHeaders(name, [value])
+    request.responseHeaders.setRawHeaders(
+        b"content-length", [str(len(body)).encode()]
+    )
+    request.write(body)
+    request.finish()
+
+
+@attrs.frozen
+class ChatBody:
+    """What figford reads of the body of a model request."""
+
+    model: str
+    prompt: str
+    streaming: bool
+
+
+def read_chat_body(body: bytes) -> ChatBody:
+    """Returns what matters of a chat request; raises BadRequest."""
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise errors.BadRequest("the body is not JSON") from error
+    if not isinstance(document, dict):
+        raise errors.BadRequest("the body must be a JSON object")
+    model = document.get("model")
+    if not isinstance(model, str):
+        raise errors.BadRequest("model must be a text")
+    listed = document.get("messages")
+    if not isinstance(listed, list) or not 0 < len(listed) <= MESSAGES_LIMIT:
+        raise errors.BadRequest(
+            f"messages must be a list of 1 to {MESSAGES_LIMIT}"
+        )
+    parts = []
+    for message in listed:
+        if not isinstance(message, dict):
+            raise errors.BadRequest("each message must be an object")
+        parts.append(str(message.get("content", "")))
+    streaming = document.get("stream", False)
+    if not isinstance(streaming, bool):
+        raise errors.BadRequest("stream must be true or false")
+    return ChatBody(model, "\n".join(parts), streaming)
+
+
+class CallerResource(resource.Resource):
+    """All paths of the callers' port."""
+
+    isLeaf = True
+
+    def __init__(self, gateway: gateways.Gateway) -> None:
+        """Makes the resource."""
+        super().__init__()
+        self._gateway = gateway
+
+    def render(self, request: server.Request) -> typing.Any:
+        """Handles a request; refusals become problem documents."""
+        try:
+            self._handle(request)
+        except errors.Refusal as refusal:
+            self._gateway.metrics.outcome("", "", refusal.kind)
+            _write_refusal(request, refusal)
+        return server.NOT_DONE_YET
+
+    def _handle(self, request: server.Request) -> None:
+        if request.path == HEALTH_PATH:
+            _write_health(request, self._gateway)
+            return
+        self._gateway.check_ready()
+        authorization = request.getHeader("authorization")
+        account = self._gateway.access.account(authorization)
+        if request.path == CHAT_PATH:
+            self._model(request, account)
+        else:
+            self._service(request, account)
+
+    # ---- Models ---------------------------------------------------------
+
+    def _model(
+        self, request: server.Request, account: operators.ClientAccount
+    ) -> None:
+        if request.method != b"POST":
+            raise errors.BadRequest("model requests are sent by POST")
+        body = request.content.read()
+        chat = read_chat_body(body)
+        group, granted = self._gateway.access.model(account, chat.model)
+        now = self._gateway.clock.now()
+        limit = self._gateway.limits.first_token_timeout
+        model_request = dispatch.ModelRequest(
+            request=self._gateway.new_request_name(),
+            account=account,
+            request_class=granted.request_class,
+            serving_group=group,
+            prefix=routing.prefix_hash(chat.prompt),
+            deadline=now + _deadline(request, limit),
+        )
+        responder = HttpResponder(request)
+        call = modelcalls.ModelCall(
+            gateway=self._gateway,
+            request=model_request,
+            body=body,
+            streaming=chat.streaming,
+            responder=responder,
+            started_at=now,
+        )
+        responder.attach(call)
+        self._gateway.begin_model_call(call)
+
+    # ---- Plain services -------------------------------------------------
+
+    def _service(
+        self, request: server.Request, account: operators.ClientAccount
+    ) -> None:
+        path = request.path.decode("latin-1")
+        service, granted = self._gateway.access.service(account, path)
+        method = request.method.decode("latin-1")
+        rule = access.path_rule(service, method, path)
+        body = request.content.read()
+        template = upstreams.PlainRequest(
+            method=request.method,
+            address="",
+            uri=request.uri,
+            headers=_passed_headers(request),
+            body=body,
+        )
+        responder = HttpResponder(request)
+        now = self._gateway.clock.now()
+        if rule is not None and rule.repeatable:
+            call: servicecalls.ServiceCall = servicecalls.RepeatableCall(
+                self._gateway,
+                service,
+                granted,
+                rule.request_class,
+                template,
+                responder,
+                now,
+            )
+        else:
+            call = servicecalls.UnrepeatableCall(
+                self._gateway,
+                service,
+                granted,
+                (
+                    rule.request_class
+                    if rule
+                    else operators.RequestClass.BOOKING
+                ),
+                template,
+                responder,
+                now,
+                call=self._claim(request, account, body),
+            )
+        responder.attach(call)
+        self._gateway.begin_service_call(call)
+
+    def _claim(
+        self,
+        request: server.Request,
+        account: operators.ClientAccount,
+        body: bytes,
+    ) -> typing.Any:
+        key = request.getHeader("idempotency-key")
+        if key is not None and not 0 < len(key) <= KEY_LENGTH_LIMIT:
+            raise errors.BadRequest(
+                f"Idempotency-Key must have 1 to {KEY_LENGTH_LIMIT} characters"
+            )
+        digest = hashlib.sha256(
+            b"\0".join([request.method, request.uri, body])
+        ).hexdigest()
+        return self._gateway.new_claim(account.name, key, digest)
+
+
+def _deadline(
+    request: server.Request, limit: datetime.timedelta
+) -> datetime.timedelta:
+    """Returns how long the caller waits for the first token."""
+    stated = request.getHeader("figford-first-token-timeout")
+    if stated is None:
+        return limit
+    try:
+        seconds = float(stated)
+    except ValueError as error:
+        raise errors.BadRequest(
+            "Figford-First-Token-Timeout must be a number of seconds"
+        ) from error
+    if not 0 < seconds <= limit.total_seconds():
+        raise errors.BadRequest(
+            "Figford-First-Token-Timeout must be over 0 and at most"
+            f" {limit.total_seconds():g} seconds"
+        )
+    return datetime.timedelta(seconds=seconds)
+
+
+def _passed_headers(request: server.Request) -> list[tuple[bytes, bytes]]:
+    return [
+        (name, value)
+        for name, values in request.requestHeaders.getAllRawHeaders()
+        for value in values
+        if name.lower() not in _KEPT_BACK
+    ]
+
+
+def _write_health(request: server.Request, gateway: gateways.Gateway) -> None:
+    try:
+        gateway.check_ready()
+    except errors.Refusal as refusal:
+        _write_refusal(request, refusal)
+        return
+    request.setHeader(b"content-type", b"text/plain")
+    request.write(b"ready\n")
+    request.finish()
--- /dev/null
+++ b/figford/codec.py
@@ -0,0 +1,95 @@
+"""CBOR encoding of typed messages."""
+
+import datetime
+import types
+import typing
+
+import cattrs
+from cattrs.preconf import cbor2 as preconf
+from cattrs.preconf import json as json_preconf
+from cattrs import strategies
+
+from figford import errors
+from figford import messages
+
+_MICROSECOND = datetime.timedelta(microseconds=1)
+
+
+def _tagged_unions() -> tuple[types.UnionType, ...]:
+    return (
+        messages.Order,
+        messages.Command,
+        messages.Outcome,
+        messages.SubmitOutcome,
+        messages.AgreementMessage,
+        messages.Record,
+        messages.PeerMessage,
+        messages.Greeting,
+    )
+
+
+def make_converter(
+    factory: typing.Callable[..., cattrs.Converter] = preconf.make_converter,
+) -> cattrs.Converter:
+    """Returns a converter that knows every message and refuses extra keys."""
+    converter = factory(forbid_extra_keys=True, detailed_validation=False)
+    converter.register_unstructure_hook(
+        datetime.timedelta, lambda value: value // _MICROSECOND
+    )
+    converter.register_structure_hook(
+        datetime.timedelta,
+        lambda value, _: datetime.timedelta(microseconds=value),
+    )
+    for union in _tagged_unions():
+        strategies.configure_tagged_union(
+            union, converter, tag_name="_", tag_generator=_tag
+        )
+    return converter
+
+
+def _tag(kind: type) -> str:
+    return kind.__name__
+
+
+_converter = make_converter()
+_plain_converter = make_converter(json_preconf.make_converter)
+
+
+def to_plain(value: object, kind: object) -> typing.Any:
+    """Returns plain data for JSON, as the given type."""
+    return _plain_converter.unstructure(value, unstructure_as=kind)
+
+
+def from_plain(plain: object, kind: type) -> typing.Any:
+    """Returns the value of the given type that plain data describes.
+
+    Raises MessageError when the data does not describe one.
+    """
+    try:
+        return _plain_converter.structure(plain, kind)
+    except Exception as error:
+        # Hostile data raises many types inside the codec library.
+        raise errors.MessageError(
+            f"not a valid {getattr(kind, '__name__', kind)}:"
+            f" {type(error).__name__}: {error}"[:300]
+        ) from error
+
+
+def encode(value: object, kind: object) -> bytes:
+    """Returns the CBOR encoding of a value as the given type."""
+    return _converter.dumps(value, unstructure_as=kind)
+
+
+def decode(data: bytes, kind: type) -> typing.Any:
+    """Returns the value of the given type that `data` encodes.
+
+    Raises MessageError when the data is not a valid encoding of it.
+    """
+    try:
+        return _converter.loads(data, kind)
+    except Exception as error:
+        # Hostile bytes raise many types inside the codec libraries.
+        raise errors.MessageError(
+            f"not a valid {getattr(kind, '__name__', kind)}:"
+            f" {type(error).__name__}"
+        ) from error
--- /dev/null
+++ b/figford/daemon.py
@@ -0,0 +1,557 @@
+"""The composition root: wires and runs one entry."""
+
+import datetime
+import os
+import pathlib
+import random
+import secrets
+import signal
+import sys
+import typing
+
+import attrs
+import logbook
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import task
+from twisted.python import log as twisted_log
+from twisted.web import server
+
+from figford import administration
+from figford import agreement
+from figford import callers
+from figford import clocks
+from figford import control
+from figford import dispatch
+from figford import durable
+from figford import effects
+from figford import errors
+from figford import gateway as gateways
+from figford import links
+from figford import membership
+from figford import messages
+from figford import metrics as metric_sets
+from figford import node as nodes
+from figford import operators
+from figford import routing
+from figford import settings
+from figford import store
+from figford import upstreams
+
+_log = logbook.Logger(__name__)
+
+TICK_SECONDS = 0.05
+GATEWAY_TICK_SECONDS = 0.1
+# How long the health check fails before a stopping entry closes its port.
+BALANCER_GRACE = datetime.timedelta(milliseconds=500)
+SUBMIT_DEADLINE = datetime.timedelta(seconds=10)
+
+
+def new_voter(instance: str) -> str:
+    """Returns a name for a blank disk; it is never used again."""
+    return f"{instance}.{secrets.token_hex(6)}"
+
+
+def found_deployment(config: settings.Settings) -> str:
+    """Makes this entry's data folder the first of a new deployment.
+
+    Raises DataFolderInUseError where the folder holds a journal already.
+    """
+    if config.data_folder is None:
+        raise errors.SettingsError(
+            "is needed to found a deployment", "data_folder"
+        )
+    journal = store.FileJournal(pathlib.Path(config.data_folder))
+    journal.open()
+    try:
+        if journal.load():
+            raise errors.DataFolderInUseError(
+                f"{config.data_folder} already holds a journal"
+            )
+        voter = new_voter(config.instance)
+        journal.append(control.founding_records(voter))
+    finally:
+        journal.close()
+    return voter
+
+
+@attrs.define(eq=False)
+class Entry:
+    """One entry process: its ports, its decisions and its disk."""
+
+    config: settings.Settings
+    reactor: typing.Any
+    clock: clocks.SystemClock = attrs.field(factory=clocks.SystemClock)
+    rng: random.Random = attrs.field(factory=random.SystemRandom)
+    metrics: metric_sets.Metrics = attrs.field(factory=metric_sets.Metrics)
+    node: nodes.Node = attrs.field(init=False)
+    gateway: gateways.Gateway = attrs.field(init=False)
+    hub: links.LinkHub = attrs.field(init=False)
+    stopped: defer.Deferred = attrs.field(factory=defer.Deferred)
+    _writer: durable.DurableWriter | None = None
+    _records: list[messages.Record] = attrs.field(factory=list)
+    _on_outcome_by_proposal: dict[str, gateways.OnOutcome] = attrs.field(
+        factory=dict
+    )
+    _ports: list[typing.Any] = attrs.field(factory=list)
+    _loops: list[task.LoopingCall] = attrs.field(factory=list)
+    _stopping_since: datetime.timedelta | None = None
+
+    # ---- Wiring ---------------------------------------------------------
+
+    def __attrs_post_init__(self) -> None:
+        """Makes the parts; opens no socket yet."""
+        journal, voter = self._open_journal()
+        me = messages.Peer(
+            instance=self.config.instance,
+            incarnation=int(self.clock.wall().timestamp() * 1000),
+            sequence=0,
+            data_centre=self.config.data_centre,
+            address=self.config.links_address,
+            callers_address=self.config.callers_address,
+            voter=voter,
+        )
+        now = self.clock.now()
+        peers = membership.PeerTable(me)
+        disk = None
+        if voter is not None:
+            disk = control.Control(peers, agreement.Agreement(voter, self.rng))
+        self.node = nodes.Node(peers, self.rng, now, control=disk)
+        if journal is not None:
+            self._writer = durable.DurableWriter(
+                self.reactor, journal, self._synced, self._disk_failed
+            )
+        self._make_gateway()
+        self.hub = links.LinkHub(
+            self.reactor,
+            self.clock,
+            self.config.deployment,
+            settings.read_secret(self.config.secret_file),
+            list(self.config.seeds),
+            self.config.links_address,
+            self,
+            lambda: self.node.me,
+        )
+
+    def _open_journal(self) -> tuple[store.FileJournal | None, str | None]:
+        if self.config.data_folder is None:
+            return None, None
+        journal = store.FileJournal(pathlib.Path(self.config.data_folder))
+        journal.open()
+        self._records = journal.load()
+        for record in self._records:
+            if isinstance(record, messages.Identity):
+                return journal, record.voter
+        identity = messages.Identity(new_voter(self.config.instance))
+        journal.append([identity])
+        self._records = [identity]
+        return journal, identity.voter
+
+    def _make_gateway(self) -> None:
+        dispatcher = dispatch.Dispatcher(
+            self.node.group_table, routing.Router(self.rng)
+        )
+        self.node.drains = dispatcher
+        self.gateway = gateways.Gateway(
+            self.node,
+            dispatcher,
+            upstreams.UpstreamClient(
+                self.reactor, self.clock, self.config.limits
+            ),
+            self.metrics,
+            self.clock,
+            self.config.limits,
+            self,
+            self.rng,
+        )
+
+    # ---- Starting and stopping ------------------------------------------
+
+    @defer.inlineCallbacks
+    def start(self) -> typing.Iterator[typing.Any]:
+        """Opens the ports and starts to work."""
+        if self._writer is not None:
+            self._writer.start()
+        self._carry_out(self.node.start(self._records, self.clock.now()))
+        self._records = []
+        yield self.hub.start()
+        yield self._listen(
+            self.config.upstreams_address,
+            administration.QuietSite(administration.upstreams_root(self)),
+        )
+        yield self._listen(
+            self.config.metrics_address,
+            administration.QuietSite(administration.metrics_root(self)),
+        )
+        yield self._listen(
+            self.config.operators_address,
+            administration.QuietSite(self._operators_port().root()),
+        )
+        yield self._listen(self.config.callers_address, self._caller_site())
+        self._loop(self._tick, TICK_SECONDS)
+        self._loop(self.gateway.tick, GATEWAY_TICK_SECONDS)
+        _log.info(
+            "entry started: instance={} data_centre={} voter={}",
+            self.config.instance,
+            self.config.data_centre,
+            self.node.me.voter,
+        )
+
+    def _caller_site(self) -> callers.CallerSite:
+        return callers.CallerSite(
+            callers.CallerResource(self.gateway),
+            self.config.limits,
+            self.reactor,
+            lambda refusal: self.metrics.outcome("", "", refusal.kind),
+        )
+
+    def _operators_port(self) -> administration.OperatorsPort:
+        key = None
+        if self.config.operator_key_file is not None:
+            key = settings.read_secret(self.config.operator_key_file)
+        return administration.OperatorsPort(
+            self, key, self.config.allow_faults
+        )
+
+    @defer.inlineCallbacks
+    def _listen(
+        self, address: str, site: server.Site
+    ) -> typing.Iterator[typing.Any]:
+        host, port = settings.split_address(address)
+        kind = (
+            endpoints.TCP6ServerEndpoint
+            if ":" in host
+            else endpoints.TCP4ServerEndpoint
+        )
+        endpoint = kind(self.reactor, port, interface=host)
+        listening = yield endpoint.listen(site)
+        self._ports.append(listening)
+
+    def _loop(
+        self, function: typing.Callable[[], None], seconds: float
+    ) -> None:
+        loop = task.LoopingCall(function)
+        loop.clock = self.reactor
+        self._loops.append(loop)
+        loop.start(seconds).addErrback(self._fatal)
+
+    def stop(self) -> None:
+        """Begins a graceful stop: no new work, what is there finishes."""
+        if self._stopping_since is not None:
+            return
+        now = self.clock.now()
+        self._stopping_since = now
+        _log.info("entry stopping: in_progress={}", self.gateway.in_progress)
+        self._carry_out(self.node.begin_stop(now))
+
+    def _check_stopped(self, now: datetime.timedelta) -> None:
+        since = self._stopping_since
+        if since is None or now - since < BALANCER_GRACE:
+            return
+        late = now - since >= self.config.stop_timeout
+        if self.gateway.in_progress and not late:
+            return
+        self._stopping_since = None
+        self._close(late).addErrback(self._fatal)
+
+    @defer.inlineCallbacks
+    def _close(self, late: bool) -> typing.Iterator[typing.Any]:
+        for loop in self._loops:
+            loop.stop()
+        for port in self._ports:
+            yield port.stopListening()
+        yield self.hub.stop()
+        yield self.gateway.client.close()
+        if self._writer is not None:
+            self._writer.stop()
+        _log.info("entry stopped: late={}", late)
+        self.stopped.callback(not late)
+
+    def _fatal(self, failure: typing.Any) -> None:
+        """Ends the process: an invariant or the disk failed."""
+        _log.critical("entry failed: {}", failure.getTraceback())
+        # State may be wrong, so nothing more is sent or written.
+        os._exit(70)
+
+    def _disk_failed(self, failure: typing.Any) -> None:
+        self._fatal(failure)
+
+    # ---- Effects --------------------------------------------------------
+
+    def _tick(self) -> None:
+        now = self.clock.now()
+        self._carry_out(self.node.tick(now))
+        self._check_stopped(now)
+
+    def _carry_out(self, todo: list[effects.Effect]) -> None:
+        for effect in todo:
+            match effect:
+                case effects.SendPeer(instance, message):
+                    self.hub.send(instance, message)
+                case effects.Durable() | effects.RewriteJournal():
+                    self._submit_batch(effect)
+                case effects.SendOrder():
+                    self._send_order(effect)
+                case effects.Decided(proposal, outcome):
+                    self._decided(proposal, outcome)
+                case effects.Configured():
+                    self.gateway.configured(self.node.configuration)
+                case effects.StateChanged(event, detail):
+                    self._state_changed(event, detail)
+                case effects.Dropped(error):
+                    self.metrics.event(type(error).__name__)
+
+    def _submit_batch(
+        self, batch: effects.Durable | effects.RewriteJournal
+    ) -> None:
+        if self._writer is None:
+            raise AssertionError("an entry without a disk writes")
+        self._writer.submit(batch)
+
+    def _synced(self, batch: effects.Durable) -> None:
+        for send in batch.sends:
+            self.hub.send(send.instance, send.message)
+        if batch.records:
+            now = self.clock.now()
+            self._guard(
+                self.node.synced, batch.last_index, batch.last_term, now
+            )
+
+    def _send_order(self, order: effects.SendOrder) -> None:
+        self.metrics.event("order-sent")
+        sent = self.gateway.client.send_order(
+            order.address, order.order, order.valid_until
+        )
+        sent.addErrback(lambda _: self.metrics.event("order-failed"))
+
+    def _decided(
+        self, proposal: str, outcome: messages.Outcome | None
+    ) -> None:
+        on_outcome = self._on_outcome_by_proposal.pop(proposal, None)
+        if on_outcome is not None:
+            on_outcome(outcome)
+
+    def _state_changed(
+        self, event: str, detail: tuple[tuple[str, object], ...]
+    ) -> None:
+        self.metrics.event(event.replace(" ", "-"))
+        fields = " ".join(f"{name}={value}" for name, value in detail)
+        _log.info("{}: {}", event, fields)
+
+    def _guard(
+        self,
+        decide: typing.Callable[..., list[effects.Effect]],
+        *args: typing.Any,
+    ) -> None:
+        """Carries out a decision; a broken invariant ends the process."""
+        try:
+            self._carry_out(decide(*args))
+        except AssertionError:
+            _log.exception("invariant broken")
+            os._exit(70)
+
+    # ---- Links ----------------------------------------------------------
+
+    def link_up(self, peer: messages.Peer) -> None:
+        """Reports a link after its handshake."""
+        _log.info("link up: peer={}", peer.instance)
+        self._guard(self.node.link_up, peer, self.clock.now())
+
+    def link_down(self, instance: str) -> None:
+        """Reports the end of a link."""
+        _log.info("link down: peer={}", instance)
+        self.node.link_down(instance)
+
+    def peer_message(
+        self, instance: str, message: messages.PeerMessage
+    ) -> None:
+        """Reports a message of a peer."""
+        self._guard(self.node.receive, instance, message, self.clock.now())
+
+    def message_refused(self, error: errors.FigfordError) -> None:
+        """Reports bytes that were no message or no handshake."""
+        self.metrics.event(type(error).__name__)
+
+    def known_peers(self) -> list[messages.Peer]:
+        """Returns all entries that are known."""
+        return self.node.peers.everyone()
+
+    # ---- Commands -------------------------------------------------------
+
+    def propose(
+        self,
+        command: messages.Command,
+        deadline: datetime.timedelta,
+        on_outcome: gateways.OnOutcome,
+    ) -> None:
+        """Commits a command; calls back with its outcome or None."""
+        now = self.clock.now()
+        proposal, todo = self.node.propose(command, deadline, now)
+        self._on_outcome_by_proposal[proposal] = on_outcome
+        self._carry_out(todo)
+
+    # ---- The operators', upstreams' and metrics ports --------------------
+
+    def announce(self, announcement: messages.Announcement) -> None:
+        """Takes an upstream's announcement."""
+        self._guard(self.node.announce, announcement, self.clock.now())
+
+    def submit(
+        self, command: messages.Submit, on_outcome: gateways.OnOutcome
+    ) -> None:
+        """Commits a configuration."""
+        deadline = self.clock.now() + SUBMIT_DEADLINE
+        self.propose(command, deadline, on_outcome)
+
+    def configuration(self) -> messages.ConfigurationView:
+        """Returns the configuration in force."""
+        return self.node.follower.view
+
+    def in_force(self, version: int) -> dict:
+        """Returns which live entries have a version in force."""
+        live = self.node.peers.live(self.clock.now())
+        have = [peer.instance for peer in live if peer.version >= version]
+        if self.node.follower.version >= version:
+            have.append(self.config.instance)
+        behind = [peer.instance for peer in live if peer.version < version]
+        return {"in_force": sorted(have), "behind": sorted(behind)}
+
+    def is_ready(self) -> bool:
+        """Returns whether callers may be served."""
+        return self.node.is_ready(self.clock.now())
+
+    def render_metrics(self, accepts: list[str]) -> tuple[bytes, dict]:
+        """Returns the text of the metrics and its headers."""
+        for name, value in self._gauges().items():
+            self.metrics.set_state(name, value)
+        return self.metrics.render(accepts)
+
+    def _gauges(self) -> dict[str, float]:
+        now = self.clock.now()
+        dispatcher = self.gateway.dispatcher
+        return {
+            "ready": self.node.is_ready(now),
+            "planner": self.node.planning.holds(now),
+            "leader": self._leads(),
+            "configuration_version": self.node.follower.version,
+            "complete_groups": len(self.node.group_table.by_group(now)),
+            "fresh_upstreams": len(self.node.upstreams.fresh(now)),
+            "live_entries": self.node.live_entries(now),
+            "in_progress": self.gateway.in_progress,
+            "waiting": dispatcher.waiting,
+            "open_breakers": len(dispatcher.breakers.opened()),
+            "pauses": self.node.pauses,
+            "link_bytes_sent": self.hub.bytes_sent,
+            "link_bytes_received": self.hub.bytes_received,
+        }
+
+    def _leads(self) -> bool:
+        disk = self.node.control
+        return disk is not None and disk.agreement.leading
+
+    def status(self) -> dict:
+        """Returns the state of this entry and what it knows."""
+        now = self.clock.now()
+        disk = self.node.control
+        return {
+            "instance": self.config.instance,
+            "data_centre": self.config.data_centre,
+            "incarnation": self.node.me.incarnation,
+            **self._gauges(),
+            "voters": disk.agreement.voters if disk else [],
+            "entries": [
+                {
+                    "instance": known.peer.instance,
+                    "data_centre": known.peer.data_centre,
+                    "live": self.node.peers.is_live(name, now),
+                    "version": known.peer.version,
+                    "voter": known.peer.voter,
+                }
+                for name, known in sorted(self.node.peers.by_instance.items())
+            ],
+            "groups": [
+                {
+                    "group": view.group,
+                    "fence": view.fence,
+                    "state": view.state.value,
+                    "members": list(view.member_names),
+                    "address": view.address,
+                }
+                for _, view in sorted(
+                    self.node.group_table.by_group(now).items()
+                )
+            ],
+            "upstreams": [
+                {
+                    "upstream": name,
+                    "fabric_domain": known.announcement.fabric_domain,
+                    "kind": known.announcement.kind.value,
+                    "state": known.announcement.state.value,
+                    "group": (
+                        known.announcement.seat.group
+                        if known.announcement.seat
+                        else None
+                    ),
+                    "fresh": self.node.upstreams.is_fresh(name, now),
+                }
+                for name, known in sorted(self.node.upstreams.by_name.items())
+            ],
+        }
+
+    def block_links(self, instances: set[str]) -> None:
+        """Cuts links, where the settings allow faults."""
+        self.hub.block(instances)
+
+
+def configure_logs(level: str) -> None:
+    """Sends log records to standard error."""
+    handler = logbook.StreamHandler(
+        sys.stderr,
+        level=level,
+        format_string=(
+            "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name}"
+            " {record.channel} {record.message}"
+        ),
+    )
+    handler.push_application()
+
+    def observe(event: dict) -> None:
+        if event.get("isError"):
+            text = twisted_log.textFromEventDict(event)
+            logbook.Logger("twisted").error("{}", text)
+
+    twisted_log.startLoggingWithObserver(observe, setStdout=False)
+
+
+def run(config: settings.Settings) -> int:
+    """Runs an entry until it is stopped; returns the exit code."""
+    # The reactor is chosen here, not when the module is imported.
+    from twisted.internet import reactor
+
+    configure_logs(config.log_level)
+    entry = Entry(config, reactor)
+    codes = []
+
+    def stopped(in_time: bool) -> None:
+        codes.append(0 if in_time else 1)
+        reactor.stop()
+
+    def failed(failure: typing.Any) -> None:
+        _log.critical("entry can't start: {}", failure.getErrorMessage())
+        codes.append(1)
+        reactor.stop()
+
+    entry.stopped.addCallback(stopped)
+    reactor.callWhenRunning(lambda: entry.start().addErrback(failed))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(
+            number,
+            lambda *_: reactor.callFromThread(entry.stop),
+        )
+    reactor.run(installSignalHandlers=False)
+    return codes[0] if codes else 1
+
+
+def check_configuration(text: str) -> operators.Configuration:
+    """Returns the configuration of YAML text, checked."""
+    return operators.Configuration.from_yaml(text)
--- /dev/null
+++ b/figford/dispatch.py
@@ -0,0 +1,376 @@
+"""Takes model requests from admission through the queue to a group.
+
+A pure state machine per entry: `submit`, `retry`, `ended` and `tick`
+return effects that start, refuse or interrupt requests.
+"""
+
+import datetime
+import math
+
+import attrs
+
+from figford import admission
+from figford import errors
+from figford import groups
+from figford import operators
+from figford import retries
+from figford import routing
+
+# Assumed service time of a request until some have been seen.
+FIRST_SERVICE_TIME = datetime.timedelta(seconds=2)
+SERVICE_TIME_SMOOTHING = 0.1
+LEAST_RETRY_AFTER = datetime.timedelta(seconds=1)
+ATTEMPTS_LIMIT = 4
+
+
+@attrs.frozen
+class ModelRequest:
+    """A request for a model, as the entry received it.
+
+    `deadline` is when the caller no longer wants a first token.
+    """
+
+    request: str
+    account: operators.ClientAccount
+    request_class: operators.RequestClass
+    serving_group: operators.ServingGroup
+    prefix: int
+    deadline: datetime.timedelta
+
+
+@attrs.frozen
+class Start:
+    """Effect: send the request to a group."""
+
+    request: str
+    view: groups.GroupView
+
+
+@attrs.frozen
+class Refuse:
+    """Effect: refuse the request; it ends here."""
+
+    request: str
+    refusal: errors.Refusal
+
+
+@attrs.frozen
+class Interrupt:
+    """Effect: stop the attempt under way, since its group is broken."""
+
+    request: str
+
+
+Effect = Start | Refuse | Interrupt
+
+
+@attrs.define
+class _Active:
+    request: ModelRequest
+    view: groups.GroupView | None = None
+    started_at: datetime.timedelta = datetime.timedelta(0)
+    attempts: int = 0
+    tried: set[tuple[str, int]] = attrs.field(factory=set)
+    interrupted: bool = False
+    sent: bool = False
+
+
+@attrs.define
+class Dispatcher:
+    """The model requests of one entry."""
+
+    table: groups.GroupTable
+    router: routing.Router
+    limits: admission.Admission = attrs.field(factory=admission.Admission)
+    budget: retries.RetryBudget = attrs.field(factory=retries.RetryBudget)
+    breakers: retries.Breakers = attrs.field(factory=retries.Breakers)
+    draining: dict[tuple[str, int], datetime.timedelta] = attrs.field(
+        factory=dict
+    )
+    _active_by_request: dict[str, _Active] = attrs.field(factory=dict)
+    _queue_by_model: dict[str, admission.FairQueue] = attrs.field(factory=dict)
+    _service_seconds: float = FIRST_SERVICE_TIME.total_seconds()
+
+    # ---- Events ---------------------------------------------------------
+
+    def submit(
+        self, request: ModelRequest, now: datetime.timedelta
+    ) -> list[Effect]:
+        """Admits a request: starts it, queues it or refuses it."""
+        try:
+            self.limits.admit(request.account, now)
+        except errors.Refusal as refusal:
+            return [Refuse(request.request, refusal)]
+        self.budget.earned()
+        active = _Active(request)
+        self._active_by_request[request.request] = active
+        queue = self._queue(request.serving_group.name)
+        if len(queue) == 0:
+            effects = self._start(active, now)
+            if effects:
+                return effects
+        return self._enqueue(active, queue, now)
+
+    def ended(
+        self,
+        request: str,
+        tokens: int,
+        whole: bool,
+        now: datetime.timedelta,
+    ) -> list[Effect]:
+        """Notes that a request ended; starts requests that waited."""
+        active = self._active_by_request.pop(request, None)
+        if active is None:
+            return []
+        self.limits.finished(active.request.account, tokens, now)
+        model = active.request.serving_group.name
+        if active.view is None:
+            self._queue(model).remove(request)
+            return []
+        if whole:
+            self.breakers.succeeded(active.view.address)
+            self._note_service_time(now - active.started_at)
+        self.router.finished(active.view)
+        return self._start_waiting(model, now)
+
+    def retry(
+        self,
+        request: str,
+        sent: bool,
+        failed: bool,
+        now: datetime.timedelta,
+    ) -> list[Effect]:
+        """Moves a request whose attempt broke off to another group.
+
+        `sent` says whether any byte may have gone upstream, `failed` counts
+        against the upstream's breaker.
+        """
+        active = self._active_by_request.get(request)
+        if active is None or active.view is None:
+            return []
+        if failed:
+            self.breakers.failed(active.view.address, now)
+        active.sent = active.sent or sent
+        self.router.finished(active.view)
+        active.view = None
+        model = active.request.serving_group.name
+        if active.attempts >= ATTEMPTS_LIMIT or not self.budget.take():
+            return [
+                self._give_up(active, now),
+                *self._start_waiting(model, now),
+            ]
+        started = self._start(active, now)
+        if started:
+            return started
+        return self._enqueue(active, self._queue(model), now)
+
+    def tick(self, now: datetime.timedelta) -> list[Effect]:
+        """Refuses what waited too long; interrupts work on broken groups."""
+        effects: list[Effect] = []
+        for queue in self._queue_by_model.values():
+            for waiting in queue.expired(now):
+                effects.append(self._refuse_waiting(waiting, now))
+        for name, active in self._active_by_request.items():
+            view = active.view
+            if view is None or active.interrupted:
+                continue
+            if not self.table.is_intact(view, now):
+                active.interrupted = True
+                effects.append(Interrupt(name))
+        for model in list(self._queue_by_model):
+            effects.extend(self._start_waiting(model, now))
+        self._forget_lapsed_drains(now)
+        return effects
+
+    # ---- Draining -------------------------------------------------------
+
+    def drain(self, group: str, fence: int, until: datetime.timedelta) -> int:
+        """Stops new work on a group; returns what is in progress there."""
+        self.draining[group, fence] = until
+        return self.router.in_progress(group, fence)
+
+    def _forget_lapsed_drains(self, now: datetime.timedelta) -> None:
+        lapsed = [key for key, until in self.draining.items() if until < now]
+        for key in lapsed:
+            del self.draining[key]
+
+    # ---- Reading --------------------------------------------------------
+
+    def view_of(self, request: str) -> groups.GroupView | None:
+        """Returns the group that a request is on."""
+        active = self._active_by_request.get(request)
+        return active.view if active else None
+
+    @property
+    def in_progress(self) -> int:
+        """Returns how many requests are admitted and not ended."""
+        return len(self._active_by_request)
+
+    @property
+    def waiting(self) -> int:
+        """Returns how many requests wait for a group."""
+        return sum(len(queue) for queue in self._queue_by_model.values())
+
+    # ---- Parts ----------------------------------------------------------
+
+    def _queue(self, model: str) -> admission.FairQueue:
+        queue = self._queue_by_model.get(model)
+        if queue is None:
+            queue = self._queue_by_model[model] = admission.FairQueue()
+        return queue
+
+    def _candidates(
+        self,
+        model: str,
+        tried: set[tuple[str, int]],
+        now: datetime.timedelta,
+    ) -> list[groups.GroupView]:
+        return [
+            view
+            for view in self.table.by_group(now).values()
+            if view.serving_group == model
+            and view.state is groups.GroupState.SERVING
+            and (view.group, view.fence) not in tried
+            and self.draining.get((view.group, view.fence), now) <= now
+            and self.breakers.allows(view.address, now)
+        ]
+
+    def _start(self, active: _Active, now: datetime.timedelta) -> list[Effect]:
+        """Returns a Start where a group has room, else nothing."""
+        spec = active.request.serving_group
+        candidates = [
+            (view, self.table.load_of(view))
+            for view in self._candidates(spec.name, active.tried, now)
+        ]
+        view = self.router.choose(
+            candidates, spec.concurrency, active.request.prefix, now
+        )
+        if view is None:
+            return []
+        if not self.table.is_intact(view, now):
+            raise AssertionError("work is sent to a group that is not whole")
+        active.view = view
+        active.started_at = now
+        active.attempts += 1
+        active.interrupted = False
+        active.tried.add((view.group, view.fence))
+        self.router.started(view, now)
+        self.breakers.started(view.address, now)
+        return [Start(active.request.request, view)]
+
+    def _enqueue(
+        self,
+        active: _Active,
+        queue: admission.FairQueue,
+        now: datetime.timedelta,
+    ) -> list[Effect]:
+        request = active.request
+        model = request.serving_group.name
+        if not self._candidates(model, set(), now):
+            return [
+                self._refuse(
+                    active,
+                    errors.NoCapacity(
+                        f"no complete group serves {model}",
+                        retry_after=LEAST_RETRY_AFTER * 2,
+                    ),
+                    now,
+                )
+            ]
+        wait = self._expected_wait(queue, request, now)
+        if now + wait > request.deadline:
+            return [self._refuse_late(active, wait, now)]
+        try:
+            queue.push(
+                admission.Waiting(
+                    request.request,
+                    request.account.name,
+                    request.request_class,
+                    request.account.weight,
+                    request.deadline,
+                )
+            )
+        except errors.Refusal as refusal:
+            return [self._refuse(active, refusal, now)]
+        return []
+
+    def _expected_wait(
+        self,
+        queue: admission.FairQueue,
+        request: ModelRequest,
+        now: datetime.timedelta,
+    ) -> datetime.timedelta:
+        """Returns how long a new request would probably wait."""
+        model = request.serving_group.name
+        groups_open = len(self._candidates(model, set(), now))
+        slots = groups_open * request.serving_group.concurrency
+        slots = max(1, slots // self.limits.entries)
+        seconds = (len(queue) + 1) * self._service_seconds / slots
+        return datetime.timedelta(seconds=seconds)
+
+    def _start_waiting(
+        self, model: str, now: datetime.timedelta
+    ) -> list[Effect]:
+        effects: list[Effect] = []
+        queue = self._queue(model)
+        while len(queue):
+            waiting = queue.pop()
+            if waiting is None:
+                break
+            active = self._active_by_request[waiting.request]
+            started = self._start(active, now)
+            if not started:
+                queue.push_back(waiting)
+                break
+            effects.extend(started)
+        return effects
+
+    def _note_service_time(self, taken: datetime.timedelta) -> None:
+        change = taken.total_seconds() - self._service_seconds
+        self._service_seconds += SERVICE_TIME_SMOOTHING * change
+
+    def _refuse(
+        self,
+        active: _Active,
+        refusal: errors.Refusal,
+        now: datetime.timedelta,
+    ) -> Refuse:
+        name = active.request.request
+        del self._active_by_request[name]
+        self.limits.finished(active.request.account, 0, now)
+        if active.sent:
+            refusal = attrs.evolve(refusal, run_state=errors.RunState.UNKNOWN)
+        return Refuse(name, refusal)
+
+    def _refuse_late(
+        self,
+        active: _Active,
+        wait: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> Refuse:
+        retry_after = datetime.timedelta(
+            seconds=max(1, math.ceil(wait.total_seconds()))
+        )
+        return self._refuse(
+            active,
+            errors.DeadlineMissed(
+                "the request can't start by its deadline",
+                retry_after=retry_after,
+            ),
+            now,
+        )
+
+    def _refuse_waiting(
+        self, waiting: admission.Waiting, now: datetime.timedelta
+    ) -> Refuse:
+        active = self._active_by_request[waiting.request]
+        queue = self._queue(active.request.serving_group.name)
+        wait = self._expected_wait(queue, active.request, now)
+        return self._refuse_late(active, wait, now)
+
+    def _give_up(self, active: _Active, now: datetime.timedelta) -> Refuse:
+        refusal = errors.UpstreamFailed(
+            "the upstream failed and no retry is left",
+            retry_after=LEAST_RETRY_AFTER,
+        )
+        return self._refuse(active, refusal, now)
--- /dev/null
+++ b/figford/gateway.py
@@ -0,0 +1,269 @@
+"""Joins callers, decisions and upstreams of one entry.
+
+It owns the calls in progress and carries out what the dispatcher decides.
+"""
+
+import datetime
+import itertools
+import random
+import typing
+
+import attrs
+
+from figford import access as access_tables
+from figford import claims
+from figford import dispatch
+from figford import errors
+from figford import messages
+from figford import metrics as metric_sets
+from figford import modelcalls
+from figford import node as nodes
+from figford import operators
+from figford import servicecalls
+from figford import settings
+from figford import upstreams
+
+CLAIM_DEADLINE = datetime.timedelta(seconds=4)
+RECORD_DEADLINE = datetime.timedelta(seconds=4)
+BACKGROUND_DEADLINE = datetime.timedelta(minutes=10)
+
+Outcome = messages.Outcome | None
+OnOutcome = typing.Callable[[Outcome], None]
+
+
+@attrs.frozen
+class Feeds:
+    """The histogram feeds of one client account and class."""
+
+    first_token: metric_sets.Feed
+    between_tokens: metric_sets.Feed
+
+
+class Proposer(typing.Protocol):
+    """Commits commands; implemented by the daemon."""
+
+    def propose(
+        self,
+        command: messages.Command,
+        deadline: datetime.timedelta,
+        on_outcome: OnOutcome,
+    ) -> None:
+        """Calls back with the outcome, or None past the deadline."""
+
+
+@attrs.define
+class Gateway:
+    """The calls in progress at one entry."""
+
+    node: nodes.Node
+    dispatcher: dispatch.Dispatcher
+    client: upstreams.UpstreamClient
+    metrics: metric_sets.Metrics
+    clock: typing.Any
+    limits: settings.Limits
+    proposer: Proposer
+    rng: random.Random
+    access: access_tables.AccessTable = attrs.field(
+        factory=lambda: access_tables.AccessTable(operators.Configuration())
+    )
+    _model_call_by_request: dict[str, modelcalls.ModelCall] = attrs.field(
+        factory=dict
+    )
+    _service_calls: set[servicecalls.ServiceCall] = attrs.field(factory=set)
+    _service_load: dict[str, int] = attrs.field(factory=dict)
+    _feeds: dict[tuple[str, str], Feeds] = attrs.field(factory=dict)
+    _numbers: typing.Iterator[int] = attrs.field(
+        factory=lambda: itertools.count(1)
+    )
+
+    # ---- Reading --------------------------------------------------------
+
+    @property
+    def in_progress(self) -> int:
+        """Returns how many calls are in progress or waiting."""
+        return len(self._model_call_by_request) + len(self._service_calls)
+
+    def check_ready(self) -> None:
+        """Raises Draining unless callers may be served now."""
+        if not self.node.is_ready(self.clock.now()):
+            raise errors.Draining(
+                "this entry is stopping or holds no current configuration",
+                retry_after=datetime.timedelta(seconds=1),
+            )
+
+    def new_request_name(self) -> str:
+        """Returns a name for a request, unique in the deployment."""
+        me = self.node.me
+        number = next(self._numbers)
+        return f"{me.instance}-{me.incarnation:x}-{number:x}"
+
+    def feeds(self, request: dispatch.ModelRequest) -> Feeds:
+        """Returns the histogram feeds for a request."""
+        key = (request.account.name, request.request_class.value)
+        feeds = self._feeds.get(key)
+        if feeds is None:
+            feeds = self._feeds[key] = Feeds(
+                self.metrics.first_token.feed(*key),
+                self.metrics.between_tokens.feed(*key),
+            )
+        return feeds
+
+    # ---- Model calls ----------------------------------------------------
+
+    def begin_model_call(self, call: modelcalls.ModelCall) -> None:
+        """Admits a request and starts, queues or refuses it."""
+        now = self.clock.now()
+        self._model_call_by_request[call.request.request] = call
+        self._carry_out(self.dispatcher.submit(call.request, now))
+
+    def retry(self, request: str, sent: bool, failed: bool) -> None:
+        """Moves a request to another group after a broken attempt."""
+        now = self.clock.now()
+        self.metrics.event("attempt-broken")
+        self._carry_out(self.dispatcher.retry(request, sent, failed, now))
+
+    def model_call_ended(
+        self, call: modelcalls.ModelCall, outcome: str, tokens: int
+    ) -> None:
+        """Frees what a request held and starts what waits for it."""
+        now = self.clock.now()
+        request = call.request
+        self._model_call_by_request.pop(request.request, None)
+        whole = outcome == "answered"
+        self._note_end(request.account, request.request_class, outcome)
+        if whole:
+            key = (request.account.name, request.request_class.value)
+            seconds = (now - call.started_at).total_seconds()
+            self.metrics.whole.feed(*key).add(seconds)
+        if tokens:
+            self.metrics.tokens.add(
+                {"client_account": request.account.name}, tokens
+            )
+        self._carry_out(
+            self.dispatcher.ended(request.request, tokens, whole, now)
+        )
+
+    def tick(self) -> None:
+        """Does what time makes due for calls in progress."""
+        now = self.clock.now()
+        self.dispatcher.limits.entries = self.node.live_entries(now)
+        self._carry_out(self.dispatcher.tick(now))
+        for call in list(self._model_call_by_request.values()):
+            call.check_time(now)
+
+    def _carry_out(self, effects: list[dispatch.Effect]) -> None:
+        for effect in effects:
+            call = self._model_call_by_request.get(effect.request)
+            if call is None:
+                continue
+            match effect:
+                case dispatch.Start(_, view):
+                    call.start(view)
+                case dispatch.Refuse(_, refusal):
+                    call.refuse(refusal)
+                case dispatch.Interrupt():
+                    call.interrupt()
+
+    @staticmethod
+    def abort_caller(responder: typing.Any) -> None:
+        """Drops the connection of a caller that does not read."""
+        responder.abort()
+
+    # ---- Plain services -------------------------------------------------
+
+    def begin_service_call(self, call: servicecalls.ServiceCall) -> None:
+        """Admits a call of a plain service and makes it."""
+        self.dispatcher.limits.admit(call.granted.account, self.clock.now())
+        self._service_calls.add(call)
+        call.begin()
+
+    def service_call_ended(
+        self, call: servicecalls.ServiceCall, outcome: str
+    ) -> None:
+        """Frees what a call held."""
+        now = self.clock.now()
+        self._service_calls.discard(call)
+        account = call.granted.account
+        self.dispatcher.limits.finished(account, 0, now)
+        self._note_end(account, call.request_class, outcome)
+        if outcome == "answered":
+            key = (account.name, call.request_class.value)
+            seconds = (now - call.started_at).total_seconds()
+            self.metrics.whole.feed(*key).add(seconds)
+
+    def choose_service(self, service: str, tried: set[str]) -> str | None:
+        """Returns the address of an upstream of a service, if any.
+
+        Of two random ones the one with the lower reported load is taken.
+        """
+        now = self.clock.now()
+        found = [
+            announcement
+            for announcement in self.node.upstreams.fresh(now)
+            if announcement.kind is messages.UpstreamKind.SERVICE
+            and announcement.service == service
+            and not announcement.leaving
+            and announcement.address not in tried
+            and self.dispatcher.breakers.allows(announcement.address, now)
+        ]
+        if not found:
+            return None
+        sampled = self.rng.sample(found, min(2, len(found)))
+        chosen = min(
+            sampled, key=lambda item: (item.load.running, item.upstream)
+        )
+        self.dispatcher.breakers.started(chosen.address, now)
+        return chosen.address
+
+    # ---- Commands -------------------------------------------------------
+
+    def propose(
+        self, command: messages.Command, on_outcome: OnOutcome
+    ) -> None:
+        """Commits a claim; the outcome is None if there is no quorum."""
+        deadline = self.clock.now() + CLAIM_DEADLINE
+        self.proposer.propose(command, deadline, on_outcome)
+
+    def propose_answer(
+        self, command: messages.RecordOutcome, on_outcome: OnOutcome
+    ) -> None:
+        """Commits an answer; past the deadline it goes on unattended."""
+
+        def decided(outcome: Outcome) -> None:
+            if outcome is None:
+                self.propose_in_background(command)
+            on_outcome(outcome)
+
+        deadline = self.clock.now() + RECORD_DEADLINE
+        self.proposer.propose(command, deadline, decided)
+
+    def propose_in_background(self, command: messages.Command) -> None:
+        """Commits a command that nobody waits for."""
+        deadline = self.clock.now() + BACKGROUND_DEADLINE
+        self.proposer.propose(command, deadline, lambda _: None)
+
+    def owner_is_live(self, owner: str) -> bool:
+        """Returns whether the entry that holds a claim still runs."""
+        return self.node.owner_is_live(owner, self.clock.now())
+
+    def new_claim(
+        self, account: str, key: str | None, digest: str
+    ) -> claims.Call:
+        """Returns the state machine of a call that may not be repeated."""
+        return claims.Call(
+            account, key, digest, self.node.owner, self.new_request_name()
+        )
+
+    # ---- Parts ----------------------------------------------------------
+
+    def _note_end(
+        self,
+        account: operators.ClientAccount,
+        request_class: operators.RequestClass,
+        outcome: str,
+    ) -> None:
+        self.metrics.outcome(account.name, request_class.value, outcome)
+
+    def configured(self, configuration: operators.Configuration) -> None:
+        """Takes another configuration into use."""
+        self.access = access_tables.AccessTable(configuration)
--- /dev/null
+++ b/figford/leases.py
@@ -0,0 +1,185 @@
+"""The planner lease of one data centre.
+
+Its authority is a majority of the votes of the data centre's entries plus
+one witness vote that the replicated log gives where the entries are even
+in number. Lease numbers only rise; they are the high part of the fencing
+numbers of orders.
+"""
+
+import datetime
+import random
+
+import attrs
+
+from figford import messages
+
+DURATION = datetime.timedelta(seconds=4)
+RENEW_EVERY = datetime.timedelta(seconds=1)
+# The holder stops this long before its votes lapse, for clock drift.
+SAFETY_MARGIN = datetime.timedelta(milliseconds=400)
+RETRY_SPREAD = datetime.timedelta(seconds=1)
+# Low part of a fencing number: orders under one lease.
+FENCE_BITS = 24
+
+WITNESS = "witness"
+
+
+def fence(number: int, sequence: int) -> int:
+    """Returns the fencing number of an order under a lease.
+
+    >>> fence(2, 1) > fence(1, 9000)
+    True
+    """
+    if sequence >= 1 << FENCE_BITS:
+        raise AssertionError("too many orders under one lease")
+    return (number << FENCE_BITS) | sequence
+
+
+def electorate_size(entries: list[str]) -> int:
+    """Returns how many votes there are: the witness evens out a tie.
+
+    >>> electorate_size(["a", "b"]), electorate_size(["a", "b", "c"])
+    (3, 3)
+    """
+    return len(entries) + (len(entries) + 1) % 2
+
+
+@attrs.define
+class LeaseVoter:
+    """One entry's vote; it lives in memory.
+
+    A voter that restarted has forgotten whom it voted for, so it waits out
+    a full lease before it votes again.
+    """
+
+    started_at: datetime.timedelta
+    holder: tuple[str, int] | None = None
+    number: int = 0
+    expires_at: datetime.timedelta = datetime.timedelta(0)
+    waits: bool = True
+
+    def vote(
+        self, request: messages.LeaseRequest, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether the vote is given for the requested time."""
+        if self.waits and now - self.started_at < DURATION:
+            return False
+        candidate = (request.candidate, request.incarnation)
+        if request.number < self.number:
+            return False
+        if self.holder != candidate and (
+            now < self.expires_at or request.number == self.number
+        ):
+            return False
+        self.holder = candidate
+        self.number = request.number
+        self.expires_at = now + request.duration
+        return True
+
+    def saw_number(self, number: int) -> None:
+        """Notes a lease number, so that later votes are for higher ones."""
+        if number > self.number and self.holder is None:
+            self.number = number
+
+    def is_free(self, now: datetime.timedelta) -> bool:
+        """Returns whether no vote of this entry is running."""
+        return now >= self.expires_at
+
+
+@attrs.define
+class LeaseCandidate:
+    """One entry's attempts to get and keep the planner lease."""
+
+    instance: str
+    incarnation: int
+    data_centre: str
+    rng: random.Random
+    number: int = 0
+    valid_until: datetime.timedelta = datetime.timedelta(0)
+    held_since: datetime.timedelta | None = None
+    round: int = 0
+    _sent_at: datetime.timedelta = datetime.timedelta(0)
+    _next_try: datetime.timedelta = datetime.timedelta(0)
+    _votes: set[str] = attrs.field(factory=set)
+    _highest_seen: int = 0
+
+    def holds(self, now: datetime.timedelta) -> bool:
+        """Returns whether this entry may plan at this moment."""
+        return self.held_since is not None and now < self.valid_until
+
+    def saw_number(self, number: int) -> None:
+        """Notes a lease number that others used."""
+        self._highest_seen = max(self._highest_seen, number)
+
+    def next_request(
+        self, now: datetime.timedelta, free: bool
+    ) -> messages.LeaseRequest | None:
+        """Returns a request for all voters when one is due.
+
+        `free` says whether this entry's own vote is not given to another.
+        """
+        if self.held_since is not None and now >= self.valid_until:
+            self._lose(now)
+        holding = self.held_since is not None
+        if now < self._next_try or not (holding or free):
+            return None
+        if not holding and self.number <= self._highest_seen:
+            self.number = self._highest_seen + 1
+        self.round += 1
+        self._votes = set()
+        self._sent_at = now
+        jitter = RETRY_SPREAD * self.rng.random()
+        self._next_try = now + RENEW_EVERY + (0 if holding else 1) * jitter
+        return messages.LeaseRequest(
+            data_centre=self.data_centre,
+            candidate=self.instance,
+            incarnation=self.incarnation,
+            number=self.number,
+            round=self.round,
+            duration=DURATION,
+        )
+
+    def voted(
+        self,
+        vote: messages.LeaseVote,
+        electorate: list[str],
+        now: datetime.timedelta,
+    ) -> None:
+        """Counts a vote; `electorate` names the data centre's entries."""
+        self.saw_number(vote.number)
+        if vote.incarnation != self.incarnation or not vote.granted:
+            return
+        if vote.round != self.round:
+            return
+        if vote.voter not in electorate and vote.voter != WITNESS:
+            return
+        self._votes.add(vote.voter)
+        if not self._has_majority(electorate):
+            return
+        until = self._sent_at + DURATION - SAFETY_MARGIN
+        if now >= until:
+            return
+        if self.held_since is None:
+            self.held_since = now
+            self._highest_seen = max(self._highest_seen, self.number)
+        self.valid_until = max(self.valid_until, until)
+
+    def _has_majority(self, electorate: list[str]) -> bool:
+        return 2 * len(self._votes) > electorate_size(electorate)
+
+    def wants_witness(self, electorate: list[str]) -> bool:
+        """Returns whether the round so far lacks just the witness vote."""
+        if WITNESS in self._votes or len(electorate) % 2:
+            return False
+        return 2 * (len(self._votes) + 1) > electorate_size(electorate) and (
+            not self._has_majority(electorate)
+        )
+
+    def _lose(self, now: datetime.timedelta) -> None:
+        self.held_since = None
+        self._next_try = now + RETRY_SPREAD * self.rng.random()
+
+    def give_up(self) -> None:
+        """Stops holding the lease, as on a graceful stop."""
+        self.held_since = None
+        self.valid_until = datetime.timedelta(0)
--- /dev/null
+++ b/figford/ledger.py
@@ -0,0 +1,184 @@
+"""The state that the replicated log builds: configuration and claims.
+
+Applying the same entries in the same order gives the same state on every
+voter; time is the time that the leader wrote into the entry.
+"""
+
+import datetime
+
+import attrs
+
+from figford import codec
+from figford import messages
+
+# Outcomes of this many submissions are kept, to answer a resend.
+SUBMISSIONS_KEPT = 2_000
+CLAIMS_PER_ACCOUNT = 10_000
+
+
+@attrs.define
+class Claim:
+    """A call that may not be repeated, and its answer once it has one."""
+
+    digest: str
+    owner: str
+    attempt: str
+    expires_at: datetime.timedelta
+    answer: messages.StoredAnswer | None = None
+
+
+@attrs.define
+class Witness:
+    """The witness vote of one data centre's planner lease."""
+
+    candidate: str = ""
+    number: int = 0
+    expires_at: datetime.timedelta = datetime.timedelta(0)
+
+
+@attrs.define
+class LedgerState:
+    """Everything that a snapshot carries."""
+
+    version: int = 0
+    document: dict = attrs.field(factory=dict)
+    winner: str = ""
+    outcome_by_submission: dict[str, messages.SubmitOutcome] = attrs.field(
+        factory=dict
+    )
+    claims_by_account: dict[str, dict[str, Claim]] = attrs.field(factory=dict)
+    witness_by_data_centre: dict[str, Witness] = attrs.field(factory=dict)
+
+
+@attrs.define
+class Ledger:
+    """Applies committed entries and answers what followers ask."""
+
+    state: LedgerState = attrs.field(factory=LedgerState)
+    applied_index: int = 0
+
+    def apply(self, entry: messages.Entry) -> messages.Outcome:
+        """Applies the next committed entry; returns what it decided."""
+        if entry.index != self.applied_index + 1:
+            raise AssertionError("entries are applied in order, once")
+        self.applied_index = entry.index
+        self._expire(entry.at)
+        match entry.command:
+            case messages.Submit():
+                return self._submit(entry.command)
+            case messages.ClaimCall():
+                return self._claim(entry.command, entry.at)
+            case messages.RecordOutcome():
+                return self._record_outcome(entry.command)
+            case messages.GrantWitness():
+                return self._grant_witness(entry.command, entry.at)
+        return messages.Done()
+
+    def dump(self) -> bytes:
+        """Returns the state for a snapshot."""
+        return codec.encode(self.state, LedgerState)
+
+    def load(self, snapshot: messages.Snapshot) -> None:
+        """Replaces the state by that of a snapshot."""
+        if snapshot.index < self.applied_index:
+            raise AssertionError("a snapshot would turn the state back")
+        if snapshot.state:
+            loaded = codec.decode(snapshot.state, LedgerState)
+            if loaded.version < self.state.version:
+                raise AssertionError("the configuration would revert")
+            self.state = loaded
+        self.applied_index = snapshot.index
+
+    def _submit(self, command: messages.Submit) -> messages.Outcome:
+        outcomes = self.state.outcome_by_submission
+        first = outcomes.get(command.submission)
+        if first is not None:
+            return first
+        outcome = self._compare_and_set(command)
+        outcomes[command.submission] = outcome
+        while len(outcomes) > SUBMISSIONS_KEPT:
+            del outcomes[next(iter(outcomes))]
+        return outcome
+
+    def _compare_and_set(
+        self, command: messages.Submit
+    ) -> messages.SubmitOutcome:
+        state = self.state
+        if command.base_version != state.version:
+            return messages.Conflict(state.version, state.winner)
+        state.version += 1
+        state.document = command.document
+        state.winner = f"{command.author}/{command.submission}"
+        return messages.Accepted(state.version)
+
+    def _claim(
+        self, command: messages.ClaimCall, at: datetime.timedelta
+    ) -> messages.Outcome:
+        claims = self.state.claims_by_account.setdefault(command.account, {})
+        claim = claims.get(command.key)
+        if claim is None:
+            if len(claims) >= CLAIMS_PER_ACCOUNT:
+                return messages.ClaimsFull()
+            claims[command.key] = Claim(
+                digest=command.digest,
+                owner=command.owner,
+                attempt=command.attempt,
+                expires_at=at + command.expires,
+            )
+            return messages.ClaimGranted()
+        if claim.digest != command.digest:
+            return messages.ClaimMismatch()
+        if claim.answer is not None:
+            return messages.ClaimAnswered(claim.answer)
+        if claim.attempt == command.attempt:
+            # The same attempt asked again after a lost reply.
+            return messages.ClaimGranted()
+        return messages.ClaimBusy(claim.owner)
+
+    def _record_outcome(
+        self, command: messages.RecordOutcome
+    ) -> messages.Outcome:
+        claims = self.state.claims_by_account.get(command.account, {})
+        claim = claims.get(command.key)
+        if claim is None or claim.attempt != command.attempt:
+            return messages.Done()
+        if command.answer is None:
+            if claim.answer is None:
+                del claims[command.key]
+            return messages.Done()
+        claim.answer = command.answer
+        return messages.Done()
+
+    def _expire(self, at: datetime.timedelta) -> None:
+        # Claims of one account are kept in the order of their expiry but
+        # for differing lifetimes, so only the oldest few are looked at.
+        for account in list(self.state.claims_by_account):
+            claims = self.state.claims_by_account[account]
+            while claims:
+                oldest = next(iter(claims))
+                if claims[oldest].expires_at > at:
+                    break
+                del claims[oldest]
+            if not claims:
+                del self.state.claims_by_account[account]
+
+    def _grant_witness(
+        self, command: messages.GrantWitness, at: datetime.timedelta
+    ) -> messages.Outcome:
+        witness = self.state.witness_by_data_centre.setdefault(
+            command.data_centre, Witness()
+        )
+        held_by_other = (
+            witness.candidate != command.candidate and witness.expires_at > at
+        )
+        if held_by_other or command.number < witness.number:
+            return messages.WitnessReply(False, witness.number)
+        if (
+            witness.candidate != command.candidate
+            and command.number == witness.number
+        ):
+            return messages.WitnessReply(False, witness.number)
+        witness.candidate = command.candidate
+        witness.number = command.number
+        witness.expires_at = at + command.duration
+        return messages.WitnessReply(True, witness.number)
--- /dev/null
+++ b/figford/membership.py
@@ -0,0 +1,279 @@
+"""Who is there: the other entries and the upstreams of the data centre.
+
+Nobody holds a list of upstreams. What they announce reaches one entry,
+which forwards it to the others of its data centre. A message of an older
+incarnation, or a late one of the same, never replaces newer knowledge.
+"""
+
+import datetime
+
+import attrs
+
+from figford import messages
+
+# An upstream or peer that is silent this long counts as missing.
+UPSTREAM_SILENCE = datetime.timedelta(seconds=3)
+PEER_SILENCE = datetime.timedelta(seconds=3)
+# A missing upstream or peer is forgotten after this long.
+FORGET_AFTER = datetime.timedelta(minutes=30)
+BATCH_INTERVAL = datetime.timedelta(milliseconds=250)
+# What arrives this soon after a pause may have waited in a buffer.
+SETTLE_AFTER_PAUSE = datetime.timedelta(seconds=1)
+
+
+@attrs.define
+class KnownPeer:
+    """An entry and when it was last heard on a link of its own."""
+
+    peer: messages.Peer
+    heard_at: datetime.timedelta | None = None
+
+
+@attrs.define
+class KnownUpstream:
+    """An upstream and when an announcement of it last arrived."""
+
+    announcement: messages.Announcement
+    heard_at: datetime.timedelta
+
+
+def _order(item: messages.Peer | messages.Announcement | messages.Beat):
+    return item.incarnation, item.sequence
+
+
+@attrs.define
+class PeerTable:
+    """The entries of the deployment, by instance."""
+
+    me: messages.Peer
+    by_instance: dict[str, KnownPeer] = attrs.field(factory=dict)
+    stale_messages: int = 0
+
+    def update(self, peer: messages.Peer) -> bool:
+        """Notes what a peer says of itself; returns whether it is new."""
+        if peer.instance == self.me.instance:
+            return False
+        known = self.by_instance.get(peer.instance)
+        if known is None:
+            self.by_instance[peer.instance] = KnownPeer(peer)
+            return True
+        if _order(peer) <= _order(known.peer):
+            self.stale_messages += _order(peer) < _order(known.peer)
+            return False
+        restarted = peer.incarnation != known.peer.incarnation
+        known.peer = peer
+        if restarted:
+            known.heard_at = None
+        return True
+
+    def heard(self, peer: messages.Peer, now: datetime.timedelta) -> bool:
+        """Notes a message that came from the peer itself."""
+        fresh = self.update(peer)
+        known = self.by_instance.get(peer.instance)
+        if known and known.peer.incarnation == peer.incarnation:
+            known.heard_at = now
+        return fresh
+
+    def is_live(self, instance: str, now: datetime.timedelta) -> bool:
+        """Returns whether a peer was heard within the silence bound."""
+        known = self.by_instance.get(instance)
+        if known is None or known.heard_at is None:
+            return False
+        return now - known.heard_at <= PEER_SILENCE
+
+    def live(self, now: datetime.timedelta) -> list[messages.Peer]:
+        """Returns the peers that were heard lately, by instance."""
+        return [
+            known.peer
+            for instance, known in sorted(self.by_instance.items())
+            if self.is_live(instance, now)
+        ]
+
+    def live_in(
+        self, data_centre: str, now: datetime.timedelta
+    ) -> list[messages.Peer]:
+        """Returns the live peers of a data centre, by instance."""
+        return [
+            peer for peer in self.live(now) if peer.data_centre == data_centre
+        ]
+
+    def instance_of_voter(self, voter: str) -> str | None:
+        """Returns the instance whose disk votes under this name."""
+        if voter == self.me.voter:
+            return self.me.instance
+        for known in self.by_instance.values():
+            if known.peer.voter == voter:
+                return known.peer.instance
+        return None
+
+    def everyone(self) -> list[messages.Peer]:
+        """Returns this entry and all peers that it has heard of."""
+        return [self.me] + [known.peer for known in self.by_instance.values()]
+
+    def forget_lost(self, now: datetime.timedelta) -> None:
+        """Drops peers that have not been heard for a long time."""
+        for instance, known in list(self.by_instance.items()):
+            if known.heard_at is None:
+                continue
+            if now - known.heard_at > FORGET_AFTER:
+                del self.by_instance[instance]
+
+
+@attrs.define
+class UpstreamTable:
+    """The upstreams of this data centre, by name."""
+
+    data_centre: str
+    by_name: dict[str, KnownUpstream] = attrs.field(factory=dict)
+    stale_messages: int = 0
+    revision: int = 0
+    ended_silences: list[datetime.timedelta] = attrs.field(factory=list)
+    _settled_at: datetime.timedelta = datetime.timedelta(0)
+    _outgoing_by_name: dict[str, messages.Announcement] = attrs.field(
+        factory=dict
+    )
+    _beats_by_name: dict[str, messages.Beat] = attrs.field(factory=dict)
+    _batch_due: datetime.timedelta = datetime.timedelta(0)
+    _queries: set[str] = attrs.field(factory=set)
+
+    def announce(
+        self,
+        announcement: messages.Announcement,
+        now: datetime.timedelta,
+        first_hand: bool,
+    ) -> bool:
+        """Notes an announcement; returns whether anything but load changed.
+
+        One that arrived first-hand is queued for the other entries.
+        """
+        known = self.by_name.get(announcement.upstream)
+        if known and _order(announcement) <= _order(known.announcement):
+            self.stale_messages += 1
+            return False
+        changed = known is None or _differs(known.announcement, announcement)
+        if known is None:
+            known = KnownUpstream(announcement, now)
+            self.by_name[announcement.upstream] = known
+        self._refresh(known, announcement, now)
+        if changed:
+            self.revision += 1
+        if first_hand:
+            self._queue(announcement, changed)
+        return changed
+
+    def beat(self, beat: messages.Beat, now: datetime.timedelta) -> bool:
+        """Notes a heartbeat; returns whether the upstream is known."""
+        known = self.by_name.get(beat.upstream)
+        if known is None or (
+            known.announcement.incarnation < beat.incarnation
+        ):
+            return False
+        if _order(beat) <= _order(known.announcement):
+            self.stale_messages += 1
+            return True
+        announcement = attrs.evolve(
+            known.announcement, sequence=beat.sequence, load=beat.load
+        )
+        self._refresh(known, announcement, now)
+        return True
+
+    def _refresh(
+        self,
+        known: KnownUpstream,
+        announcement: messages.Announcement,
+        now: datetime.timedelta,
+    ) -> None:
+        known.announcement = announcement
+        if now < self._settled_at:
+            return
+        silence = now - known.heard_at
+        if silence > UPSTREAM_SILENCE:
+            self.ended_silences.append(silence)
+            self.revision += 1
+        known.heard_at = now
+
+    def _queue(
+        self, announcement: messages.Announcement, changed: bool
+    ) -> None:
+        name = announcement.upstream
+        if changed or name in self._outgoing_by_name:
+            self._outgoing_by_name[name] = announcement
+            self._beats_by_name.pop(name, None)
+            return
+        self._beats_by_name[name] = messages.Beat(
+            name,
+            announcement.incarnation,
+            announcement.sequence,
+            announcement.load,
+        )
+
+    def take_batch(
+        self, now: datetime.timedelta
+    ) -> messages.Announcements | None:
+        """Returns what to forward to the data centre's entries, if due.
+
+        Changes go out at once, plain heartbeats in batches.
+        """
+        due = self._beats_by_name and now >= self._batch_due
+        if not self._outgoing_by_name and not due:
+            return None
+        batch = messages.Announcements(
+            full=list(self._outgoing_by_name.values()),
+            beats=list(self._beats_by_name.values()),
+        )
+        self._outgoing_by_name.clear()
+        self._beats_by_name.clear()
+        self._batch_due = now + BATCH_INTERVAL
+        return batch
+
+    def announcements_of(
+        self, names: list[str]
+    ) -> list[messages.Announcement]:
+        """Returns the announcements held of the given upstreams."""
+        return [
+            self.by_name[name].announcement
+            for name in names
+            if name in self.by_name
+        ]
+
+    def woke_after_pause(self, now: datetime.timedelta) -> None:
+        """Distrusts what arrives next, since it may have been buffered."""
+        self._settled_at = now + SETTLE_AFTER_PAUSE
+
+    def is_fresh(self, name: str, now: datetime.timedelta) -> bool:
+        """Returns whether an upstream was heard within the bound."""
+        known = self.by_name.get(name)
+        return known is not None and (now - known.heard_at <= UPSTREAM_SILENCE)
+
+    def fresh(self, now: datetime.timedelta) -> list[messages.Announcement]:
+        """Returns the announcements of upstreams that were heard lately."""
+        return [
+            known.announcement
+            for known in self.by_name.values()
+            if now - known.heard_at <= UPSTREAM_SILENCE
+        ]
+
+    def next_expiry(
+        self, now: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        """Returns when the first fresh upstream will count as missing."""
+        times = [
+            known.heard_at + UPSTREAM_SILENCE
+            for known in self.by_name.values()
+            if now - known.heard_at <= UPSTREAM_SILENCE
+        ]
+        return min(times, default=None)
+
+    def forget_lost(self, now: datetime.timedelta) -> None:
+        """Drops upstreams that have been missing for a long time."""
+        for name, known in list(self.by_name.items()):
+            if now - known.heard_at > FORGET_AFTER:
+                del self.by_name[name]
+                self.revision += 1
+
+
+def _differs(old: messages.Announcement, new: messages.Announcement) -> bool:
+    """Returns whether two announcements differ in more than load."""
+    return attrs.evolve(old, sequence=0, load=new.load) != attrs.evolve(
+        new, sequence=0
+    )
--- /dev/null
+++ b/figford/metrics.py
@@ -0,0 +1,167 @@
+"""Counters and histograms, given out in the Prometheus text format.
+
+What happens per token is gathered in plain lists and handed to
+`aioprometheus` when the metrics are read.
+"""
+
+import bisect
+import typing
+
+import aioprometheus
+from aioprometheus import histogram as prometheus_histogram
+import attrs
+
+SECONDS_BUCKETS = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.02,
+    0.032,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.66,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+)
+
+
+@attrs.define
+class Feed:
+    """Observations of one label set, gathered until the next reading."""
+
+    counts: list[int] = attrs.field(
+        factory=lambda: [0] * (len(SECONDS_BUCKETS) + 1)
+    )
+    total: float = 0.0
+
+    def add(self, seconds: float, count: int = 1) -> None:
+        """Adds `count` observations of the same length."""
+        self.counts[bisect.bisect_left(SECONDS_BUCKETS, seconds)] += count
+        self.total += seconds * count
+
+
+@attrs.define
+class FedHistogram:
+    """A histogram per client account and class, fed in batches."""
+
+    name: str
+    doc: str
+    registry: aioprometheus.Registry
+    _collector: aioprometheus.Histogram = attrs.field(init=False)
+    _feed_by_labels: dict[tuple[str, str], Feed] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Registers the collector."""
+        self._collector = aioprometheus.Histogram(
+            self.name,
+            self.doc,
+            buckets=list(SECONDS_BUCKETS),
+            registry=self.registry,
+        )
+
+    def feed(self, account: str, request_class: str) -> Feed:
+        """Returns the feed of a client account and class."""
+        key = (account, request_class)
+        feed = self._feed_by_labels.get(key)
+        if feed is None:
+            feed = self._feed_by_labels[key] = Feed()
+        return feed
+
+    def publish(self) -> None:
+        """Hands what was gathered to the collector."""
+        for (account, request_class), feed in self._feed_by_labels.items():
+            labels = {"client_account": account, "class": request_class}
+            self._collector.set_value(labels, _cumulative(feed))
+
+
+def _cumulative(feed: Feed) -> prometheus_histogram.Histogram:
+    published = prometheus_histogram.Histogram(*SECONDS_BUCKETS)
+    running = 0
+    for bound, count in zip(published.buckets, feed.counts):
+        running += count
+        published.buckets[bound] = running
+    published.observations = running
+    published.sum = feed.total
+    return published
+
+
+@attrs.define
+class Metrics:
+    """All metrics of one entry."""
+
+    registry: aioprometheus.Registry = attrs.field(
+        factory=aioprometheus.Registry
+    )
+    first_token: FedHistogram = attrs.field(init=False)
+    between_tokens: FedHistogram = attrs.field(init=False)
+    whole: FedHistogram = attrs.field(init=False)
+    outcomes: aioprometheus.Counter = attrs.field(init=False)
+    tokens: aioprometheus.Counter = attrs.field(init=False)
+    events: aioprometheus.Counter = attrs.field(init=False)
+    states: aioprometheus.Gauge = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Registers all collectors."""
+        self.first_token = FedHistogram(
+            "figford_first_token_seconds",
+            "Time from a request to its first token.",
+            self.registry,
+        )
+        self.between_tokens = FedHistogram(
+            "figford_between_tokens_seconds",
+            "Time between tokens of an answer.",
+            self.registry,
+        )
+        self.whole = FedHistogram(
+            "figford_request_seconds",
+            "Time from a request to the end of its answer.",
+            self.registry,
+        )
+        self.outcomes = self._counter(
+            "figford_requests_total", "Requests by outcome."
+        )
+        self.tokens = self._counter(
+            "figford_tokens_total", "Tokens passed to callers."
+        )
+        self.events = self._counter(
+            "figford_events_total", "Changes of state and dropped messages."
+        )
+        self.states = aioprometheus.Gauge(
+            "figford_state",
+            "Present state of this entry, by name.",
+            registry=self.registry,
+        )
+
+    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(name, doc, registry=self.registry)
+
+    def outcome(self, account: str, request_class: str, kind: str) -> None:
+        """Counts a request that ended in a typed outcome."""
+        self.outcomes.inc(
+            {
+                "client_account": account,
+                "class": request_class,
+                "outcome": kind,
+            }
+        )
+
+    def event(self, kind: str) -> None:
+        """Counts an event that has no client account."""
+        self.events.inc({"event": kind})
+
+    def set_state(self, name: str, value: float) -> None:
+        """Sets a gauge of this entry's state."""
+        self.states.set({"name": name}, value)
+
+    def render(self, accepts: typing.Sequence[str]) -> tuple[bytes, dict]:
+        """Returns the text of all metrics and its HTTP headers."""
+        for histogram in (self.first_token, self.between_tokens, self.whole):
+            histogram.publish()
+        return aioprometheus.render(self.registry, list(accepts))
--- /dev/null
+++ b/figford/node.py
@@ -0,0 +1,600 @@
+"""All decisions of one entry, joined: events in, effects out.
+
+`Node` does no I/O. Its adapters report what happened by its methods, each
+with the present time, and carry out the effects that it returns.
+"""
+
+import datetime
+import random
+
+import attrs
+
+from figford import assembly
+from figford import control as controls
+from figford import effects
+from figford import follower as followers
+from figford import groups
+from figford import membership
+from figford import messages
+from figford import operators
+from figford import planning as plannings
+from figford import proposals
+from figford import readiness as readinesses
+
+HEARTBEAT_EVERY = datetime.timedelta(seconds=1)
+# A longer time between two events means that the process was paused.
+PAUSE = datetime.timedelta(seconds=1)
+WITNESS_DEADLINE = datetime.timedelta(seconds=1)
+# How long after being alone an entry must ask for its version again.
+ALONE_GRACE = datetime.timedelta(seconds=3)
+
+
+class _Drains:
+    """What the node needs of the dispatcher: drains of groups."""
+
+    def drain(self, group: str, fence: int, until: datetime.timedelta) -> int:
+        """Stops new work on a group; returns what is in progress there."""
+        raise NotImplementedError
+
+
+@attrs.define
+class Node:
+    """One entry: membership, configuration, control and planning."""
+
+    peers: membership.PeerTable
+    rng: random.Random
+    started_at: datetime.timedelta
+    control: controls.Control | None = None
+    drains: _Drains | None = None
+    draining: bool = False
+    upstreams: membership.UpstreamTable = attrs.field(init=False)
+    group_table: groups.GroupTable = attrs.field(init=False)
+    follower: followers.ConfigurationFollower = attrs.field(
+        factory=followers.ConfigurationFollower
+    )
+    desk: proposals.ProposalDesk = attrs.field(factory=proposals.ProposalDesk)
+    planning: plannings.Planning = attrs.field(init=False)
+    readiness: readinesses.Readiness = attrs.field(init=False)
+    configuration: operators.Configuration = attrs.field(
+        factory=operators.Configuration
+    )
+    links: set[str] = attrs.field(factory=set)
+    pauses: int = 0
+    _last_event: datetime.timedelta = attrs.field(init=False)
+    _heartbeat_due: datetime.timedelta = datetime.timedelta(0)
+    _witness_by_proposal: dict[str, int] = attrs.field(factory=dict)
+    _version_proposal: str | None = None
+    _proposals_made: int = 0
+    _was_ready: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        """Makes the parts that depend on who this entry is."""
+        me = self.peers.me
+        self.upstreams = membership.UpstreamTable(me.data_centre)
+        self.group_table = groups.GroupTable(self.upstreams)
+        self.planning = plannings.Planning(
+            me.instance,
+            me.incarnation,
+            me.data_centre,
+            self.rng,
+            self.started_at,
+        )
+        self.readiness = readinesses.Readiness(self.started_at)
+        self._last_event = self.started_at
+
+    # ---- Reading --------------------------------------------------------
+
+    @property
+    def me(self) -> messages.Peer:
+        """Returns what this entry says of itself."""
+        return self.peers.me
+
+    @property
+    def electorate(self) -> list[str]:
+        """Returns the entries that vote on this data centre's planner."""
+        for data_centre in self.configuration.data_centres:
+            if data_centre.name == self.me.data_centre:
+                return data_centre.entries
+        return []
+
+    def company(self, now: datetime.timedelta) -> readinesses.Company:
+        """Returns whom this entry hears."""
+        neighbours = self.peers.live_in(self.me.data_centre, now)
+        live = {peer.instance for peer in neighbours} | {self.me.instance}
+        return readinesses.Company(
+            hears_quorum=self._hears_quorum(now),
+            electorate=frozenset(self.electorate),
+            live=frozenset(live),
+            highest_version=max(
+                (peer.version for peer in neighbours), default=0
+            ),
+        )
+
+    def _hears_quorum(self, now: datetime.timedelta) -> bool:
+        if self.control is not None and self.control.hears_quorum(now):
+            return True
+        return any(
+            peer.hears_quorum and peer.voter for peer in self.peers.live(now)
+        )
+
+    def is_ready(self, now: datetime.timedelta) -> bool:
+        """Returns whether callers may be served by this entry."""
+        return (
+            not self.draining
+            and self.readiness.confirmed
+            and self.follower.version > 0
+            and not self.company(now).is_alone
+        )
+
+    def live_entries(self, now: datetime.timedelta) -> int:
+        """Returns the number of live entries, this one included."""
+        return 1 + len(self.peers.live(now))
+
+    def owner_is_live(self, owner: str, now: datetime.timedelta) -> bool:
+        """Returns whether the entry that holds a claim still runs."""
+        instance, _, incarnation = owner.rpartition("@")
+        if instance == self.me.instance:
+            return incarnation == str(self.me.incarnation)
+        known = self.peers.by_instance.get(instance)
+        if known is None or not self.peers.is_live(instance, now):
+            return False
+        return incarnation == str(known.peer.incarnation)
+
+    @property
+    def owner(self) -> str:
+        """Returns the name under which this entry claims calls."""
+        return f"{self.me.instance}@{self.me.incarnation}"
+
+    # ---- Events ---------------------------------------------------------
+
+    def start(
+        self, records: list[messages.Record], now: datetime.timedelta
+    ) -> list[effects.Effect]:
+        """Loads the journal, if this entry has a disk."""
+        if self.control is None:
+            return []
+        result = self.control.restore(records, now)
+        return result + self._after_control(now)
+
+    def tick(self, now: datetime.timedelta) -> list[effects.Effect]:
+        """Does what time makes due; called several times a second."""
+        self._note_event(now)
+        result: list[effects.Effect] = []
+        if self.control is not None:
+            result += self.control.tick(now)
+            result += self._after_control(now)
+        result += self._heartbeat(now)
+        result += self._forward_announcements(now)
+        result += self._confirm(now)
+        result += self._plan(now)
+        result += self._send_proposals(now)
+        result += self._decided(self.desk.expire(now), now)
+        return result + self._note_readiness(now)
+
+    def link_up(
+        self, peer: messages.Peer, now: datetime.timedelta
+    ) -> list[effects.Effect]:
+        """Notes a link; tells the peer who and what is known."""
+        self._note_event(now)
+        self.links.add(peer.instance)
+        fresh = self.peers.heard(peer, now)
+        known = messages.Peers(self.peers.everyone())
+        result: list[effects.Effect] = [effects.SendPeer(peer.instance, known)]
+        if peer.data_centre == self.me.data_centre:
+            held = self.upstreams.fresh(now)
+            if held:
+                everything = messages.Announcements(held, [])
+                result.append(effects.SendPeer(peer.instance, everything))
+        if fresh:
+            result += self._tell_others(messages.Peers([peer]), peer.instance)
+        return result + self._pull_from(peer, now)
+
+    def link_down(self, instance: str) -> None:
+        """Notes that a link broke."""
+        self.links.discard(instance)
+
+    def announce(
+        self, announcement: messages.Announcement, now: datetime.timedelta
+    ) -> list[effects.Effect]:
+        """Takes an upstream's own announcement; changes go out at once."""
+        self._note_event(now)
+        self._note_announcement(announcement, now, first_hand=True)
+        return self._forward_announcements(now)
+
+    def synced(
+        self, index: int, term: int, now: datetime.timedelta
+    ) -> list[effects.Effect]:
+        """Notes that a durable batch is on disk."""
+        if self.control is None:
+            raise AssertionError("an entry without a disk synced something")
+        result = self.control.synced(index, term, now)
+        return result + self._after_control(now)
+
+    def propose(
+        self,
+        command: messages.Command,
+        deadline: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> tuple[str, list[effects.Effect]]:
+        """Starts a command; its outcome comes as a `Decided` effect."""
+        self._proposals_made += 1
+        proposal = f"{self.owner}/{self._proposals_made}"
+        self.desk.start(proposal, command, deadline, now)
+        return proposal, self._send_proposals(now)
+
+    def receive(
+        self,
+        instance: str,
+        message: messages.PeerMessage,
+        now: datetime.timedelta,
+    ) -> list[effects.Effect]:
+        """Handles a message from a linked peer."""
+        self._note_event(now)
+        match message:
+            case messages.Peers():
+                return self._on_peers(instance, message, now)
+            case messages.Announcements():
+                return self._on_announcements(instance, message, now)
+            case messages.AnnouncementQuery(names):
+                held = self.upstreams.announcements_of(names)
+                answer = messages.Announcements(held, [])
+                return [effects.SendPeer(instance, answer)] if held else []
+            case messages.Addressed():
+                return self._on_addressed(message, now)
+            case messages.Proposal():
+                return self._on_proposal(instance, message, now)
+            case messages.ProposalResult():
+                return self._decided(self.desk.result(message), now)
+            case messages.ConfigurationPull():
+                found = self.follower.answer(message)
+                return [effects.SendPeer(instance, found)] if found else []
+            case messages.ConfigurationView():
+                return self._configured(self.follower.offer(message), now)
+            case messages.ConfigurationDelta():
+                changed = self.follower.offer_delta(message)
+                return self._configured(changed, now)
+            case messages.LeaseRequest():
+                return self._on_lease_request(instance, message, now)
+            case messages.LeaseVote():
+                return self.planning.voted(message, self.electorate, now)
+            case messages.DrainGroup():
+                return self._on_drain(message, now)
+            case messages.DrainReply():
+                self.planning.planner.drain_reply(message, now)
+                return []
+        raise AssertionError(f"unhandled message {type(message).__name__}")
+
+    def begin_stop(self, now: datetime.timedelta) -> list[effects.Effect]:
+        """Starts a graceful stop: no new work, no planner lease."""
+        self.draining = True
+        self.planning.stop()
+        return self._heartbeat_now(now)
+
+    # ---- Peers and upstreams --------------------------------------------
+
+    def _note_event(self, now: datetime.timedelta) -> None:
+        if now - self._last_event > PAUSE:
+            self.pauses += 1
+            self.upstreams.woke_after_pause(now)
+            self.readiness.distrust(now)
+        self._last_event = now
+
+    def _heartbeat(self, now: datetime.timedelta) -> list[effects.Effect]:
+        if now < self._heartbeat_due:
+            return []
+        return self._heartbeat_now(now)
+
+    def _heartbeat_now(self, now: datetime.timedelta) -> list[effects.Effect]:
+        self._heartbeat_due = now + HEARTBEAT_EVERY
+        self.peers.forget_lost(now)
+        self.upstreams.forget_lost(now)
+        self.peers.me = attrs.evolve(
+            self.me,
+            sequence=self.me.sequence + 1,
+            version=self.follower.version,
+            draining=self.draining,
+            hears_quorum=(
+                self.control is not None and self.control.hears_quorum(now)
+            ),
+        )
+        return self._tell_others(messages.Peers([self.me]), None)
+
+    def _tell_others(
+        self, message: messages.PeerMessage, but: str | None
+    ) -> list[effects.Effect]:
+        return [
+            effects.SendPeer(instance, message)
+            for instance in sorted(self.links)
+            if instance != but
+        ]
+
+    def _on_peers(
+        self,
+        instance: str,
+        message: messages.Peers,
+        now: datetime.timedelta,
+    ) -> list[effects.Effect]:
+        result: list[effects.Effect] = []
+        learned = []
+        for peer in message.peers:
+            if peer.instance == instance:
+                self.peers.heard(peer, now)
+                result += self._pull_from(peer, now)
+                continue
+            known = self.peers.by_instance.get(peer.instance)
+            is_new = known is None or (
+                known.peer.incarnation < peer.incarnation
+            )
+            if self.peers.update(peer) and is_new:
+                learned.append(peer)
+        if learned:
+            result += self._tell_others(messages.Peers(learned), instance)
+        return result
+
+    def _note_announcement(
+        self,
+        announcement: messages.Announcement,
+        now: datetime.timedelta,
+        first_hand: bool,
+    ) -> None:
+        if announcement.data_centre != self.me.data_centre:
+            return
+        self.upstreams.announce(announcement, now, first_hand)
+        self.planning.saw_fence(announcement.highest_fence)
+
+    def _forward_announcements(
+        self, now: datetime.timedelta
+    ) -> list[effects.Effect]:
+        batch = self.upstreams.take_batch(now)
+        if batch is None:
+            return []
+        neighbours = self.peers.live_in(self.me.data_centre, now)
+        return [effects.SendPeer(peer.instance, batch) for peer in neighbours]
+
+    def _on_announcements(
+        self,
+        instance: str,
+        message: messages.Announcements,
+        now: datetime.timedelta,
+    ) -> list[effects.Effect]:
+        for announcement in message.full:
+            self._note_announcement(announcement, now, first_hand=False)
+        unknown = [
+            beat.upstream
+            for beat in message.beats
+            if not self.upstreams.beat(beat, now)
+        ]
+        if not unknown:
+            return []
+        return [
+            effects.SendPeer(instance, messages.AnnouncementQuery(unknown))
+        ]
+
+    # ---- Configuration --------------------------------------------------
+
+    def _pull_from(
+        self, peer: messages.Peer, now: datetime.timedelta
+    ) -> list[effects.Effect]:
+        pull = self.follower.pull(peer.version, now)
+        return [effects.SendPeer(peer.instance, pull)] if pull else []
+
+    def _configured(
+        self, changed: bool, now: datetime.timedelta
+    ) -> list[effects.Effect]:
+        if not changed:
+            return []
+        view = self.follower.view
+        self.configuration = operators.Configuration.from_document(
+            view.document
+        )
+        return [
+            effects.Configured(view.version),
+            effects.StateChanged(
+                "configuration in force", (("version", view.version),)
+            ),
+            *self._heartbeat_now(now),
+        ]
+
+    def _confirm(self, now: datetime.timedelta) -> list[effects.Effect]:
+        if self.readiness.confirmed and self.company(now).is_alone:
+            self.readiness.distrust(now)
+        result: list[effects.Effect] = []
+        if self.readiness.ask_due(now):
+            self._version_proposal, result = self.propose(
+                messages.ReadVersion(), now + readinesses.ASK_TIMEOUT, now
+            )
+        self.readiness.review(self.follower.version, self.company(now), now)
+        return result
+
+    def _note_readiness(self, now: datetime.timedelta) -> list[effects.Effect]:
+        ready = self.is_ready(now)
+        if ready == self._was_ready:
+            return []
+        self._was_ready = ready
+        event = "entry ready" if ready else "entry not ready"
+        return [effects.StateChanged(event)]
+
+    # ---- Control --------------------------------------------------------
+
+    def _on_addressed(
+        self, message: messages.Addressed, now: datetime.timedelta
+    ) -> list[effects.Effect]:
+        if self.control is None:
+            return []
+        result = self.control.receive(message, now)
+        return result + self._after_control(now)
+
+    def _after_control(self, now: datetime.timedelta) -> list[effects.Effect]:
+        """Passes on results and the configuration that the log gives."""
+        if self.control is None:
+            return []
+        result: list[effects.Effect] = []
+        for answer in self.control.take_results():
+            result += self._decided(self.desk.result(answer), now)
+        state = self.control.ledger.state
+        if state.version > self.follower.version:
+            view = messages.ConfigurationView(state.version, state.document)
+            result += self._configured(self.follower.offer(view), now)
+        return result
+
+    def _send_proposals(self, now: datetime.timedelta) -> list[effects.Effect]:
+        result: list[effects.Effect] = []
+        for proposal in self.desk.due(now):
+            result += self._pass_on(proposal, None, now)
+        return result
+
+    def _on_proposal(
+        self,
+        instance: str,
+        proposal: messages.Proposal,
+        now: datetime.timedelta,
+    ) -> list[effects.Effect]:
+        onward = self.desk.relay(proposal, instance, now)
+        if self._leads():
+            return self._pass_on(proposal, instance, now)
+        if onward is None:
+            failed = _undecided(proposal)
+            return self.desk.result(failed)
+        return self._pass_on(onward, instance, now)
+
+    def _leads(self) -> bool:
+        return self.control is not None and self.control.agreement.leading
+
+    def _pass_on(
+        self,
+        proposal: messages.Proposal,
+        came_from: str | None,
+        now: datetime.timedelta,
+    ) -> list[effects.Effect]:
+        if self.control is not None and self.control.agreement.leading:
+            result = self.control.propose(proposal, now)
+            return result + self._after_control(now)
+        target = self._towards_leader(came_from, now)
+        if target is None:
+            failed = _undecided(proposal)
+            return self._decided(self.desk.result(failed), now)
+        return [effects.SendPeer(target, proposal)]
+
+    def _towards_leader(
+        self, came_from: str | None, now: datetime.timedelta
+    ) -> str | None:
+        if self.control is not None:
+            leader = self.control.leader_instance()
+            if leader in self.links:
+                return leader
+        with_disk = [
+            peer.instance
+            for peer in self.peers.live(now)
+            if peer.voter is not None
+            and peer.hears_quorum
+            and peer.instance in self.links
+            and peer.instance != came_from
+        ]
+        return self.rng.choice(with_disk) if with_disk else None
+
+    def _decided(
+        self, decided: list[effects.Effect], now: datetime.timedelta
+    ) -> list[effects.Effect]:
+        """Keeps the outcomes of the node's own commands to itself."""
+        result: list[effects.Effect] = []
+        for effect in decided:
+            match effect:
+                case effects.Decided(proposal, outcome) if (
+                    proposal == self._version_proposal
+                ):
+                    self.readiness.quorum_said(outcome)
+                case effects.Decided(proposal, outcome) if (
+                    proposal in self._witness_by_proposal
+                ):
+                    round_ = self._witness_by_proposal.pop(proposal)
+                    result += self._on_witness(round_, outcome, now)
+                case _:
+                    result.append(effect)
+        return result
+
+    # ---- Planning -------------------------------------------------------
+
+    def _on_witness(
+        self,
+        round_: int,
+        outcome: messages.Outcome | None,
+        now: datetime.timedelta,
+    ) -> list[effects.Effect]:
+        if not isinstance(outcome, messages.WitnessReply):
+            return []
+        return self.planning.witness_said(
+            round_, outcome, self.electorate, now
+        )
+
+    def _on_lease_request(
+        self,
+        instance: str,
+        request: messages.LeaseRequest,
+        now: datetime.timedelta,
+    ) -> list[effects.Effect]:
+        if request.data_centre != self.me.data_centre:
+            return []
+        vote = self.planning.answer(request, now)
+        return [effects.SendPeer(instance, vote)]
+
+    def _plan(self, now: datetime.timedelta) -> list[effects.Effect]:
+        electorate = self.electorate
+        result = self.planning.tick(electorate, now)
+        asked = self.planning.witness_command(electorate)
+        if asked is not None:
+            round_, command = asked
+            proposal, sent = self.propose(command, now + WITNESS_DEADLINE, now)
+            self._witness_by_proposal[proposal] = round_
+            result += sent
+        neighbours = self.peers.live_in(self.me.data_centre, now)
+        entries = [peer.instance for peer in neighbours]
+        actions = self.planning.plan(
+            self.configuration,
+            self.upstreams,
+            [*entries, self.me.instance],
+            now,
+        )
+        for action in actions:
+            result += self._act(action, now)
+        return result
+
+    def _act(
+        self, action: assembly.Action, now: datetime.timedelta
+    ) -> list[effects.Effect]:
+        match action:
+            case assembly.SendOrder(upstream, address, order, valid_until):
+                return [
+                    effects.SendOrder(upstream, address, order, valid_until)
+                ]
+            case assembly.AskDrain(drain):
+                neighbours = self.peers.live_in(self.me.data_centre, now)
+                asked: list[effects.Effect] = [
+                    effects.SendPeer(peer.instance, drain)
+                    for peer in neighbours
+                ]
+                return asked + self._on_drain(drain, now)
+        raise AssertionError(f"unhandled action {type(action).__name__}")
+
+    def _on_drain(
+        self, drain: messages.DrainGroup, now: datetime.timedelta
+    ) -> list[effects.Effect]:
+        in_progress = 0
+        if self.drains is not None:
+            in_progress = self.drains.drain(
+                drain.group, drain.fence, now + drain.duration
+            )
+        reply = messages.DrainReply(
+            drain.group,
+            drain.fence,
+            drain.number,
+            self.me.instance,
+            in_progress,
+        )
+        if drain.planner == self.me.instance:
+            self.planning.planner.drain_reply(reply, now)
+            return []
+        return [effects.SendPeer(drain.planner, reply)]
+
+
+def _undecided(proposal: messages.Proposal) -> messages.ProposalResult:
+    return messages.ProposalResult(proposal.proposal, messages.Undecided())
--- /dev/null
+++ b/figford/planning.py
@@ -0,0 +1,203 @@
+"""The planner lease and the planner of one entry, joined."""
+
+import datetime
+import random
+
+import attrs
+
+from figford import assembly
+from figford import effects
+from figford import leases
+from figford import membership
+from figford import messages
+from figford import operators
+
+PLAN_EVERY = datetime.timedelta(milliseconds=250)
+
+
+@attrs.define
+class Planning:
+    """Stands for the planner lease and plans while holding it."""
+
+    instance: str
+    incarnation: int
+    data_centre: str
+    rng: random.Random
+    started_at: datetime.timedelta
+    voter: leases.LeaseVoter = attrs.field(init=False)
+    candidate: leases.LeaseCandidate = attrs.field(init=False)
+    planner: assembly.Planner = attrs.field(init=False)
+    enabled: bool = True
+    _plan_due: datetime.timedelta = datetime.timedelta(0)
+    _planning: bool = False
+    _witness_round: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Makes the parts."""
+        self.voter = leases.LeaseVoter(self.started_at)
+        self.candidate = leases.LeaseCandidate(
+            self.instance, self.incarnation, self.data_centre, self.rng
+        )
+        self.planner = assembly.Planner(self.instance, self.data_centre)
+
+    def holds(self, now: datetime.timedelta) -> bool:
+        """Returns whether this entry is the planner now."""
+        return self._planning and self.candidate.holds(now)
+
+    def saw_fence(self, fence: int) -> None:
+        """Notes a fencing number that an upstream announced."""
+        number = fence >> leases.FENCE_BITS
+        self.candidate.saw_number(number)
+        self.voter.saw_number(number)
+
+    # ---- The lease ------------------------------------------------------
+
+    def tick(
+        self, electorate: list[str], now: datetime.timedelta
+    ) -> list[effects.Effect]:
+        """Asks for votes when due; notes the gain or loss of the lease."""
+        result: list[effects.Effect] = []
+        if self.enabled and self.instance in electorate:
+            result += self._stand(electorate, now)
+        return result + self._note_change(now)
+
+    def _stand(
+        self, electorate: list[str], now: datetime.timedelta
+    ) -> list[effects.Effect]:
+        request = self.candidate.next_request(now, self.voter.is_free(now))
+        if request is None:
+            return []
+        vote = self.answer(request, now)
+        self.candidate.voted(vote, electorate, now)
+        return [
+            effects.SendPeer(other, request)
+            for other in electorate
+            if other != self.instance
+        ]
+
+    def answer(
+        self, request: messages.LeaseRequest, now: datetime.timedelta
+    ) -> messages.LeaseVote:
+        """Returns this entry's vote on a request."""
+        granted = self.voter.vote(request, now)
+        return messages.LeaseVote(
+            voter=self.instance,
+            candidate=request.candidate,
+            incarnation=request.incarnation,
+            round=request.round,
+            granted=granted,
+            number=self.voter.number,
+        )
+
+    def voted(
+        self,
+        vote: messages.LeaseVote,
+        electorate: list[str],
+        now: datetime.timedelta,
+    ) -> list[effects.Effect]:
+        """Counts another entry's vote or the witness's."""
+        self.candidate.voted(vote, electorate, now)
+        return self._note_change(now)
+
+    def witness_command(
+        self, electorate: list[str]
+    ) -> tuple[int, messages.GrantWitness] | None:
+        """Returns the round and command that asks for the witness vote.
+
+        It is asked for once a round, when the entries' votes are one short
+        of a majority.
+        """
+        current = self.candidate.round
+        if self._witness_round == current:
+            return None
+        if not self.enabled or not self.candidate.wants_witness(electorate):
+            return None
+        self._witness_round = current
+        return current, messages.GrantWitness(
+            self.data_centre,
+            f"{self.instance}@{self.incarnation}",
+            self.candidate.number,
+            leases.DURATION,
+        )
+
+    def witness_said(
+        self,
+        round_: int,
+        reply: messages.WitnessReply,
+        electorate: list[str],
+        now: datetime.timedelta,
+    ) -> list[effects.Effect]:
+        """Counts the witness's vote."""
+        vote = messages.LeaseVote(
+            leases.WITNESS,
+            self.instance,
+            self.incarnation,
+            round_,
+            reply.granted,
+            reply.number,
+        )
+        return self.voted(vote, electorate, now)
+
+    def _note_change(self, now: datetime.timedelta) -> list[effects.Effect]:
+        holds = self.candidate.holds(now)
+        if holds == self._planning:
+            return []
+        self._planning = holds
+        if not holds:
+            return [effects.StateChanged("planner lease lost")]
+        self.planner.start(self.candidate.number, now)
+        detail = (("number", self.candidate.number),)
+        return [effects.StateChanged("planner lease held", detail)]
+
+    # ---- The plan -------------------------------------------------------
+
+    def plan(
+        self,
+        configuration: operators.Configuration,
+        upstreams: membership.UpstreamTable,
+        entries: list[str],
+        now: datetime.timedelta,
+    ) -> list[assembly.Action]:
+        """Returns the orders and drains that are due, as the planner."""
+        silences = upstreams.ended_silences
+        for silence in silences:
+            self.planner.history.ended(silence.total_seconds())
+        silences.clear()
+        if now < self._plan_due or not self.holds(now):
+            return []
+        self._plan_due = now + PLAN_EVERY
+        view = make_view(configuration, upstreams, entries, now)
+        return self.planner.plan(view, self.candidate.valid_until, now)
+
+    def stop(self) -> None:
+        """Gives the lease up and stands no more."""
+        self.enabled = False
+        self._planning = False
+        self.candidate.give_up()
+
+
+def make_view(
+    configuration: operators.Configuration,
+    upstreams: membership.UpstreamTable,
+    entries: list[str],
+    now: datetime.timedelta,
+) -> assembly.View:
+    """Returns what the planner decides by."""
+    fresh = {}
+    missing = {}
+    silent_since = {}
+    for name, known in sorted(upstreams.by_name.items()):
+        if now - known.heard_at <= membership.UPSTREAM_SILENCE:
+            fresh[name] = known.announcement
+        else:
+            missing[name] = known.announcement
+            silent_since[name] = known.heard_at
+    policies = configuration.policies or [operators.Policy(name="default")]
+    return assembly.View(
+        serving_groups=configuration.serving_groups,
+        policy=policies[0],
+        fresh=fresh,
+        missing=missing,
+        silent_since=silent_since,
+        entries=frozenset(entries),
+    )
--- /dev/null
+++ b/figford/problems.py
@@ -0,0 +1,50 @@
+"""Refusals as `application/problem+json`."""
+
+import json
+import math
+
+from figford import errors
+
+CONTENT_TYPE = b"application/problem+json"
+
+
+def problem(refusal: errors.Refusal) -> dict:
+    """Returns the problem document of a refusal."""
+    document = {
+        "type": f"urn:figford:{refusal.kind}",
+        "title": refusal.kind.replace("-", " "),
+        "status": refusal.status,
+        "detail": refusal.detail,
+        "run": refusal.run_state.value,
+    }
+    if refusal.retry_after is not None:
+        document["retry_after_seconds"] = retry_after_seconds(refusal)
+    return document
+
+
+def retry_after_seconds(refusal: errors.Refusal) -> int:
+    """Returns the whole seconds of the Retry-After header."""
+    if refusal.retry_after is None:
+        raise AssertionError("the refusal does not say when to come back")
+    return max(1, math.ceil(refusal.retry_after.total_seconds()))
+
+
+def body(refusal: errors.Refusal) -> bytes:
+    """Returns the encoded problem document."""
+    return json.dumps(problem(refusal)).encode()
+
+
+def headers(refusal: errors.Refusal) -> dict[bytes, bytes]:
+    """Returns the headers that go with a refusal."""
+    result = {b"content-type": CONTENT_TYPE, b"cache-control": b"no-store"}
+    if refusal.retry_after is not None:
+        seconds = retry_after_seconds(refusal)
+        result[b"retry-after"] = str(seconds).encode()
+    if isinstance(refusal, errors.UnknownAccount):
+        result[b"www-authenticate"] = b"Bearer"
+    return result
+
+
+def error_event(refusal: errors.Refusal) -> bytes:
+    """Returns the event that ends a stream which is not whole."""
+    return b"event: error\ndata: " + body(refusal) + b"\n\n"
--- /dev/null
+++ b/figford/repair.py
@@ -0,0 +1,175 @@
+"""What to do about a broken group: a pure choice by expected cost.
+
+The cost of an option is the downtime weight times the expected seconds
+that the group stays down, plus the stranding weight times the expected
+accelerator-seconds that its healthy members sit idle. The chance that a
+silent member returns is learned from past silences.
+"""
+
+import bisect
+import datetime
+
+import attrs
+
+# Silences that the policy assumes before it has seen any, in seconds;
+# None stands for a member that never came back.
+PRIOR_SILENCES: tuple[float | None, ...] = (4.0, 6.0, 10.0, 25.0, None)
+# How long a member that never came back is counted as missing, in seconds.
+GONE_SECONDS = 600.0
+HISTORY_LIMIT = 200
+
+
+@attrs.define
+class SilenceHistory:
+    """Lengths of past silences, to foretell the end of a present one."""
+
+    ended_seconds: list[float] = attrs.field(
+        factory=lambda: sorted(
+            value for value in PRIOR_SILENCES if value is not None
+        )
+    )
+    gone: int = sum(value is None for value in PRIOR_SILENCES)
+
+    def ended(self, seconds: float) -> None:
+        """Notes a silence after which the member came back."""
+        bisect.insort(self.ended_seconds, seconds)
+        if len(self.ended_seconds) > HISTORY_LIMIT:
+            del self.ended_seconds[:: HISTORY_LIMIT // 10]
+
+    def never_ended(self) -> None:
+        """Notes a member that was given up."""
+        self.gone += 1
+
+    def remaining(self, silent_seconds: float) -> list[float]:
+        """Returns equally likely remaining silences, in seconds."""
+        start = bisect.bisect_right(self.ended_seconds, silent_seconds)
+        later = self.ended_seconds[start:]
+        return [value - silent_seconds for value in later] + [
+            GONE_SECONDS
+        ] * max(1, self.gone)
+
+
+@attrs.frozen
+class Weights:
+    """What operators hold against downtime and against idle hardware."""
+
+    downtime: float
+    stranding: float
+
+
+@attrs.frozen
+class Situation:
+    """A broken group as the planner sees it.
+
+    `join_seconds` is the time to form a group whose members hold the
+    weights; `load_seconds` the time until a spare has loaded them.
+    """
+
+    group: str
+    size: int
+    minimum_size: int
+    healthy: int
+    silent_seconds: tuple[float, ...]
+    leaving: int
+    spares: int
+    spare_load_seconds: float
+    join_seconds: float
+    mergeable: int
+    better_use: bool
+
+
+@attrs.frozen
+class Wait:
+    """Leave the group as it is for now."""
+
+
+@attrs.frozen
+class Replace:
+    """Take spares of the fabric domain for the missing members."""
+
+
+@attrs.frozen
+class Merge:
+    """Take the healthy members of another broken group."""
+
+
+@attrs.frozen
+class Shrink:
+    """Go on with the healthy members alone."""
+
+
+@attrs.frozen
+class Release:
+    """Free the healthy members for another group."""
+
+
+Decision = Wait | Replace | Merge | Shrink | Release
+
+
+def _rate(situation: Situation, weights: Weights) -> float:
+    """Returns the cost of one second in which the group is down."""
+    return weights.downtime + weights.stranding * situation.healthy
+
+
+def _wait_cost(
+    situation: Situation,
+    weights: Weights,
+    history: SilenceHistory,
+    fallback_seconds: float,
+) -> float:
+    """Returns the least expected cost of waiting, then falling back.
+
+    The wait is cut short at the best of the learned return times.
+    """
+    longest = min(situation.silent_seconds, default=GONE_SECONDS)
+    remaining = history.remaining(longest)
+    rate = _rate(situation, weights)
+    best = None
+    for limit in sorted(set(remaining)):
+        total = 0.0
+        for seconds in remaining:
+            if seconds <= limit and seconds < GONE_SECONDS:
+                total += seconds
+            else:
+                total += limit + fallback_seconds
+        cost = rate * total / len(remaining)
+        best = cost if best is None else min(best, cost)
+    return best if best is not None else rate * GONE_SECONDS
+
+
+def decide(
+    situation: Situation, weights: Weights, history: SilenceHistory
+) -> Decision:
+    """Returns the option of least expected cost for a broken group."""
+    missing = situation.size - situation.healthy
+    rate = _rate(situation, weights)
+    costs: list[tuple[float, int, Decision]] = []
+    if situation.spares >= missing:
+        seconds = max(situation.join_seconds, situation.spare_load_seconds)
+        costs.append((rate * seconds, 1, Replace()))
+    if situation.mergeable >= missing:
+        costs.append((rate * situation.join_seconds, 2, Merge()))
+    if 0 < situation.minimum_size <= situation.healthy:
+        lost_share = missing / situation.size
+        penalty = weights.downtime * lost_share * GONE_SECONDS
+        costs.append((rate * situation.join_seconds + penalty, 3, Shrink()))
+    if situation.better_use:
+        # The members serve elsewhere; this group stays down meanwhile.
+        costs.append((weights.downtime * GONE_SECONDS / 2, 4, Release()))
+    if situation.leaving or not situation.silent_seconds:
+        wait = rate * GONE_SECONDS
+    else:
+        fallback = min((cost for cost, _, _ in costs), default=None)
+        fallback_seconds = (
+            fallback / rate if fallback is not None and rate else GONE_SECONDS
+        )
+        wait = _wait_cost(situation, weights, history, fallback_seconds)
+    costs.append((wait, 0, Wait()))
+    return min(costs, key=lambda item: item[:2])[2]
+
+
+def hold_passed(
+    broken_for: datetime.timedelta, hold: datetime.timedelta, leaving: int
+) -> bool:
+    """Returns whether a group has been broken long enough to act."""
+    return leaving > 0 or broken_for >= hold
--- /dev/null
+++ b/figford/routing.py
@@ -0,0 +1,158 @@
+"""Which group gets a request.
+
+The score of a group is its expected work: the reported load, corrected for
+its lag by what this entry sent since, per unit of its concurrency. Of two
+random groups the better is taken, so that entries do not herd; a group
+whose cache holds the prompt's prefix is preferred while it is not busier
+than the others by more than the saving.
+"""
+
+import collections
+import datetime
+import random
+
+import attrs
+import xxhash
+
+from figford import groups
+from figford import messages
+
+# Reports lag behind; what was sent this recently is not in them yet.
+REPORT_LAG = datetime.timedelta(seconds=1)
+# A prefix hint is worth this share of a group's concurrency when fresh.
+AFFINITY_SHARE = 0.25
+HINT_LIFE = datetime.timedelta(seconds=120)
+HINTS_KEPT = 20_000
+PREFIX_LENGTH_CHARACTERS = 256
+
+
+def prefix_hash(text: str) -> int:
+    """Returns the hash of a prompt's prefix, for cache affinity."""
+    prefix = text[:PREFIX_LENGTH_CHARACTERS]
+    return xxhash.xxh64_intdigest(prefix.encode("utf-8", "surrogatepass"))
+
+
+@attrs.define
+class _Sent:
+    """What this entry sent to one group."""
+
+    in_progress: int = 0
+    recent: collections.deque[datetime.timedelta] = attrs.field(
+        factory=collections.deque
+    )
+
+
+@attrs.define
+class PrefixHints:
+    """Which group probably holds a prefix in its cache; it may be wrong."""
+
+    _hint_by_prefix: collections.OrderedDict[
+        int, tuple[str, datetime.timedelta]
+    ] = attrs.field(factory=collections.OrderedDict)
+
+    def note(self, prefix: int, group: str, now: datetime.timedelta) -> None:
+        """Notes that a group was sent, or reported, a prefix."""
+        self._hint_by_prefix[prefix] = (group, now)
+        self._hint_by_prefix.move_to_end(prefix)
+        if len(self._hint_by_prefix) > HINTS_KEPT:
+            self._hint_by_prefix.popitem(last=False)
+
+    def forget(self, prefix: int, group: str) -> None:
+        """Notes that a group reported a prefix as evicted."""
+        hint = self._hint_by_prefix.get(prefix)
+        if hint is not None and hint[0] == group:
+            del self._hint_by_prefix[prefix]
+
+    def strength(
+        self, prefix: int, group: str, now: datetime.timedelta
+    ) -> float:
+        """Returns 1 for a fresh hint of this group, falling to 0."""
+        hint = self._hint_by_prefix.get(prefix)
+        if hint is None or hint[0] != group:
+            return 0.0
+        age = now - hint[1]
+        return max(0.0, 1.0 - age / HINT_LIFE)
+
+    def group_of(self, prefix: int) -> str | None:
+        """Returns the group of the hint for a prefix."""
+        hint = self._hint_by_prefix.get(prefix)
+        return hint[0] if hint else None
+
+
+@attrs.define
+class Router:
+    """Chooses groups and counts what was sent to them."""
+
+    rng: random.Random
+    hints: PrefixHints = attrs.field(factory=PrefixHints)
+    _sent_by_group: dict[tuple[str, int], _Sent] = attrs.field(factory=dict)
+
+    def in_progress(self, group: str, fence: int) -> int:
+        """Returns how many requests this entry has on a group."""
+        sent = self._sent_by_group.get((group, fence))
+        return sent.in_progress if sent else 0
+
+    def started(self, view: groups.GroupView, now: datetime.timedelta) -> None:
+        """Counts a request sent to a group."""
+        key = (view.group, view.fence)
+        sent = self._sent_by_group.setdefault(key, _Sent())
+        sent.in_progress += 1
+        sent.recent.append(now)
+
+    def finished(self, view: groups.GroupView) -> None:
+        """Counts a request as ended on a group."""
+        key = (view.group, view.fence)
+        sent = self._sent_by_group[key]
+        sent.in_progress -= 1
+        if sent.in_progress < 0:
+            raise AssertionError("more requests ended than were sent")
+        if not sent.in_progress:
+            del self._sent_by_group[key]
+
+    def outstanding(
+        self,
+        view: groups.GroupView,
+        load: messages.Load,
+        now: datetime.timedelta,
+    ) -> int:
+        """Returns the expected requests on a group, from all entries."""
+        sent = self._sent_by_group.get((view.group, view.fence))
+        if sent is None:
+            return load.running + load.queued
+        while sent.recent and now - sent.recent[0] > REPORT_LAG:
+            sent.recent.popleft()
+        reported = load.running + load.queued + len(sent.recent)
+        return max(sent.in_progress, reported)
+
+    def choose(
+        self,
+        candidates: list[tuple[groups.GroupView, messages.Load]],
+        concurrency: int,
+        prefix: int | None,
+        now: datetime.timedelta,
+    ) -> groups.GroupView | None:
+        """Returns the group for a request; None where all are full."""
+        open_views = []
+        for view, load in candidates:
+            outstanding = self.outstanding(view, load, now)
+            if outstanding < concurrency:
+                open_views.append((outstanding / concurrency, view))
+        if not open_views:
+            return None
+        sampled = self.rng.sample(open_views, min(2, len(open_views)))
+        if prefix is not None:
+            hinted = self.hints.group_of(prefix)
+            sampled += [item for item in open_views if item[1].group == hinted]
+
+        def cost(item: tuple[float, groups.GroupView]) -> tuple[float, str]:
+            share, view = item
+            saving = 0.0
+            if prefix is not None:
+                strength = self.hints.strength(prefix, view.group, now)
+                saving = AFFINITY_SHARE * strength
+            return share - saving, view.group
+
+        chosen = min(sampled, key=cost)[1]
+        if prefix is not None:
+            self.hints.note(prefix, chosen.group, now)
+        return chosen
--- /dev/null
+++ b/figford/servicecalls.py
@@ -0,0 +1,227 @@
+"""Calls of plain services: repeatable reads, and calls that are not."""
+
+from __future__ import annotations
+
+import datetime
+import typing
+
+import attrs
+from twisted.python import failure as failures
+
+from figford import access
+from figford import claims
+from figford import errors
+from figford import messages
+from figford import modelcalls
+from figford import operators
+from figford import upstreams
+
+if typing.TYPE_CHECKING:
+    from figford import gateway as gateways
+
+READ_ATTEMPTS = 3
+
+
+@attrs.define(eq=False)
+class ServiceCall:
+    """What both kinds of calls have in common."""
+
+    gateway: gateways.Gateway
+    service: operators.PlainService
+    granted: access.Granted
+    request_class: operators.RequestClass
+    template: upstreams.PlainRequest
+    responder: modelcalls.Responder
+    started_at: datetime.timedelta
+    _tried: set[str] = attrs.field(factory=set)
+    _over: bool = False
+    _responded: bool = False
+
+    def caller_left(self) -> None:
+        """Notes that the caller is gone; the call itself goes on."""
+        self._responded = True
+
+    def _next_address(self) -> str | None:
+        address = self.gateway.choose_service(self.service.name, self._tried)
+        if address is not None:
+            self._tried.add(address)
+        return address
+
+    def _respond(self, answer: upstreams.PlainAnswer) -> None:
+        self._finish("answered")
+        if self._responded:
+            return
+        self._responded = True
+        self.responder.begin(answer.status, _header_map(answer))
+        self.responder.write(answer.body)
+        self.responder.finish()
+
+    def _refuse(self, refusal: errors.Refusal) -> None:
+        self._finish(refusal.kind)
+        if self._responded:
+            return
+        self._responded = True
+        self.responder.refuse(refusal)
+
+    def _finish(self, outcome: str) -> None:
+        if self._over:
+            raise AssertionError("a call ended twice")
+        self._over = True
+        self.gateway.service_call_ended(self, outcome)
+
+
+@attrs.define(eq=False)
+class RepeatableCall(ServiceCall):
+    """A call that may be made again at another upstream."""
+
+    _sent: bool = False
+
+    def begin(self) -> None:
+        """Makes the first attempt."""
+        self.gateway.dispatcher.budget.earned()
+        self._attempt()
+
+    def _attempt(self) -> None:
+        address = self._next_address()
+        if address is None:
+            self._refuse(
+                errors.NoCapacity(
+                    "no upstream of the service is there",
+                    retry_after=claims.RETRY_UPSTREAM_AFTER,
+                    run_state=self._run_state(),
+                )
+            )
+            return
+        request = attrs.evolve(self.template, address=address)
+        called = self.gateway.client.call(request, self.service.timeout)
+        called.addCallbacks(
+            self._answered, self._failed, (address,), None, (address,)
+        )
+
+    def _answered(self, answer: upstreams.PlainAnswer, address: str) -> None:
+        self.gateway.dispatcher.breakers.succeeded(address)
+        self._respond(answer)
+
+    def _failed(self, failure: failures.Failure, address: str) -> None:
+        failure.trap(errors.FigfordError)
+        breakers = self.gateway.dispatcher.breakers
+        breakers.failed(address, self.gateway.clock.now())
+        if not failure.check(upstreams.NothingSentError):
+            self._sent = True
+        may_retry = len(self._tried) < READ_ATTEMPTS
+        if may_retry and self.gateway.dispatcher.budget.take():
+            self._attempt()
+            return
+        self._refuse(
+            errors.UpstreamFailed(
+                "the service did not answer",
+                retry_after=claims.RETRY_UPSTREAM_AFTER,
+                run_state=self._run_state(),
+            )
+        )
+
+    def _run_state(self) -> errors.RunState:
+        if self._sent:
+            return errors.RunState.UNKNOWN
+        return errors.RunState.NOT_RUN
+
+
+@attrs.define(eq=False)
+class UnrepeatableCall(ServiceCall):
+    """A call that runs at most once, by its claim."""
+
+    call: claims.Call = attrs.field(kw_only=True)
+    _attempt_number: int = 0
+    _live_answer: upstreams.PlainAnswer | None = None
+
+    def begin(self) -> None:
+        """Claims the call, or makes its single attempt."""
+        self._carry_out(self.call.start())
+
+    def _handle(self, event: claims.Event, owner_live: bool = False) -> None:
+        self._carry_out(self.call.handle(event, owner_live))
+
+    def _carry_out(self, effects: list[claims.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case claims.ProposeClaim(command):
+                    self.gateway.propose(command, self._claimed)
+                case claims.StartAttempt():
+                    self._attempt()
+                case claims.RecordAnswer(command):
+                    self.gateway.propose_answer(command, self._recorded)
+                case claims.FreeClaim(command):
+                    self.gateway.propose_in_background(command)
+                case claims.Respond(answer):
+                    self._respond(_plain(answer, self._live_answer))
+                case claims.Refuse(refusal):
+                    self._refuse(refusal)
+
+    def _claimed(self, outcome: messages.Outcome | None) -> None:
+        owner_live = False
+        if isinstance(outcome, messages.ClaimBusy):
+            owner_live = self.gateway.owner_is_live(outcome.owner)
+        self._handle(claims.ClaimDecided(outcome), owner_live)
+
+    def _recorded(self, outcome: messages.Outcome | None) -> None:
+        self._handle(claims.Recorded(outcome is not None))
+
+    def _attempt(self) -> None:
+        address = self._next_address()
+        if address is None:
+            self._handle(claims.NoUpstream())
+            return
+        self._attempt_number += 1
+        number = self._attempt_number
+
+        def may_send() -> bool:
+            current = number == self._attempt_number
+            return current and self.call.about_to_send()
+
+        request = attrs.evolve(self.template, address=address)
+        called = self.gateway.client.call(
+            request, self.service.timeout, may_send
+        )
+        called.addCallbacks(
+            self._answered, self._failed, (address,), None, (address,)
+        )
+
+    def _answered(self, answer: upstreams.PlainAnswer, address: str) -> None:
+        self.gateway.dispatcher.breakers.succeeded(address)
+        self._live_answer = answer
+        self._handle(
+            claims.Answered(
+                messages.StoredAnswer(
+                    answer.status, answer.content_type, answer.body
+                )
+            )
+        )
+
+    def _failed(self, failure: failures.Failure, address: str) -> None:
+        failure.trap(errors.FigfordError)
+        breakers = self.gateway.dispatcher.breakers
+        breakers.failed(address, self.gateway.clock.now())
+        self._attempt_number += 1
+        if self.call.sent:
+            self._handle(claims.AttemptLost())
+        else:
+            self._handle(claims.NothingSent())
+
+
+def _plain(
+    stored: messages.StoredAnswer, live: upstreams.PlainAnswer | None
+) -> upstreams.PlainAnswer:
+    """Returns the answer of this very call, or the one that was stored."""
+    if live is not None:
+        return live
+    return upstreams.PlainAnswer(
+        stored.status,
+        [(b"content-type", stored.content_type.encode("latin-1"))],
+        stored.body,
+    )
+
+
+def _header_map(answer: upstreams.PlainAnswer) -> dict[bytes, bytes]:
+    headers = {name.lower(): value for name, value in answer.headers}
+    headers[b"content-length"] = str(len(answer.body)).encode()
+    return headers
--- /dev/null
+++ b/figford/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load generator and experiments."""
--- /dev/null
+++ b/figford/tools/announcing.py
@@ -0,0 +1,81 @@
+"""How stand-in upstreams announce themselves to the entries."""
+
+import itertools
+import json
+import typing
+
+import attrs
+from twisted.internet import defer
+from twisted.web import client
+from twisted.web import http_headers
+
+from figford import codec
+from figford import messages
+from figford import upstreams
+
+HEARTBEAT_SECONDS = 1.0
+TIMEOUT_SECONDS = 1.0
+
+
+@attrs.define(eq=False)
+class Announcer:
+    """Repeats announcements to one entry after another, as a balancer."""
+
+    reactor: typing.Any
+    entries: list[str]
+    current: typing.Callable[[], messages.Announcement]
+    sequence: int = 0
+    failures: int = 0
+    stopped: bool = False
+    _agent: client.Agent = attrs.field(init=False)
+    _turns: typing.Iterator[str] = attrs.field(init=False)
+    _timer: typing.Any = None
+
+    def __attrs_post_init__(self) -> None:
+        """Makes the client."""
+        pool = client.HTTPConnectionPool(self.reactor, persistent=True)
+        pool.retryAutomatically = False
+        self._agent = client.Agent(
+            self.reactor, pool=pool, connectTimeout=TIMEOUT_SECONDS
+        )
+        self._turns = itertools.cycle(self.entries)
+
+    def announce(self) -> defer.Deferred:
+        """Announces now and goes on every heartbeat."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+        if not self.stopped:
+            self._timer = self.reactor.callLater(
+                HEARTBEAT_SECONDS, self.announce
+            )
+        self.sequence += 1
+        announcement = attrs.evolve(self.current(), sequence=self.sequence)
+        return self._send(announcement, len(self.entries))
+
+    def _send(
+        self, announcement: messages.Announcement, tries: int
+    ) -> defer.Deferred:
+        plain = codec.to_plain(announcement, messages.Announcement)
+        requested = self._agent.request(
+            b"POST",
+            f"http://{next(self._turns)}/announce".encode(),
+            http_headers.Headers({b"content-type": [b"application/json"]}),
+            upstreams.BytesProducer(json.dumps(plain).encode()),
+        )
+        requested.addCallback(client.readBody)
+        requested.addTimeout(TIMEOUT_SECONDS, self.reactor)
+
+        def failed(_: object) -> typing.Any:
+            self.failures += 1
+            if tries > 1:
+                return self._send(announcement, tries - 1)
+            return None
+
+        return requested.addErrback(failed)
+
+    def stop(self) -> None:
+        """Stops the heartbeat."""
+        self.stopped = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
--- /dev/null
+++ b/figford/tools/deployment.py
@@ -0,0 +1,374 @@
+"""Runs a whole deployment as separate processes on loopback addresses.
+
+Used by the demo, the process tests and the benches. It starts, kills,
+pauses and stops processes that it started itself, by their pid.
+"""
+
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import secrets
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+
+import attrs
+import yaml
+
+from figford import errors
+from figford import operators
+
+HOST = "127.0.0.1"
+WAIT_SECONDS = 60.0
+POLL_SECONDS = 0.05
+CALL_TIMEOUT_SECONDS = 60.0
+
+
+class DeploymentError(errors.FigfordError):
+    """The deployment did not do what was waited for."""
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns loopback ports that were free a moment ago."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for held in sockets:
+            held.bind((HOST, 0))
+        return [held.getsockname()[1] for held in sockets]
+
+
+@attrs.frozen
+class EntryPlan:
+    """An entry to run."""
+
+    name: str
+    data_centre: str
+    disk: bool
+
+
+@attrs.frozen
+class Answer:
+    """An HTTP answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> typing.Any:
+        """Returns the body as JSON."""
+        return json.loads(self.body)
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    document: object = None,
+    headers: dict[str, str] | None = None,
+) -> Answer:
+    """Returns the whole answer to a request; raises OSError family."""
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(
+        host, int(port), timeout=CALL_TIMEOUT_SECONDS
+    )
+    body = None if document is None else json.dumps(document)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        data = answer.read()
+        found = {name.lower(): value for name, value in answer.getheaders()}
+        return Answer(answer.status, found, data)
+    finally:
+        connection.close()
+
+
+@attrs.define
+class Deployment:
+    """Processes of one deployment below a folder."""
+
+    folder: pathlib.Path
+    plans: list[EntryPlan]
+    extra_settings: dict = attrs.field(factory=dict)
+    ports_by_entry: dict[str, list[int]] = attrs.field(factory=dict)
+    process_by_name: dict[str, subprocess.Popen] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Writes the settings of all entries."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        secret = self.folder / "secret"
+        secret.write_text(secrets.token_hex(16))
+        secret.chmod(0o600)
+        ports = free_ports(5 * len(self.plans))
+        for index, plan in enumerate(self.plans):
+            self.ports_by_entry[plan.name] = ports[5 * index : 5 * index + 5]
+        for plan in self.plans:
+            self._write_settings(plan)
+
+    def _write_settings(self, plan: EntryPlan) -> None:
+        settings = {
+            "deployment": "demo",
+            "instance": plan.name,
+            "data_centre": plan.data_centre,
+            "secret_file": str(self.folder / "secret"),
+            "callers_address": self.address(plan.name, 0),
+            "links_address": self.address(plan.name, 1),
+            "upstreams_address": self.address(plan.name, 2),
+            "operators_address": self.address(plan.name, 3),
+            "metrics_address": self.address(plan.name, 4),
+            "seeds": [self.address(self.plans[0].name, 1)],
+            "allow_faults": True,
+            **self.extra_settings,
+        }
+        if len(self.plans) > 1:
+            settings["seeds"].append(self.address(self.plans[1].name, 1))
+        if plan.disk:
+            settings["data_folder"] = str(self.data_folder(plan.name))
+        path = self.settings_path(plan.name)
+        path.write_text(yaml.safe_dump(settings))
+
+    # ---- Names ----------------------------------------------------------
+
+    def address(self, entry: str, role: int) -> str:
+        """Returns an address of an entry: callers, links, upstreams, ..."""
+        return f"{HOST}:{self.ports_by_entry[entry][role]}"
+
+    def callers_address(self, entry: str) -> str:
+        """Returns the callers' address of an entry."""
+        return self.address(entry, 0)
+
+    def operators_address(self, entry: str) -> str:
+        """Returns the operators' address of an entry."""
+        return self.address(entry, 3)
+
+    def metrics_address(self, entry: str) -> str:
+        """Returns the metrics address of an entry."""
+        return self.address(entry, 4)
+
+    def announce_addresses(self, data_centre: str) -> list[str]:
+        """Returns where upstreams of a data centre announce themselves."""
+        return [
+            self.address(plan.name, 2)
+            for plan in self.plans
+            if plan.data_centre == data_centre
+        ]
+
+    def settings_path(self, entry: str) -> pathlib.Path:
+        """Returns the settings file of an entry."""
+        return self.folder / f"{entry}.yaml"
+
+    def data_folder(self, entry: str) -> pathlib.Path:
+        """Returns the data folder of an entry."""
+        return self.folder / f"{entry}-data"
+
+    # ---- Processes ------------------------------------------------------
+
+    def _run(self, name: str, module: str, arguments: list[str]) -> None:
+        log = (self.folder / f"{name}.log").open("ab")
+        with log:
+            self.process_by_name[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def found(self, entry: str) -> None:
+        """Founds the deployment on the disk of an entry."""
+        command = [sys.executable, "-m", "figford", "init", "--settings"]
+        command.append(str(self.settings_path(entry)))
+        subprocess.run(command, check=True, capture_output=True)
+
+    def start_entry(self, entry: str) -> None:
+        """Starts an entry."""
+        path = str(self.settings_path(entry))
+        self._run(entry, "figford", ["serve", "--settings", path])
+
+    def start_entries(self) -> None:
+        """Founds the deployment and starts all entries."""
+        first = next(plan for plan in self.plans if plan.disk)
+        self.found(first.name)
+        for plan in self.plans:
+            self.start_entry(plan.name)
+
+    def start_engines(
+        self,
+        name: str,
+        data_centre: str,
+        domain: str,
+        count: int,
+        options: dict[str, object] | None = None,
+    ) -> None:
+        """Starts engines of one fabric domain in one process."""
+        addresses = [f"{HOST}:{port}" for port in free_ports(count)]
+        arguments = [
+            f"--name={name}",
+            f"--addresses={','.join(addresses)}",
+            f"--data-centre={data_centre}",
+            f"--domain={domain}",
+            f"--announce={','.join(self.announce_addresses(data_centre))}",
+        ]
+        arguments += [
+            f"--{key.replace('_', '-')}={value}"
+            for key, value in (options or {}).items()
+        ]
+        self._run(name, "figford.tools.engine", arguments)
+
+    def start_service(
+        self, name: str, data_centre: str, service: str, delay: float = 0.0
+    ) -> str:
+        """Starts a plain service; returns its address."""
+        address = f"{HOST}:{free_ports(1)[0]}"
+        entries = ",".join(self.announce_addresses(data_centre))
+        self._run(
+            name,
+            "figford.tools.service",
+            [
+                f"--name={name}",
+                f"--address={address}",
+                f"--data-centre={data_centre}",
+                f"--service={service}",
+                f"--announce={entries}",
+                f"--delay-seconds={delay}",
+            ],
+        )
+        return address
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process of this deployment."""
+        self.process_by_name[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kills a process and waits for its end."""
+        process = self.process_by_name.pop(name)
+        process.kill()
+        process.wait()
+
+    def lose_disk(self, entry: str) -> None:
+        """Removes the data folder of an entry that does not run."""
+        shutil.rmtree(self.data_folder(entry))
+
+    def stop(self, name: str) -> int:
+        """Stops a process gracefully; returns its exit code."""
+        process = self.process_by_name.pop(name)
+        process.terminate()
+        return process.wait(WAIT_SECONDS)
+
+    def kill_all(self) -> None:
+        """Kills all processes that still run."""
+        for name in list(self.process_by_name):
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process_by_name[name].pid, signal.SIGCONT)
+            self.kill(name)
+
+    # ---- Watching -------------------------------------------------------
+
+    def status(self, entry: str) -> dict:
+        """Returns the status of an entry; empty where it does not answer."""
+        try:
+            return call(self.operators_address(entry), "GET", "/status").json()
+        except (OSError, ValueError, http.client.HTTPException):
+            return {}
+
+    def wait(
+        self,
+        what: str,
+        condition: typing.Callable[[], object],
+        seconds: float = WAIT_SECONDS,
+    ) -> typing.Any:
+        """Returns the condition's value once it is true.
+
+        Raises DeploymentError when a process died or time ran out.
+        """
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            value = condition()
+            if value:
+                return value
+            self.check_alive()
+            time.sleep(POLL_SECONDS)
+        raise DeploymentError(f"not in {seconds:g} s: {what}")
+
+    def check_alive(self) -> None:
+        """Raises DeploymentError where a process ended by itself."""
+        for name, process in self.process_by_name.items():
+            if process.poll() is not None:
+                log = (self.folder / f"{name}.log").read_text()[-2000:]
+                raise DeploymentError(
+                    f"{name} ended with code {process.returncode}:\n{log}"
+                )
+
+    def wait_ready(self, entry: str) -> None:
+        """Waits until an entry serves callers."""
+        self.wait(f"{entry} ready", lambda: self.status(entry).get("ready"))
+
+    def wait_groups(self, entry: str, count: int) -> None:
+        """Waits until an entry knows this many complete groups."""
+        self.wait(
+            f"{count} groups at {entry}",
+            lambda: serving_groups(self.status(entry)) == count,
+        )
+
+    def submit(
+        self,
+        entry: str,
+        configuration: operators.Configuration,
+        base_version: int,
+        submission: str,
+    ) -> Answer:
+        """Submits a configuration over HTTP."""
+        return call(
+            self.operators_address(entry),
+            "POST",
+            "/submit",
+            {
+                "submission": submission,
+                "base_version": base_version,
+                "author": "deployment",
+                "document": configuration.to_document(),
+            },
+        )
+
+    def chat(
+        self, entry: str, key: str, model: str, prompt: str, **options: object
+    ) -> Answer:
+        """Sends a model request and reads the whole answer."""
+        return call(
+            self.callers_address(entry),
+            "POST",
+            "/v1/chat/completions",
+            {
+                "model": model,
+                "messages": [{"role": "user", "content": prompt}],
+                **options,
+            },
+            {"authorization": f"Bearer {key}"},
+        )
+
+
+def serving_groups(status: dict) -> int:
+    """Returns how many groups of a status are serving."""
+    return sum(
+        group["state"] == "serving" for group in status.get("groups", [])
+    )
+
+
+def stream_text(body: bytes) -> str:
+    """Returns the text of a streamed answer.
+
+    Raises DeploymentError where the answer is not whole.
+    """
+    events = [event for event in body.split(b"\n\n") if event]
+    if not events or not events[-1].endswith(b"data: [DONE]"):
+        raise DeploymentError(f"the answer is cut: {events[-1:]!r}")
+    parts = []
+    for event in events[:-1]:
+        _, _, data = event.partition(b"data: ")
+        chunk = json.loads(data)
+        parts.append(chunk["choices"][0]["delta"]["content"])
+    return "".join(parts)
