--- /dev/null
+++ b/figford/tools/engine.py
@@ -0,0 +1,394 @@
+"""A stand-in for a model engine: seats, loads, batches and streams tokens.
+
+Its answers follow from the prompt alone, so that any replica continues the
+answer of another from a position and a caller can check every token.
+"""
+
+import json
+import signal
+import time
+import typing
+import zlib
+
+import attrs
+from twisted.internet import protocol
+from twisted.internet import task
+from twisted.web import resource
+from twisted.web import server
+import typer
+
+from figford import codec
+from figford import errors
+from figford import messages
+from figford.tools import announcing
+
+PEER_CHECK_SECONDS = 0.5
+KEEP_ALIVE_SECONDS = 60
+
+
+def token_text(prompt: str, position: int) -> str:
+    """Returns the token that every engine gives at a position.
+
+    >>> token_text("hello", 0) == token_text("hello", 0)
+    True
+    """
+    return f"w{zlib.crc32(f'{position}:{prompt}'.encode()) % 10_000} "
+
+
+def prompt_of(document: dict) -> str:
+    """Returns the prompt of a chat request's document."""
+    return "\n".join(
+        str(message.get("content", "")) for message in document["messages"]
+    )
+
+
+@attrs.define(eq=False)
+class Stream:
+    """One answer in progress."""
+
+    request: server.Request
+    name: str
+    prompt: str
+    position: int
+    length: int
+    model: str
+
+
+@attrs.define(eq=False)
+class Engine:
+    """One instance of the stand-in."""
+
+    reactor: typing.Any
+    name: str
+    address: str
+    data_centre: str
+    fabric_domain: str
+    token_seconds: float
+    tokens: int
+    load_seconds: float
+    checks_fencing: bool
+    state: messages.UpstreamState = messages.UpstreamState.IDLE
+    seat: messages.Seat | None = None
+    highest_fence: int = 0
+    models: list[str] = attrs.field(factory=list)
+    streams: list[Stream] = attrs.field(factory=list)
+    peers: list[str] = attrs.field(factory=list)
+    leaving: bool = False
+    stalled: bool = False
+    announcer: announcing.Announcer | None = None
+    incarnation: int = attrs.field(factory=lambda: int(time.time() * 1000))
+
+    def announcement(self) -> messages.Announcement:
+        """Returns what the engine says of itself."""
+        return messages.Announcement(
+            upstream=self.name,
+            incarnation=self.incarnation,
+            sequence=0,
+            data_centre=self.data_centre,
+            fabric_domain=self.fabric_domain,
+            address=self.address,
+            kind=messages.UpstreamKind.ENGINE,
+            state=(
+                messages.UpstreamState.LEAVING if self.leaving else self.state
+            ),
+            checks_fencing=self.checks_fencing,
+            models=self.models,
+            seat=self.seat,
+            highest_fence=self.highest_fence,
+            load=messages.Load(
+                running=len(self.streams),
+                tokens_per_second=int(len(self.streams) / self.token_seconds),
+                step_microseconds=int(self.token_seconds * 1e6),
+            ),
+        )
+
+    def changed(self) -> None:
+        """Announces a change at once."""
+        if self.announcer is not None:
+            self.announcer.announce()
+
+    # ---- Orders ---------------------------------------------------------
+
+    def order(self, order: messages.Order) -> bool:
+        """Carries out an order; returns whether it was taken."""
+        if self.checks_fencing and order.fence < self.highest_fence:
+            return False
+        self.highest_fence = max(self.highest_fence, order.fence)
+        match order:
+            case messages.JoinGroup():
+                self._join(order)
+            case messages.ReleaseSeat(group=group):
+                if self.seat is not None and self.seat.group == group:
+                    self._release()
+        self.changed()
+        return True
+
+    def _join(self, order: messages.JoinGroup) -> None:
+        if self.seat == order.seat:
+            return
+        self.seat = order.seat
+        self.peers = [peer for peer in order.peers if peer != self.address]
+        self._cut_streams()
+        if order.model in self.models:
+            self.state = messages.UpstreamState.SERVING
+            return
+        self.state = messages.UpstreamState.LOADING
+        self.reactor.callLater(
+            self.load_seconds, self._loaded, order.seat, order.model
+        )
+
+    def _loaded(self, seat: messages.Seat, model: str) -> None:
+        if model not in self.models:
+            self.models.append(model)
+        if self.seat == seat:
+            self.state = messages.UpstreamState.SERVING
+            self.changed()
+
+    def _release(self) -> None:
+        self.seat = None
+        self.state = messages.UpstreamState.IDLE
+        self.peers = []
+
+    def _cut_streams(self) -> None:
+        for stream in self.streams:
+            stream.request.channel.abortConnection()
+        self.streams.clear()
+
+    # ---- Tokens ---------------------------------------------------------
+
+    def step(self) -> None:
+        """Gives every stream its next token."""
+        if self.stalled:
+            return
+        for stream in list(self.streams):
+            self._give_token(stream)
+
+    def _give_token(self, stream: Stream) -> None:
+        if stream.position >= stream.length:
+            self._write(stream, "[DONE]")
+            self.streams.remove(stream)
+            stream.request.finish()
+            return
+        chunk = {
+            "id": stream.name,
+            "object": "chat.completion.chunk",
+            "model": stream.model,
+            "choices": [
+                {
+                    "index": 0,
+                    "delta": {
+                        "content": token_text(stream.prompt, stream.position)
+                    },
+                }
+            ],
+        }
+        self._write(stream, json.dumps(chunk))
+        stream.position += 1
+
+    @staticmethod
+    def _write(stream: Stream, data: str) -> None:
+        event = f"id: {stream.name}:{stream.position}\ndata: {data}\n\n"
+        stream.request.write(event.encode())
+
+    # ---- Peers ----------------------------------------------------------
+
+    def check_peers(self) -> None:
+        """Stalls while any other member of the group is dead."""
+        if not self.peers or self.seat is None or self.seat.rank:
+            self.stalled = False
+            return
+        for peer in self.peers:
+            _Probe.start(self.reactor, peer, self._peer_state)
+
+    def _peer_state(self, peer: str, alive: bool) -> None:
+        if peer not in self.peers:
+            return
+        if not alive:
+            self.stalled = True
+        elif peer == self.peers[-1]:
+            self.stalled = False
+
+
+class _Probe(protocol.Protocol):
+    """Connects to a member and hangs up."""
+
+    def connectionMade(self) -> None:
+        """Hangs up."""
+        self.transport.loseConnection()
+
+    @classmethod
+    def start(
+        cls,
+        reactor: typing.Any,
+        peer: str,
+        report: typing.Callable[[str, bool], None],
+    ) -> None:
+        """Reports whether a member accepts connections."""
+        creator = protocol.ClientCreator(reactor, cls)
+        host, _, port = peer.rpartition(":")
+        connected = creator.connectTCP(host, int(port), timeout=1)
+        connected.addCallbacks(
+            lambda _: report(peer, True), lambda _: report(peer, False)
+        )
+
+
+class ChatResource(resource.Resource):
+    """Model requests."""
+
+    isLeaf = True
+
+    def __init__(self, engine: Engine) -> None:
+        """Makes the resource."""
+        super().__init__()
+        self._engine = engine
+
+    def render_POST(self, request: server.Request) -> typing.Any:
+        """Starts a stream, where the group named is the engine's own."""
+        engine = self._engine
+        document = json.loads(request.content.read())
+        if not self._serves(request):
+            request.setResponseCode(409)
+            return b"not in this group"
+        name = request.getHeader("figford-request") or "direct"
+        stream = Stream(
+            request=request,
+            name=name,
+            prompt=prompt_of(document),
+            position=int(request.getHeader("figford-resume-from") or 0),
+            length=int(document.get("max_tokens") or engine.tokens),
+            model=document["model"],
+        )
+        request.setHeader(b"content-type", b"text/event-stream")
+        engine.streams.append(stream)
+
+        def left(_: object) -> None:
+            if stream in engine.streams:
+                engine.streams.remove(stream)
+
+        request.notifyFinish().addErrback(left)
+        return server.NOT_DONE_YET
+
+    def _serves(self, request: server.Request) -> bool:
+        group = request.getHeader("figford-group")
+        if group is None:
+            return True
+        seat = self._engine.seat
+        if seat is None or self._engine.state not in (
+            messages.UpstreamState.SERVING,
+        ):
+            return False
+        fence = request.getHeader("figford-fence")
+        return (seat.group, str(seat.fence), seat.rank) == (group, fence, 0)
+
+
+class OrderResource(resource.Resource):
+    """Orders of the planner."""
+
+    isLeaf = True
+
+    def __init__(self, engine: Engine) -> None:
+        """Makes the resource."""
+        super().__init__()
+        self._engine = engine
+
+    def render_POST(self, request: server.Request) -> bytes:
+        """Carries out an order or refuses an old fencing number."""
+        try:
+            order = codec.from_plain(
+                json.loads(request.content.read()), messages.Order
+            )
+        except (ValueError, errors.MessageError):
+            request.setResponseCode(400)
+            return b"not an order"
+        if not self._engine.order(order):
+            request.setResponseCode(412)
+            return b"old fencing number"
+        return b"taken"
+
+
+def site_of(engine: Engine) -> server.Site:
+    """Returns the HTTP site of an engine."""
+    root = resource.Resource()
+    chat = resource.Resource()
+    version = resource.Resource()
+    root.putChild(b"v1", version)
+    version.putChild(b"chat", chat)
+    chat.putChild(b"completions", ChatResource(engine))
+    root.putChild(b"orders", OrderResource(engine))
+    site = server.Site(root, timeout=KEEP_ALIVE_SECONDS)
+    site.log = lambda request: None
+    return site
+
+
+def serve(engine: Engine, announce: list[str]) -> None:
+    """Opens an engine's port and starts its loops."""
+    reactor = engine.reactor
+    host, _, port = engine.address.rpartition(":")
+    reactor.listenTCP(int(port), site_of(engine), interface=host)
+    task.LoopingCall(engine.step).start(engine.token_seconds)
+    task.LoopingCall(engine.check_peers).start(PEER_CHECK_SECONDS)
+    if announce:
+        engine.announcer = announcing.Announcer(
+            reactor, announce, engine.announcement
+        )
+        engine.announcer.announce()
+
+
+def leave(engines: list[Engine], reactor: typing.Any) -> None:
+    """Announces that the engines leave; stops when their work is done."""
+    for engine in engines:
+        engine.leaving = True
+        engine.changed()
+
+    def check() -> None:
+        if not any(engine.streams for engine in engines):
+            reactor.stop()
+
+    task.LoopingCall(check).start(0.2)
+
+
+def run(
+    name: str = "engine",
+    addresses: str = "127.0.0.1:9100",
+    data_centre: str = "dc1",
+    domain: str = "fabric-1",
+    announce: str = "",
+    token_seconds: float = 0.02,
+    tokens: int = 32,
+    load_seconds: float = 0.2,
+    checks_fencing: bool = True,
+) -> None:
+    """Runs one stand-in engine per address, comma-separated."""
+    from twisted.internet import reactor
+
+    engines = [
+        Engine(
+            reactor=reactor,
+            name=f"{name}-{index}",
+            address=address,
+            data_centre=data_centre,
+            fabric_domain=domain,
+            token_seconds=token_seconds,
+            tokens=tokens,
+            load_seconds=load_seconds,
+            checks_fencing=checks_fencing,
+        )
+        for index, address in enumerate(addresses.split(","))
+    ]
+    entries = [item for item in announce.split(",") if item]
+    for engine in engines:
+        serve(engine, entries)
+    signal.signal(
+        signal.SIGTERM,
+        lambda *_: reactor.callFromThread(leave, engines, reactor),
+    )
+    reactor.run(installSignalHandlers=False)
+
+
+def main() -> None:
+    """Runs the command."""
+    typer.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/figford/upstreams.py
@@ -0,0 +1,437 @@
+"""Requests to upstreams: streams, calls and orders over HTTP.
+
+No request is retried by the HTTP library; retries are decisions of ours.
+"""
+
+import datetime
+import json
+import typing
+
+import attrs
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import error as internet_errors
+from twisted.internet import protocol
+from twisted.python import failure as failures
+from twisted.web import client
+from twisted.web import http
+from twisted.web import http_headers
+from twisted.web import iweb
+from zope import interface
+
+from figford import codec
+from figford import errors
+from figford import messages
+from figford import settings
+
+POOLED_CONNECTIONS_PER_UPSTREAM = 64
+POOLED_IDLE_SECONDS = 50
+# Hop-by-hop headers, which are never passed on.
+HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"host",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+class NothingSentError(errors.FigfordError):
+    """The attempt ended before any byte went to the upstream."""
+
+
+class BrokenAnswerError(errors.FigfordError):
+    """The upstream's answer broke off, or never began."""
+
+
+class AnswerTooLargeError(errors.FigfordError):
+    """The upstream's answer is over the limit."""
+
+
+@interface.implementer(iweb.IBodyProducer)
+class BytesProducer:
+    """Writes a body that is at hand."""
+
+    def __init__(self, body: bytes) -> None:
+        self.body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: typing.Any) -> defer.Deferred:
+        """Writes the body at once."""
+        consumer.write(self.body)
+        return defer.succeed(None)
+
+    def pauseProducing(self) -> None:
+        """Does nothing; the body was written."""
+
+    def resumeProducing(self) -> None:
+        """Does nothing; the body was written."""
+
+    def stopProducing(self) -> None:
+        """Does nothing; the body was written."""
+
+
+class _GuardedEndpoint:
+    """Connects, then asks whether bytes may be sent."""
+
+    def __init__(
+        self, inner: typing.Any, may_send: typing.Callable[[], bool]
+    ) -> None:
+        self._inner = inner
+        self._may_send = may_send
+
+    def connect(self, factory: typing.Any) -> defer.Deferred:
+        """Returns the connection; refuses where nothing may be sent."""
+
+        def check(connected: typing.Any) -> typing.Any:
+            if self._may_send():
+                return connected
+            connected.transport.abortConnection()
+            raise NothingSentError("the call ended before it was sent")
+
+        return self._inner.connect(factory).addCallback(check)
+
+
+@interface.implementer(iweb.IAgentEndpointFactory)
+class _EndpointFactory:
+    """Makes endpoints for IP numbers."""
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        timeout: datetime.timedelta,
+        may_send: typing.Callable[[], bool] | None = None,
+    ) -> None:
+        self._reactor = reactor
+        self._timeout = timeout
+        self._may_send = may_send
+
+    def endpointForURI(self, uri: client.URI) -> typing.Any:
+        """Returns the endpoint of an upstream's address."""
+        endpoint = endpoints.TCP4ClientEndpoint(
+            self._reactor,
+            uri.host.decode(),
+            uri.port,
+            timeout=self._timeout.total_seconds(),
+        )
+        if self._may_send is None:
+            return endpoint
+        return _GuardedEndpoint(endpoint, self._may_send)
+
+
+class StreamReceiver(typing.Protocol):
+    """Gets the pieces of a streamed answer."""
+
+    def stream_data(self, data: bytes) -> None:
+        """Takes bytes as they arrive."""
+
+    def stream_ended(self, error: errors.FigfordError | None) -> None:
+        """Notes the end of the body, whole or not."""
+
+
+class StreamAttempt(protocol.Protocol):
+    """One streamed request; nothing is reported after `cancel`."""
+
+    def __init__(self, receiver: StreamReceiver) -> None:
+        """Makes an attempt that reports to a receiver."""
+        self._receiver: StreamReceiver | None = receiver
+        self._requested: defer.Deferred | None = None
+        self._connected = False
+
+    def begin(self, requested: defer.Deferred) -> None:
+        """Waits for the response."""
+        self._requested = requested
+        requested.addCallbacks(self._responded, self._failed)
+
+    def cancel(self) -> None:
+        """Stops the request, so that the upstream stops its work."""
+        self._receiver = None
+        if self._connected:
+            self.transport.loseConnection()
+        elif self._requested is not None:
+            self._requested.cancel()
+
+    def pause(self) -> None:
+        """Stops reading while the caller is slow."""
+        if self._connected:
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Reads on."""
+        if self._connected:
+            self.transport.resumeProducing()
+
+    def _end(self, error: errors.FigfordError | None) -> None:
+        receiver, self._receiver = self._receiver, None
+        if receiver is not None:
+            receiver.stream_ended(error)
+
+    def _responded(self, response: typing.Any) -> None:
+        self._requested = None
+        if self._receiver is None:
+            response.deliverBody(_Discard())
+        elif response.code == http.CONFLICT:
+            # The engine says that it is not in the group named.
+            response.deliverBody(_Discard())
+            self._end(NothingSentError("the upstream is not in the group"))
+        elif response.code != http.OK:
+            response.deliverBody(_Discard())
+            self._end(BrokenAnswerError(f"upstream status {response.code}"))
+        else:
+            response.deliverBody(self)
+
+    def _failed(self, failure: failures.Failure) -> None:
+        self._requested = None
+        if failure.check(internet_errors.ConnectError):
+            self._end(NothingSentError("the upstream can't be reached"))
+        else:
+            self._end(BrokenAnswerError(failure.type.__name__))
+
+    def connectionMade(self) -> None:
+        """Notes that the body begins."""
+        self._connected = True
+
+    def dataReceived(self, data: bytes) -> None:
+        """Passes bytes on."""
+        if self._receiver is not None:
+            self._receiver.stream_data(data)
+
+    def connectionLost(
+        self, reason: failures.Failure = protocol.connectionDone
+    ) -> None:
+        """Notes the end of the body."""
+        self._connected = False
+        if reason.check(client.ResponseDone):
+            self._end(None)
+        else:
+            self._end(BrokenAnswerError("the answer broke off"))
+
+
+class _Discard(protocol.Protocol):
+    """Drops a body and its connection."""
+
+    def connectionMade(self) -> None:
+        """Closes the connection."""
+        self.transport.loseConnection()
+
+
+class _Collector(protocol.Protocol):
+    """Gathers a body up to a limit."""
+
+    def __init__(self, limit: int) -> None:
+        self.done: defer.Deferred = defer.Deferred(self._cancelled)
+        self._limit = limit
+        self._finished = False
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def dataReceived(self, data: bytes) -> None:
+        """Keeps the bytes or gives up."""
+        self._size += len(data)
+        if self._size > self._limit:
+            self._finish(AnswerTooLargeError("the answer is too large"))
+            self.transport.loseConnection()
+            return
+        self._parts.append(data)
+
+    def connectionLost(
+        self, reason: failures.Failure = protocol.connectionDone
+    ) -> None:
+        """Reports the body if its end was seen."""
+        if reason.check(client.ResponseDone):
+            self._finish(None)
+        else:
+            self._finish(BrokenAnswerError("the answer broke off"))
+
+    def _cancelled(self, _: defer.Deferred) -> None:
+        self._finished = True
+        self.transport.loseConnection()
+
+    def _finish(self, error: errors.FigfordError | None) -> None:
+        if self._finished:
+            return
+        self._finished = True
+        if error is None:
+            self.done.callback(b"".join(self._parts))
+        else:
+            self.done.errback(error)
+
+
+@attrs.frozen
+class PlainRequest:
+    """A call of a plain service."""
+
+    method: bytes
+    address: str
+    uri: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+@attrs.frozen
+class PlainAnswer:
+    """The whole answer of a plain service."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+    @property
+    def content_type(self) -> str:
+        """Returns the content type, or that of plain bytes."""
+        for name, value in self.headers:
+            if name.lower() == b"content-type":
+                return value.decode("latin-1")
+        return "application/octet-stream"
+
+
+@attrs.define
+class UpstreamClient:
+    """Sends requests and orders to upstreams."""
+
+    reactor: typing.Any
+    clock: typing.Any
+    limits: settings.Limits
+    _pool: client.HTTPConnectionPool = attrs.field(init=False)
+    _agent: client.Agent = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Makes the pool of connections for streams and reads."""
+        self._pool = client.HTTPConnectionPool(self.reactor, persistent=True)
+        self._pool.retryAutomatically = False
+        self._pool.maxPersistentPerHost = POOLED_CONNECTIONS_PER_UPSTREAM
+        self._pool.cachedConnectionTimeout = POOLED_IDLE_SECONDS
+        self._agent = client.Agent.usingEndpointFactory(
+            self.reactor,
+            _EndpointFactory(self.reactor, self.limits.connect_timeout),
+            self._pool,
+        )
+
+    def close(self) -> defer.Deferred:
+        """Closes idle connections; returns a deferred."""
+        return self._pool.closeCachedConnections()
+
+    def stream(
+        self,
+        address: str,
+        headers: dict[bytes, bytes],
+        body: bytes,
+        receiver: StreamReceiver,
+    ) -> StreamAttempt:
+        """Posts a model request and streams its answer to the receiver."""
+        attempt = StreamAttempt(receiver)
+        fields = http_headers.Headers(
+            {name: [value] for name, value in headers.items()}
+        )
+        attempt.begin(
+            self._agent.request(
+                b"POST",
+                f"http://{address}/v1/chat/completions".encode(),
+                fields,
+                BytesProducer(body),
+            )
+        )
+        return attempt
+
+    def call(
+        self,
+        request: PlainRequest,
+        timeout: datetime.timedelta,
+        may_send: typing.Callable[[], bool] | None = None,
+    ) -> defer.Deferred:
+        """Calls a plain service; the result is a PlainAnswer.
+
+        Fails with NothingSentError where certainly no byte was sent and
+        with BrokenAnswerError or AnswerTooLargeError otherwise. `may_send`
+        is asked once, on a new connection, just before the first byte.
+        """
+        agent = self._agent
+        if may_send is not None:
+            agent = client.Agent.usingEndpointFactory(
+                self.reactor,
+                _EndpointFactory(
+                    self.reactor, self.limits.connect_timeout, may_send
+                ),
+                client.HTTPConnectionPool(self.reactor, persistent=False),
+            )
+        fields = http_headers.Headers()
+        for name, value in request.headers:
+            fields.addRawHeader(name, value)
+        producer = BytesProducer(request.body) if request.body else None
+        requested = agent.request(
+            request.method,
+            b"http://" + request.address.encode() + request.uri,
+            fields,
+            producer,
+        )
+        requested.addCallback(self._collect)
+        requested.addTimeout(timeout.total_seconds(), self.reactor)
+        requested.addErrback(_explain)
+        return requested
+
+    def _collect(self, response: typing.Any) -> defer.Deferred:
+        headers = [
+            (name, value)
+            for name, values in response.headers.getAllRawHeaders()
+            for value in values
+            if name.lower() not in HOP_HEADERS
+        ]
+        collector = _Collector(self.limits.answer_bytes)
+        response.deliverBody(collector)
+        return collector.done.addCallback(
+            lambda body: PlainAnswer(response.code, headers, body)
+        )
+
+    def send_order(
+        self,
+        address: str,
+        order: messages.Order,
+        valid_until: datetime.timedelta,
+    ) -> defer.Deferred:
+        """Sends an order on a new connection while it is still valid.
+
+        The time is checked after the connection is made, right before the
+        first byte. Fails with OrderRefusedError or a connection error.
+        """
+        agent = client.Agent.usingEndpointFactory(
+            self.reactor,
+            _EndpointFactory(
+                self.reactor,
+                self.limits.connect_timeout,
+                lambda: self.clock.now() < valid_until,
+            ),
+            client.HTTPConnectionPool(self.reactor, persistent=False),
+        )
+        body = json.dumps(codec.to_plain(order, messages.Order)).encode()
+        requested = agent.request(
+            b"POST",
+            f"http://{address}/orders".encode(),
+            http_headers.Headers({b"content-type": [b"application/json"]}),
+            BytesProducer(body),
+        )
+        requested.addCallback(self._collect)
+        remaining = (valid_until - self.clock.now()).total_seconds()
+        requested.addTimeout(max(0.0, remaining), self.reactor)
+        requested.addCallback(_check_order)
+        return requested
+
+
+def _check_order(answer: PlainAnswer) -> None:
+    if answer.status != http.OK:
+        raise errors.OrderRefusedError(f"status {answer.status}")
+
+
+def _explain(failure: failures.Failure) -> failures.Failure:
+    """Turns failures of the HTTP library into ours."""
+    if failure.check(errors.FigfordError):
+        return failure
+    if failure.check(internet_errors.ConnectError):
+        raise NothingSentError("the upstream can't be reached")
+    raise BrokenAnswerError(failure.type.__name__)
