Tell late announcements by the upstream's own clock

Cause: an announcement that waited in a socket during a cut counted as fresh when it arrived, and a beat kept an entry fresh that had missed a change before it. Ruled out: trusting arrival times, since a link may hold data back for seconds before it is dropped. Change: announcements carry the upstream's clock; beats carry a digest of the rest; forwarded announcements carry their age.

--- a/figford/membership.py
+++ b/figford/membership.py
@@ -6,9 +6,12 @@
 """
 
 import datetime
+import typing
 
 import attrs
+import xxhash
 
+from figford import codec
 from figford import messages
 
 # An upstream or peer that is silent this long counts as missing.
@@ -16,6 +19,9 @@
 PEER_SILENCE = datetime.timedelta(seconds=3)
 # A missing upstream or peer is forgotten after this long.
 FORGET_AFTER = datetime.timedelta(minutes=30)
+# Clocks drift by some milliseconds within this time.
+LATENESS_WINDOW = datetime.timedelta(seconds=60)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 BATCH_INTERVAL = datetime.timedelta(milliseconds=250)
 # What arrives this soon after a pause may have waited in a buffer.
 SETTLE_AFTER_PAUSE = datetime.timedelta(seconds=1)
@@ -29,12 +35,43 @@
     heard_at: datetime.timedelta | None = None
 
 
+@attrs.define
+class Lateness:
+    """Tells how late an announcement arrived, by the upstream's clock.
+
+    The least delay seen lately is taken as the usual one, so that only
+    the difference of the clocks' rates matters, not their values.
+    """
+
+    _least: float | None = None
+    _least_before: float | None = None
+    _turned_at: datetime.timedelta = datetime.timedelta(0)
+
+    def of(self, clock_ms: int, now: datetime.timedelta) -> datetime.timedelta:
+        """Returns how much longer than usual an announcement took."""
+        if not clock_ms:
+            return datetime.timedelta(0)
+        delay = now.total_seconds() - clock_ms / 1000
+        if now - self._turned_at > LATENESS_WINDOW:
+            self._least_before = self._least
+            self._least = None
+            self._turned_at = now
+        if self._least is None or delay < self._least:
+            self._least = delay
+        usual = self._least
+        if self._least_before is not None:
+            usual = min(usual, self._least_before)
+        return datetime.timedelta(seconds=delay - usual)
+
+
 @attrs.define
 class KnownUpstream:
-    """An upstream and when an announcement of it last arrived."""
+    """An upstream and when its last announcement was sent."""
 
     announcement: messages.Announcement
     heard_at: datetime.timedelta
+    lateness: Lateness = attrs.field(factory=Lateness)
+    digest: int = 0
 
 
 def _order(item: messages.Peer | messages.Announcement | messages.Beat):
@@ -141,40 +178,62 @@
         announcement: messages.Announcement,
         now: datetime.timedelta,
         first_hand: bool,
+        age: datetime.timedelta = datetime.timedelta(0),
     ) -> bool:
         """Notes an announcement; returns whether anything but load changed.
 
-        One that arrived first-hand is queued for the other entries.
+        One that arrived first-hand is queued for the other entries. `age`
+        is how long ago the sender heard it.
         """
         known = self.by_name.get(announcement.upstream)
         if known and _order(announcement) <= _order(known.announcement):
             self.stale_messages += 1
             return False
         changed = known is None or _differs(known.announcement, announcement)
-        if known is None:
-            known = KnownUpstream(announcement, now)
-            self.by_name[announcement.upstream] = known
-        self._refresh(known, announcement, now)
+        if known is None or (
+            known.announcement.incarnation < announcement.incarnation
+        ):
+            known = self._new_upstream(announcement, now - age)
         if changed:
+            known.digest = announcement_digest(announcement)
             self.revision += 1
+        self._refresh(known, announcement, now, age)
         if first_hand:
-            self._queue(announcement, changed)
+            self._queue(known, changed)
         return changed
 
+    def _new_upstream(
+        self, announcement: messages.Announcement, heard_at: datetime.timedelta
+    ) -> KnownUpstream:
+        if heard_at < self._settled_at:
+            heard_at -= UPSTREAM_SILENCE
+        known = KnownUpstream(announcement, heard_at)
+        self.by_name[announcement.upstream] = known
+        return known
+
     def beat(self, beat: messages.Beat, now: datetime.timedelta) -> bool:
-        """Notes a heartbeat; returns whether the upstream is known."""
+        """Notes a heartbeat; returns whether the rest of it is known."""
         known = self.by_name.get(beat.upstream)
-        if known is None or (
-            known.announcement.incarnation < beat.incarnation
-        ):
+        if known is None:
             return False
-        if _order(beat) <= _order(known.announcement):
+        announcement = known.announcement
+        if beat.incarnation == announcement.incarnation and (
+            beat.sequence <= announcement.sequence
+        ):
+            self.stale_messages += 1
+            return True
+        if beat.incarnation < announcement.incarnation:
             self.stale_messages += 1
             return True
+        if beat.digest != known.digest:
+            return False
         announcement = attrs.evolve(
-            known.announcement, sequence=beat.sequence, load=beat.load
+            announcement,
+            sequence=beat.sequence,
+            load=beat.load,
+            clock_ms=beat.clock_ms,
         )
-        self._refresh(known, announcement, now)
+        self._refresh(known, announcement, now, datetime.timedelta(0))
         return True
 
     def _refresh(
@@ -182,19 +241,21 @@
         known: KnownUpstream,
         announcement: messages.Announcement,
         now: datetime.timedelta,
+        age: datetime.timedelta,
     ) -> None:
         known.announcement = announcement
+        late = known.lateness.of(announcement.clock_ms, now - age)
         if now < self._settled_at:
             return
-        silence = now - known.heard_at
+        sent_at = now - age - late
+        silence = sent_at - known.heard_at
         if silence > UPSTREAM_SILENCE:
             self.ended_silences.append(silence)
             self.revision += 1
-        known.heard_at = now
+        known.heard_at = max(known.heard_at, sent_at)
 
-    def _queue(
-        self, announcement: messages.Announcement, changed: bool
-    ) -> None:
+    def _queue(self, known: KnownUpstream, changed: bool) -> None:
+        announcement = known.announcement
         name = announcement.upstream
         if changed or name in self._outgoing_by_name:
             self._outgoing_by_name[name] = announcement
@@ -205,6 +266,8 @@
             announcement.incarnation,
             announcement.sequence,
             announcement.load,
+            known.digest,
+            announcement.clock_ms,
         )
 
     def take_batch(
@@ -226,15 +289,22 @@
         self._batch_due = now + BATCH_INTERVAL
         return batch
 
-    def announcements_of(
-        self, names: list[str]
-    ) -> list[messages.Announcement]:
-        """Returns the announcements held of the given upstreams."""
-        return [
-            self.by_name[name].announcement
-            for name in names
-            if name in self.by_name
+    def held(
+        self, names: typing.Iterable[str], now: datetime.timedelta
+    ) -> messages.Announcements | None:
+        """Returns the fresh announcements of upstreams, with their ages."""
+        fresh = [
+            self.by_name[name] for name in names if self.is_fresh(name, now)
         ]
+        if not fresh:
+            return None
+        return messages.Announcements(
+            full=[known.announcement for known in fresh],
+            beats=[],
+            ages_ms=[
+                (now - known.heard_at) // _MILLISECOND for known in fresh
+            ],
+        )
 
     def woke_after_pause(self, now: datetime.timedelta) -> None:
         """Distrusts what arrives next, since it may have been buffered."""
@@ -272,8 +342,18 @@
                 self.revision += 1
 
 
-def _differs(old: messages.Announcement, new: messages.Announcement) -> bool:
-    """Returns whether two announcements differ in more than load."""
-    return attrs.evolve(old, sequence=0, load=new.load) != attrs.evolve(
-        new, sequence=0
+def _lasting(announcement: messages.Announcement) -> messages.Announcement:
+    """Returns an announcement without what changes with every heartbeat."""
+    return attrs.evolve(
+        announcement, sequence=0, load=messages.Load(), clock_ms=0
     )
+
+
+def _differs(old: messages.Announcement, new: messages.Announcement) -> bool:
+    return _lasting(old) != _lasting(new)
+
+
+def announcement_digest(announcement: messages.Announcement) -> int:
+    """Returns a digest of all that a beat does not carry."""
+    encoded = codec.encode(_lasting(announcement), messages.Announcement)
+    return xxhash.xxh32_intdigest(encoded)
--- a/figford/messages.py
+++ b/figford/messages.py
@@ -47,7 +47,11 @@
 
 @attrs.frozen
 class Announcement:
-    """All that an upstream says of itself; repeated as its heartbeat."""
+    """All that an upstream says of itself; repeated as its heartbeat.
+
+    `clock_ms` is the upstream's own monotonic time in milliseconds when it
+    announced, by which late arrivals are told; 0 where it has none.
+    """
 
     upstream: str
     incarnation: int
@@ -64,6 +68,7 @@
     seat: Seat | None = None
     highest_fence: int = 0
     load: Load = Load()
+    clock_ms: int = 0
 
     @property
     def leaving(self) -> bool:
@@ -73,12 +78,18 @@
 
 @attrs.frozen
 class Beat:
-    """A heartbeat in which only sequence and load have changed."""
+    """A heartbeat in which only sequence, load and clock have changed.
+
+    `digest` is that of the rest of the announcement, so that an entry which
+    missed a change asks for it.
+    """
 
     upstream: str
     incarnation: int
     sequence: int
     load: Load
+    digest: int
+    clock_ms: int = 0
 
 
 @attrs.frozen
@@ -472,10 +483,15 @@
 
 @attrs.frozen
 class Announcements:
-    """Announcements and beats that reached the sender first-hand."""
+    """Announcements and beats that the sender passes on.
+
+    `ages_ms` says how old each full announcement is, in milliseconds; it
+    is empty where all are new.
+    """
 
     full: list[Announcement]
     beats: list[Beat]
+    ages_ms: list[int] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/figford/node.py
+++ b/figford/node.py
@@ -181,10 +181,9 @@
         known = messages.Peers(self.peers.everyone())
         result: list[effects.Effect] = [effects.SendPeer(peer.instance, known)]
         if peer.data_centre == self.me.data_centre:
-            held = self.upstreams.fresh(now)
-            if held:
-                everything = messages.Announcements(held, [])
-                result.append(effects.SendPeer(peer.instance, everything))
+            held = self.upstreams.held(sorted(self.upstreams.by_name), now)
+            if held is not None:
+                result.append(effects.SendPeer(peer.instance, held))
         if fresh:
             result += self._tell_others(messages.Peers([peer]), peer.instance)
         return result + self._pull_from(peer, now)
@@ -236,9 +235,8 @@
             case messages.Announcements():
                 return self._on_announcements(instance, message, now)
             case messages.AnnouncementQuery(names):
-                held = self.upstreams.announcements_of(names)
-                answer = messages.Announcements(held, [])
-                return [effects.SendPeer(instance, answer)] if held else []
+                held = self.upstreams.held(names, now)
+                return [effects.SendPeer(instance, held)] if held else []
             case messages.Addressed():
                 return self._on_addressed(message, now)
             case messages.Proposal():
@@ -336,10 +334,11 @@
         announcement: messages.Announcement,
         now: datetime.timedelta,
         first_hand: bool,
+        age: datetime.timedelta = datetime.timedelta(0),
     ) -> None:
         if announcement.data_centre != self.me.data_centre:
             return
-        self.upstreams.announce(announcement, now, first_hand)
+        self.upstreams.announce(announcement, now, first_hand, age)
         self.planning.saw_fence(announcement.highest_fence)
 
     def _forward_announcements(
@@ -357,8 +356,10 @@
         message: messages.Announcements,
         now: datetime.timedelta,
     ) -> list[effects.Effect]:
-        for announcement in message.full:
-            self._note_announcement(announcement, now, first_hand=False)
+        ages = message.ages_ms or [0] * len(message.full)
+        for announcement, age_ms in zip(message.full, ages):
+            age = datetime.timedelta(milliseconds=age_ms)
+            self._note_announcement(announcement, now, False, age)
         unknown = [
             beat.upstream
             for beat in message.beats
--- a/figford/tools/announcing.py
+++ b/figford/tools/announcing.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import time
 import typing
 
 import attrs
@@ -50,7 +51,11 @@
                 HEARTBEAT_SECONDS, self.announce
             )
         self.sequence += 1
-        announcement = attrs.evolve(self.current(), sequence=self.sequence)
+        announcement = attrs.evolve(
+            self.current(),
+            sequence=self.sequence,
+            clock_ms=int(time.monotonic() * 1000),
+        )
         return self._send(announcement, len(self.entries))
 
     def _send(
