--- a/figford/assembly.py
+++ b/figford/assembly.py
@@ -24,8 +24,7 @@
 DRAIN_LAPSE = datetime.timedelta(seconds=5)
 # An entry's word that it is idle holds for less than its drain lapses.
 DRAIN_REPLY_LIFE = DRAIN_LAPSE / 2
-# A drain that entries do not confirm ends after this long; the members
-# themselves still finish what they have.
+# An entry that can't be reached holds a planned change up for this long.
 DRAIN_LIMIT = datetime.timedelta(seconds=120)
 # Time to learn who is there before the first decision of a new planner.
 LEARNING_TIME = membership.UPSTREAM_SILENCE
@@ -87,7 +86,8 @@
     """What the planner decides by.
 
     `fresh` are the upstreams heard lately, `silent_since` when the others
-    were last heard, `entries` the live entries of the data centre.
+    were last heard, `entries` all entries of the data centre that may have
+    work in progress, whether they are heard or not.
     """
 
     serving_groups: list[operators.ServingGroup]
--- a/figford/leases.py
+++ b/figford/leases.py
@@ -102,6 +102,7 @@
     _next_try: datetime.timedelta = datetime.timedelta(0)
     _votes: set[str] = attrs.field(factory=set)
     _highest_seen: int = 0
+    _lapsed_round: int = 0
 
     def holds(self, now: datetime.timedelta) -> bool:
         """Returns whether this entry may plan at this moment."""
@@ -147,9 +148,12 @@
     ) -> None:
         """Counts a vote; `electorate` names the data centre's entries."""
         self.saw_number(vote.number)
+        if self.held_since is not None and now >= self.valid_until:
+            # A lapsed lease comes back under another number only.
+            self._lose(now)
         if vote.incarnation != self.incarnation or not vote.granted:
             return
-        if vote.round != self.round:
+        if vote.round != self.round or self._lapsed_round == self.round:
             return
         if vote.voter not in electorate and vote.voter != WITNESS:
             return
@@ -177,6 +181,7 @@
 
     def _lose(self, now: datetime.timedelta) -> None:
         self.held_since = None
+        self._lapsed_round = self.round
         self._next_try = now + RETRY_SPREAD * self.rng.random()
 
     def give_up(self) -> None:
--- a/figford/node.py
+++ b/figford/node.py
@@ -547,12 +547,10 @@
             proposal, sent = self.propose(command, now + WITNESS_DEADLINE, now)
             self._witness_by_proposal[proposal] = round_
             result += sent
-        neighbours = self.peers.live_in(self.me.data_centre, now)
-        entries = [peer.instance for peer in neighbours]
         actions = self.planning.plan(
             self.configuration,
             self.upstreams,
-            [*entries, self.me.instance],
+            self.company(now).live | frozenset(electorate),
             now,
         )
         for action in actions:
--- a/figford/planning.py
+++ b/figford/planning.py
@@ -96,6 +96,8 @@
         now: datetime.timedelta,
     ) -> list[effects.Effect]:
         """Counts another entry's vote or the witness's."""
+        if not self.enabled:
+            return []
         self.candidate.voted(vote, electorate, now)
         return self._note_change(now)
 
@@ -155,7 +157,7 @@
         self,
         configuration: operators.Configuration,
         upstreams: membership.UpstreamTable,
-        entries: list[str],
+        entries: frozenset[str],
         now: datetime.timedelta,
     ) -> list[assembly.Action]:
         """Returns the orders and drains that are due, as the planner."""
@@ -179,7 +181,7 @@
 def make_view(
     configuration: operators.Configuration,
     upstreams: membership.UpstreamTable,
-    entries: list[str],
+    entries: frozenset[str],
     now: datetime.timedelta,
 ) -> assembly.View:
     """Returns what the planner decides by."""
@@ -199,5 +201,5 @@
         fresh=fresh,
         missing=missing,
         silent_since=silent_since,
-        entries=frozenset(entries),
+        entries=entries,
     )
--- /dev/null
+++ b/figford/tools/soak.py
@@ -0,0 +1,116 @@
+"""The soak's command: any seed, the same run for the same seed."""
+
+import sys
+import traceback
+
+import attrs
+import typer
+
+from figford.tools.soaking import faults
+from figford.tools.soaking import schedule
+from figford.tools.soaking import world
+
+RECOVERY = schedule.seconds(90)
+
+
+@attrs.frozen
+class Result:
+    """How a soak ended."""
+
+    steps: int
+    virtual_seconds: float
+    faults: dict[str, int]
+    counts: dict[str, int]
+    digest: str
+    violation: str | None
+    trace: str = ""
+
+    def line(self) -> str:
+        """Returns the closing line."""
+        kinds = ", ".join(
+            f"{kind}={count}" for kind, count in sorted(self.faults.items())
+        )
+        return (
+            f"steps={self.steps} virtual={self.virtual_seconds:.0f}s"
+            f" digest={self.digest} faults: {kinds};"
+            f" violations={0 if self.violation is None else 1}"
+        )
+
+
+def run_soak(seed: int, steps: int) -> Result:
+    """Runs a soak; a violation ends it and is part of the result."""
+    soak = world.Soak(seed)
+    injected = faults.Faults(soak)
+    started = soak.clock.now()
+    violation = None
+    trace = ""
+    try:
+        while soak.clock.steps < steps:
+            soak.clock.step()
+        injected.heal_all()
+        until = soak.clock.now() + RECOVERY
+        soak.quiet_from = soak.clock.now()
+        while soak.clock.now() < until:
+            soak.clock.step()
+        check_recovered(soak)
+    except Exception as error:
+        # Any exception is a violation: none may reach the event loop.
+        violation = f"{type(error).__name__}: {error}"
+        trace = traceback.format_exc()
+    return Result(
+        steps=soak.clock.steps,
+        virtual_seconds=(soak.clock.now() - started).total_seconds(),
+        faults=dict(injected.count_by_kind),
+        counts=dict(soak.checks.counts),
+        digest=soak.clock.digest,
+        violation=violation,
+        trace=trace,
+    )
+
+
+def check_recovered(soak: world.Soak) -> None:
+    """Checks that all is well again once nothing fails any more."""
+    checks = soak.checks
+    highest = checks.highest_accepted_before(
+        soak.clock.now() - schedule.seconds(13)
+    )
+    now = soak.clock.now()
+    for entry in soak.entry_by_name.values():
+        if not entry.node.is_ready(now):
+            checks.fail(f"{entry.name} is not ready after all faults ended")
+        if entry.node.follower.version < highest:
+            checks.fail(
+                f"{entry.name} is at version {entry.node.follower.version},"
+                f" accepted was {highest}"
+            )
+    for entry in soak.entry_by_name.values():
+        spec = entry.node.configuration.serving_groups[0]
+        wanted = spec.replicas[entry.data_centre]
+        found = len(entry.node.group_table.by_group(now))
+        if found != wanted:
+            checks.fail(
+                f"{entry.name} sees {found} complete groups, not {wanted}"
+            )
+
+
+def run(seed: int = 1, steps: int = 20_000, verbose: bool = False) -> None:
+    """Runs a soak and prints its closing line."""
+    result = run_soak(seed, steps)
+    if verbose:
+        for kind, count in sorted(result.counts.items()):
+            typer.echo(f"{kind}: {count}")
+    if result.violation is not None:
+        if verbose:
+            typer.echo(result.trace, err=True)
+        typer.echo(f"violation: {result.violation}", err=True)
+    typer.echo(f"seed={seed} {result.line()}")
+    sys.exit(0 if result.violation is None else 1)
+
+
+def main() -> None:
+    """Runs the command."""
+    typer.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/figford/tools/soaking/__init__.py
@@ -0,0 +1,1 @@
+"""A long randomised run of the decisions under a virtual clock."""
--- /dev/null
+++ b/figford/tools/soaking/entries.py
@@ -0,0 +1,400 @@
+"""One entry of the soak: the real decisions with fakes at the interfaces."""
+
+import datetime
+import json
+import random
+import typing
+
+import attrs
+from twisted.internet import defer
+
+from figford import access
+from figford import agreement
+from figford import control
+from figford import dispatch
+from figford import effects
+from figford import errors
+from figford import gateway as gateways
+from figford import membership
+from figford import messages
+from figford import metrics
+from figford import modelcalls
+from figford import node as nodes
+from figford import operators
+from figford import routing
+from figford import servicecalls
+from figford import settings
+from figford.tools.soaking import fakes
+from figford.tools.soaking import schedule
+from figford import upstreams
+
+TICK = schedule.seconds(0.05)
+
+
+class World(typing.Protocol):
+    """What an entry needs of the soak around it."""
+
+    clock: schedule.Schedule
+
+    def send(
+        self, source: str, target: str, message: messages.PeerMessage
+    ) -> None:
+        """Carries a message to another entry."""
+
+    def send_order(self, entry: "SoakEntry", order: effects.SendOrder) -> None:
+        """Carries an order to an engine."""
+
+    def open_stream(
+        self,
+        entry: "SoakEntry",
+        address: str,
+        headers: dict[bytes, bytes],
+        body: bytes,
+        receiver: upstreams.StreamReceiver,
+    ) -> "FakeAttempt":
+        """Carries a model request to an engine."""
+
+    def call_service(
+        self,
+        entry: "SoakEntry",
+        request: upstreams.PlainRequest,
+        may_send: typing.Callable[[], bool] | None,
+    ) -> defer.Deferred:
+        """Carries a call to a service."""
+
+    def configured(self, entry: "SoakEntry") -> None:
+        """Notes that a configuration came into force at an entry."""
+
+
+@attrs.define(eq=False)
+class FakeAttempt:
+    """The entry's side of a stream."""
+
+    stream: fakes.FakeStream | None = None
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        """Stops the stream; nothing is reported after it."""
+        self.cancelled = True
+        if self.stream is not None:
+            self.stream.receiver = None
+
+    def pause(self) -> None:
+        """Does nothing."""
+
+    def resume(self) -> None:
+        """Does nothing."""
+
+
+@attrs.define(eq=False)
+class FakeClient:
+    """Stands in for the HTTP client of an entry."""
+
+    world: World
+    entry: "SoakEntry"
+
+    def stream(
+        self,
+        address: str,
+        headers: dict[bytes, bytes],
+        body: bytes,
+        receiver: upstreams.StreamReceiver,
+    ) -> FakeAttempt:
+        """Sends a model request."""
+        return self.world.open_stream(
+            self.entry, address, headers, body, receiver
+        )
+
+    def call(
+        self,
+        request: upstreams.PlainRequest,
+        timeout: datetime.timedelta,
+        may_send: typing.Callable[[], bool] | None = None,
+    ) -> defer.Deferred:
+        """Calls a plain service."""
+        return self.world.call_service(self.entry, request, may_send)
+
+
+@attrs.define(eq=False)
+class CallerSide:
+    """Stands in for a caller's connection."""
+
+    finished: typing.Callable[["CallerSide"], None]
+    status: int = 0
+    body: bytes = b""
+    refusal: errors.Refusal | None = None
+    over: bool = False
+
+    def begin(self, status: int, headers: dict[bytes, bytes]) -> None:
+        """Takes status and headers."""
+        self.status = status
+
+    def write(self, data: bytes) -> None:
+        """Takes a part of the body."""
+        self.body += data
+
+    def finish(self) -> None:
+        """Takes the end."""
+        self.over = True
+        self.finished(self)
+
+    def refuse(self, refusal: errors.Refusal) -> None:
+        """Takes a refusal."""
+        self.refusal = refusal
+        self.finish()
+
+    def abort(self) -> None:
+        """Takes the loss of the connection."""
+        self.over = True
+
+
+@attrs.define(eq=False)
+class SoakEntry:
+    """An entry process: it can be killed, frozen, stopped and restarted."""
+
+    world: World
+    name: str
+    data_centre: str
+    disk: fakes.FakeDisk | None
+    alive: bool = False
+    paused: bool = False
+    life: int = 0
+    node: nodes.Node = attrs.field(init=False)
+    gateway: gateways.Gateway = attrs.field(init=False)
+    started_at: datetime.timedelta = schedule.seconds(0)
+    stopping: bool = False
+    buffered: list[typing.Callable[[], None]] = attrs.field(factory=list)
+    _disks_made: int = 0
+    _on_outcome_by_proposal: dict[str, gateways.OnOutcome] = attrs.field(
+        factory=dict
+    )
+
+    @property
+    def working(self) -> bool:
+        """Returns whether the process runs and is not frozen."""
+        return self.alive and not self.paused
+
+    # ---- Life -----------------------------------------------------------
+
+    def start(self) -> None:
+        """Starts the process from what its disk holds."""
+        clock = self.world.clock
+        self.life += 1
+        self.alive = True
+        self.paused = False
+        self.stopping = False
+        self.buffered = []
+        self._on_outcome_by_proposal = {}
+        self.started_at = clock.now()
+        rng = random.Random(clock.rng.getrandbits(64))
+        records, voter = self._load_disk()
+        me = messages.Peer(
+            instance=self.name,
+            incarnation=clock.now() // schedule.seconds(0.001),
+            sequence=0,
+            data_centre=self.data_centre,
+            address=self.name,
+            voter=voter,
+        )
+        peers = membership.PeerTable(me)
+        disk = None
+        if voter is not None:
+            disk = control.Control(peers, agreement.Agreement(voter, rng))
+        self.node = nodes.Node(peers, rng, clock.now(), control=disk)
+        self._make_gateway(rng)
+        self.carry_out(self.node.start(records, clock.now()))
+        self._loop(self.life)
+
+    def _load_disk(self) -> tuple[list[messages.Record], str | None]:
+        if self.disk is None:
+            return [], None
+        for record in self.disk.records:
+            if isinstance(record, messages.Identity):
+                return list(self.disk.records), record.voter
+        self._disks_made += 1
+        identity = messages.Identity(f"{self.name}.{self._disks_made}")
+        self.disk.records = [identity]
+        return [identity], identity.voter
+
+    def _make_gateway(self, rng: random.Random) -> None:
+        dispatcher = dispatch.Dispatcher(
+            self.node.group_table, routing.Router(rng)
+        )
+        self.node.drains = dispatcher
+        self.gateway = gateways.Gateway(
+            node=self.node,
+            dispatcher=dispatcher,
+            client=FakeClient(self.world, self),
+            metrics=metrics.Metrics(),
+            clock=self.world.clock,
+            limits=settings.Limits(),
+            proposer=self,
+            rng=rng,
+        )
+
+    def _loop(self, life: int) -> None:
+        if life != self.life:
+            return
+        self.world.clock.after(TICK, lambda: self._loop(life))
+        self.run(self._tick)
+
+    def _tick(self) -> None:
+        self.carry_out(self.node.tick(self.world.clock.now()))
+        self.gateway.tick()
+
+    def run(self, action: typing.Callable[[], None]) -> None:
+        """Does something now, or on waking where the process is frozen."""
+        if not self.alive:
+            return
+        if self.paused:
+            self.buffered.append(action)
+        else:
+            action()
+
+    def pause(self) -> None:
+        """Freezes the process."""
+        self.paused = True
+
+    def resume(self) -> None:
+        """Wakes the process; what waited is handled in order."""
+        self.paused = False
+        waited, self.buffered = self.buffered, []
+        for action in waited:
+            self.run(action)
+
+    def crash(self) -> None:
+        """Ends the process at once."""
+        self.life += 1
+        self.alive = False
+        self.buffered = []
+        if self.disk is not None:
+            self.disk.crash()
+
+    def begin_stop(self) -> None:
+        """Begins a graceful stop."""
+        self.stopping = True
+        self.carry_out(self.node.begin_stop(self.world.clock.now()))
+
+    # ---- Effects --------------------------------------------------------
+
+    def carry_out(self, todo: list[effects.Effect]) -> None:
+        """Carries out what the node decided."""
+        for effect in todo:
+            match effect:
+                case effects.SendPeer(instance, message):
+                    self.world.send(self.name, instance, message)
+                case effects.Durable() | effects.RewriteJournal():
+                    self._submit(effect)
+                case effects.SendOrder():
+                    self.world.send_order(self, effect)
+                case effects.Decided(proposal, outcome):
+                    self._decided(proposal, outcome)
+                case effects.Configured():
+                    self.gateway.configured(self.node.configuration)
+                    self.world.configured(self)
+                case effects.StateChanged(event, detail):
+                    self.world.clock.note(self.name, event, detail)
+
+    def _submit(self, batch: effects.Durable | effects.RewriteJournal) -> None:
+        if self.disk is None:
+            raise AssertionError("an entry without a disk writes")
+        life = self.life
+
+        def synced(done: effects.Durable) -> None:
+            if life == self.life:
+                self.run(lambda: self._synced(done))
+
+        self.disk.submit(batch, synced)
+
+    def _synced(self, batch: effects.Durable) -> None:
+        for send in batch.sends:
+            self.world.send(self.name, send.instance, send.message)
+        if batch.records:
+            self.carry_out(
+                self.node.synced(
+                    batch.last_index, batch.last_term, self.world.clock.now()
+                )
+            )
+
+    def _decided(
+        self, proposal: str, outcome: messages.Outcome | None
+    ) -> None:
+        on_outcome = self._on_outcome_by_proposal.pop(proposal, None)
+        if on_outcome is not None:
+            on_outcome(outcome)
+
+    def propose(
+        self,
+        command: messages.Command,
+        deadline: datetime.timedelta,
+        on_outcome: gateways.OnOutcome,
+    ) -> None:
+        """Commits a command."""
+        now = self.world.clock.now()
+        proposal, todo = self.node.propose(command, deadline, now)
+        self._on_outcome_by_proposal[proposal] = on_outcome
+        self.carry_out(todo)
+
+    # ---- Callers --------------------------------------------------------
+
+    def ask_model(
+        self, key: str, model: str, prompt: str, side: CallerSide
+    ) -> None:
+        """Takes a model request of a caller."""
+        now = self.world.clock.now()
+        try:
+            self.gateway.check_ready()
+            account = self.gateway.access.account(f"Bearer {key}")
+            group, granted = self.gateway.access.model(account, model)
+            request = dispatch.ModelRequest(
+                self.gateway.new_request_name(),
+                account,
+                granted.request_class,
+                group,
+                routing.prefix_hash(prompt),
+                now + schedule.seconds(10),
+            )
+            call = modelcalls.ModelCall(
+                self.gateway,
+                request,
+                json.dumps({"prompt": prompt}).encode(),
+                True,
+                side,
+                now,
+            )
+            self.gateway.begin_model_call(call)
+        except errors.Refusal as refusal:
+            side.refuse(refusal)
+
+    def book(
+        self,
+        key: str,
+        idempotency_key: str | None,
+        body: str,
+        side: CallerSide,
+    ) -> None:
+        """Takes a call that may not be repeated."""
+        now = self.world.clock.now()
+        try:
+            self.gateway.check_ready()
+            account = self.gateway.access.account(f"Bearer {key}")
+            service, granted = self.gateway.access.service(
+                account, "/bookings/new"
+            )
+            call = servicecalls.UnrepeatableCall(
+                self.gateway,
+                service,
+                access.Granted(account, granted.request_class),
+                operators.RequestClass.BOOKING,
+                upstreams.PlainRequest(
+                    b"POST", "", b"/bookings/new", [], body.encode()
+                ),
+                side,
+                now,
+                call=self.gateway.new_claim(
+                    account.name, idempotency_key, body
+                ),
+            )
+            self.gateway.begin_service_call(call)
+        except errors.Refusal as refusal:
+            side.refuse(refusal)
--- /dev/null
+++ b/figford/tools/soaking/fakes.py
@@ -0,0 +1,443 @@
+"""Fakes of disks, links, engines and services in virtual time."""
+
+import datetime
+import random
+import typing
+
+import attrs
+
+from figford import effects
+from figford import errors
+from figford import messages
+from figford.tools import engine as engines
+from figford.tools.soaking import checks as oracle
+from figford.tools.soaking import schedule
+from figford import upstreams as upstream_client
+
+HEARTBEAT = schedule.seconds(1)
+TOKEN_EVERY = schedule.seconds(0.08)
+ANSWER_TOKENS = 12
+
+
+@attrs.define(eq=False)
+class FakeDisk:
+    """A journal whose unsynced tail is lost in a crash."""
+
+    clock: schedule.Schedule
+    records: list[messages.Record] = attrs.field(factory=list)
+    _waiting: list[effects.Durable | effects.RewriteJournal] = attrs.field(
+        factory=list
+    )
+    _writing: list[effects.Durable | effects.RewriteJournal] = attrs.field(
+        factory=list
+    )
+    _life: int = 0
+
+    def submit(
+        self,
+        batch: effects.Durable | effects.RewriteJournal,
+        on_synced: typing.Callable[[effects.Durable], None],
+    ) -> None:
+        """Queues a batch; reports each after its records are synced."""
+        self._waiting.append(batch)
+        if not self._writing:
+            self._sync(on_synced)
+
+    def _sync(
+        self, on_synced: typing.Callable[[effects.Durable], None]
+    ) -> None:
+        batches, self._waiting = self._waiting, []
+        self._writing = batches
+        life = self._life
+        slow = self.clock.rng.random() < 0.01
+        delay = (
+            self.clock.jitter(0.2, 0.6)
+            if slow
+            else (self.clock.jitter(0.0005, 0.01))
+        )
+
+        def done() -> None:
+            if life == self._life:
+                self._finish(batches, on_synced)
+
+        self.clock.after(delay, done)
+
+    def _finish(
+        self,
+        batches: list[effects.Durable | effects.RewriteJournal],
+        on_synced: typing.Callable[[effects.Durable], None],
+    ) -> None:
+        for batch in batches:
+            if isinstance(batch, effects.RewriteJournal):
+                self.records = list(batch.records)
+            else:
+                self.records.extend(batch.records)
+        self._writing = []
+        for batch in batches:
+            if isinstance(batch, effects.Durable):
+                on_synced(batch)
+        if self._waiting and not self._writing:
+            self._sync(on_synced)
+
+    def crash(self) -> None:
+        """Loses what is not synced, but for a random part of it."""
+        self._life += 1
+        batches = [*self._writing, *self._waiting]
+        self._writing = []
+        self._waiting = []
+        for batch in batches:
+            if isinstance(batch, effects.RewriteJournal):
+                # The old journal stands until the new one is whole.
+                return
+            kept = self.clock.rng.randint(0, len(batch.records))
+            self.records.extend(batch.records[:kept])
+            if kept < len(batch.records):
+                return
+
+    def lose(self) -> None:
+        """Loses everything."""
+        self.crash()
+        self.records = []
+
+
+@attrs.define(eq=False)
+class FakeStream:
+    """A model request in progress at an engine."""
+
+    request: str
+    prompt: str
+    position: int
+    receiver: upstream_client.StreamReceiver | None
+
+
+@attrs.define(eq=False)
+class FakeEngine:
+    """An engine in virtual time; its seat is the truth."""
+
+    clock: schedule.Schedule
+    checks: oracle.Checks
+    name: str
+    data_centre: str
+    domain: str
+    checks_fencing: bool
+    announce: typing.Callable[["FakeEngine", messages.Announcement], None]
+    alive: bool = True
+    paused: bool = False
+    cut: bool = False
+    leaving_since: datetime.timedelta | None = None
+    incarnation: int = 1
+    sequence: int = 0
+    state: messages.UpstreamState = messages.UpstreamState.IDLE
+    seat: messages.Seat | None = None
+    highest_fence: int = 0
+    models: list[str] = attrs.field(factory=list)
+    streams: list[FakeStream] = attrs.field(factory=list)
+    last_seated: dict[tuple[str, int], datetime.timedelta] = attrs.field(
+        factory=dict
+    )
+    life: int = 0
+
+    @property
+    def working(self) -> bool:
+        """Returns whether the engine runs and is not frozen."""
+        return self.alive and not self.paused
+
+    def start(self) -> None:
+        """Starts heartbeats and steps of the present life."""
+        self.life += 1
+        life = self.life
+
+        def beat() -> None:
+            if life != self.life:
+                return
+            self.clock.after(HEARTBEAT, beat)
+            self.send_announcement()
+
+        def step() -> None:
+            if life != self.life:
+                return
+            self.clock.after(TOKEN_EVERY, step)
+            self._step()
+
+        self.clock.after(self.clock.jitter(0, 1), beat)
+        self.clock.after(self.clock.jitter(0, 0.1), step)
+
+    def send_announcement(self) -> None:
+        """Announces the present state."""
+        if not self.working:
+            return
+        self._note_seated()
+        self.sequence += 1
+        self.announce(self, self._announcement())
+
+    def _announcement(self) -> messages.Announcement:
+        state = self.state
+        if self.leaving_since is not None:
+            state = messages.UpstreamState.LEAVING
+        return messages.Announcement(
+            upstream=self.name,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            data_centre=self.data_centre,
+            fabric_domain=self.domain,
+            address=self.name,
+            kind=messages.UpstreamKind.ENGINE,
+            state=state,
+            checks_fencing=self.checks_fencing,
+            models=list(self.models),
+            seat=self.seat,
+            highest_fence=self.highest_fence,
+            load=messages.Load(running=len(self.streams)),
+            clock_ms=self.clock.now() // schedule.seconds(0.001) + 12_345,
+        )
+
+    def _note_seated(self) -> None:
+        if self.seat is not None and self.alive:
+            key = (self.seat.group, self.seat.fence)
+            self.last_seated[key] = self.clock.now()
+
+    def seated_at(self, group: str, fence: int) -> datetime.timedelta | None:
+        """Returns when the engine last truly sat in a group."""
+        if self.working and self.seat is not None:
+            if (self.seat.group, self.seat.fence) == (group, fence):
+                return self.clock.now()
+        return self.last_seated.get((group, fence))
+
+    # ---- Faults ---------------------------------------------------------
+
+    def kill(self) -> None:
+        """Ends the engine; its seat, models and streams are gone."""
+        if self.working:
+            self._note_seated()
+        self.life += 1
+        self.alive = False
+        self._cut_streams()
+        self.seat = None
+
+    def restart(self) -> None:
+        """Starts anew with another incarnation."""
+        self.alive = True
+        self.paused = False
+        self.leaving_since = None
+        self.incarnation += 1
+        self.sequence = 0
+        self.state = messages.UpstreamState.IDLE
+        self.models = []
+        self.highest_fence = 0
+        self.start()
+
+    def pause(self) -> None:
+        """Freezes the engine."""
+        self._note_seated()
+        self.paused = True
+
+    def resume(self) -> None:
+        """Wakes the engine."""
+        self.paused = False
+
+    # ---- Orders ---------------------------------------------------------
+
+    def order(self, order: messages.Order, group_is_healthy: bool) -> bool:
+        """Carries out an order; returns whether it was taken."""
+        if not self.working:
+            return False
+        if self.checks_fencing and order.fence < self.highest_fence:
+            return False
+        self.highest_fence = max(self.highest_fence, order.fence)
+        self._note_seated()
+        match order:
+            case messages.JoinGroup():
+                self._join(order, group_is_healthy)
+            case messages.ReleaseSeat(group=group):
+                if self.seat is not None and self.seat.group == group:
+                    if group_is_healthy:
+                        self.checks.planned_cut(self.name, len(self.streams))
+                    self.seat = None
+                    self.state = messages.UpstreamState.IDLE
+        self.send_announcement()
+        return True
+
+    def _join(self, order: messages.JoinGroup, group_is_healthy: bool) -> None:
+        if self.seat == order.seat:
+            return
+        if group_is_healthy:
+            self.checks.planned_cut(self.name, len(self.streams))
+        self._cut_streams()
+        self.seat = order.seat
+        self.state = messages.UpstreamState.LOADING
+        life = self.life
+        loaded = order.model in self.models
+        delay = self.clock.jitter(0.05, 0.1 if loaded else 2.0)
+
+        def ready() -> None:
+            if life != self.life or self.seat != order.seat:
+                return
+            if order.model not in self.models:
+                self.models.append(order.model)
+            self.state = messages.UpstreamState.SERVING
+            self.send_announcement()
+
+        self.clock.after(delay, ready)
+
+    # ---- Streams --------------------------------------------------------
+
+    def open_stream(self, stream: FakeStream, group: str, fence: int) -> bool:
+        """Takes a request; returns whether the engine is in that group."""
+        seat = self.seat
+        if seat is None or self.state is not messages.UpstreamState.SERVING:
+            return False
+        if (seat.group, seat.fence, seat.rank) != (group, fence, 0):
+            return False
+        if self.leaving_since is not None:
+            self.checks.leaving_used(self.name, self.leaving_since)
+        self.streams.append(stream)
+        return True
+
+    def _cut_streams(self) -> None:
+        for stream in self.streams:
+            self._end(stream, upstream_client.BrokenAnswerError("cut"))
+        self.streams = []
+
+    def _end(
+        self, stream: FakeStream, error: errors.FigfordError | None
+    ) -> None:
+        receiver = stream.receiver
+
+        def end() -> None:
+            if receiver is not None and stream.receiver is receiver:
+                stream.receiver = None
+                receiver.stream_ended(error)
+
+        self.clock.after(schedule.seconds(0.004), end)
+
+    def _step(self) -> None:
+        if not self.working:
+            return
+        for stream in list(self.streams):
+            if stream.receiver is None:
+                self.streams.remove(stream)
+                continue
+            self._give(stream)
+
+    def _give(self, stream: FakeStream) -> None:
+        if stream.position >= ANSWER_TOKENS:
+            piece = "[DONE]"
+            self.streams.remove(stream)
+        else:
+            piece = engines.token_text(stream.prompt, stream.position)
+        event = f"id: {stream.request}:{stream.position}\ndata: {piece}\n\n"
+        stream.position += 1
+        for data in self._mangled(event.encode(), stream):
+            self._deliver(stream, data)
+        if stream not in self.streams:
+            self._end(stream, None)
+
+    def _mangled(self, event: bytes, stream: FakeStream) -> list[bytes]:
+        """Returns what arrives: sometimes repeated, crossed or in parts."""
+        rng: random.Random = self.clock.rng
+        dice = rng.random()
+        if dice < 0.02:
+            return [event, event]
+        if dice < 0.03:
+            other = f"id: other-request:{stream.position}\ndata: x\n\n"
+            return [other.encode(), event]
+        if dice < 0.08:
+            middle = rng.randint(1, len(event) - 1)
+            return [event[:middle], event[middle:]]
+        if dice < 0.083:
+            return []
+        return [event]
+
+    def _deliver(self, stream: FakeStream, data: bytes) -> None:
+        receiver = stream.receiver
+
+        def arrive() -> None:
+            if stream.receiver is receiver and receiver is not None:
+                receiver.stream_data(data)
+
+        # Pieces of one stream keep their order, as on one connection.
+        self.clock.after(schedule.seconds(0.002), arrive)
+
+
+@attrs.define(eq=False)
+class FakeService:
+    """A plain service that counts what it ran."""
+
+    clock: schedule.Schedule
+    checks: oracle.Checks
+    name: str
+    data_centre: str
+    announce: typing.Callable[["FakeService", messages.Announcement], None]
+    alive: bool = True
+    paused: bool = False
+    cut: bool = False
+    leaving_since: datetime.timedelta | None = None
+    incarnation: int = 1
+    sequence: int = 0
+    life: int = 0
+
+    @property
+    def working(self) -> bool:
+        """Returns whether the service runs and is not frozen."""
+        return self.alive and not self.paused
+
+    def start(self) -> None:
+        """Starts the heartbeat of the present life."""
+        self.life += 1
+        life = self.life
+
+        def beat() -> None:
+            if life != self.life:
+                return
+            self.clock.after(HEARTBEAT, beat)
+            self.send_announcement()
+
+        self.clock.after(self.clock.jitter(0, 1), beat)
+
+    def send_announcement(self) -> None:
+        """Announces the present state."""
+        if not self.working:
+            return
+        self.sequence += 1
+        leaving = self.leaving_since is not None
+        self.announce(
+            self,
+            messages.Announcement(
+                upstream=self.name,
+                incarnation=self.incarnation,
+                sequence=self.sequence,
+                data_centre=self.data_centre,
+                fabric_domain="none",
+                address=self.name,
+                kind=messages.UpstreamKind.SERVICE,
+                state=(
+                    messages.UpstreamState.LEAVING
+                    if leaving
+                    else messages.UpstreamState.SERVING
+                ),
+                service="bookings",
+                clock_ms=self.clock.now() // schedule.seconds(0.001) + 999,
+            ),
+        )
+
+    def kill(self) -> None:
+        """Ends the service."""
+        self.life += 1
+        self.alive = False
+
+    def restart(self) -> None:
+        """Starts anew with another incarnation."""
+        self.alive = True
+        self.paused = False
+        self.leaving_since = None
+        self.incarnation += 1
+        self.sequence = 0
+        self.start()
+
+    def pause(self) -> None:
+        """Freezes the service."""
+        self.paused = True
+
+    def resume(self) -> None:
+        """Wakes the service."""
+        self.paused = False
--- /dev/null
+++ b/figford/tools/soaking/faults.py
@@ -0,0 +1,311 @@
+"""Draws faults from the list of what fails, alone and overlapping."""
+
+import collections
+import typing
+
+import attrs
+
+from figford.tools.soaking import entries
+from figford.tools.soaking import fakes
+from figford.tools.soaking import schedule
+from figford.tools.soaking import world
+
+Upstream = fakes.FakeEngine | fakes.FakeService
+STOP_BOUND = schedule.seconds(65)
+STOP_POLL = schedule.seconds(0.2)
+
+
+@attrs.define(eq=False)
+class Faults:
+    """Injects faults and ends them; counts them by kind."""
+
+    soak: world.Soak
+    count_by_kind: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+    active: bool = True
+    _weights: dict[str, tuple[int, typing.Callable[[], bool]]] = attrs.field(
+        init=False
+    )
+
+    def __attrs_post_init__(self) -> None:
+        """Lists the faults by weight and starts to draw them."""
+        self._weights = {
+            "entry killed": (3, self._kill_entry),
+            "entry frozen": (4, self._freeze_entry),
+            "entry stopped": (2, self._stop_entry),
+            "disk lost": (1, self._lose_disk),
+            "entries cut": (4, self._cut_pair),
+            "entry isolated": (2, self._isolate_entry),
+            "data centre cut": (2, self._cut_data_centre),
+            "engine killed": (4, self._kill_upstream),
+            "upstream frozen": (5, self._freeze_upstream),
+            "upstream cut": (3, self._cut_upstream),
+            "upstream leaves": (3, self._leave),
+            "domain dark": (1, self._darken_domain),
+        }
+        self._schedule()
+
+    @property
+    def _clock(self) -> schedule.Schedule:
+        return self.soak.clock
+
+    def _schedule(self) -> None:
+        self._clock.after(self._clock.jitter(0.3, 5.0), self._draw)
+
+    def _draw(self) -> None:
+        if not self.active:
+            return
+        self._schedule()
+        kinds = list(self._weights)
+        weights = [self._weights[kind][0] for kind in kinds]
+        kind = self._clock.rng.choices(kinds, weights)[0]
+        if self._weights[kind][1]():
+            self.count_by_kind[kind] += 1
+            self._clock.note("fault", kind)
+
+    def _later(
+        self, low: float, high: float, action: typing.Callable[[], None]
+    ) -> None:
+        self._clock.after(self._clock.jitter(low, high), action)
+
+    # ---- Entries --------------------------------------------------------
+
+    def _entry(self) -> entries.SoakEntry | None:
+        found = [
+            entry
+            for entry in self.soak.entry_by_name.values()
+            if entry.working and not entry.stopping
+        ]
+        return self._clock.rng.choice(found) if found else None
+
+    def _kill_entry(self) -> bool:
+        entry = self._entry()
+        if entry is None:
+            return False
+        self._end_entry(entry)
+        self._restart_later(entry)
+        return True
+
+    def _end_entry(self, entry: entries.SoakEntry) -> None:
+        entry.crash()
+        self.soak.break_links_of(entry.name)
+
+    def _restart_later(self, entry: entries.SoakEntry) -> None:
+        life = entry.life
+
+        def restart() -> None:
+            if not entry.alive and entry.life == life:
+                entry.start()
+
+        self._later(0.5, 12.0, restart)
+
+    def _freeze_entry(self) -> bool:
+        entry = self._entry()
+        if entry is None:
+            return False
+        entry.pause()
+        life = entry.life
+
+        def wake() -> None:
+            if entry.life == life:
+                entry.resume()
+
+        self._later(0.2, 12.0, wake)
+        return True
+
+    def _stop_entry(self) -> bool:
+        entry = self._entry()
+        if entry is None:
+            return False
+        entry.begin_stop()
+        began = self._clock.now()
+        life = entry.life
+
+        def poll() -> None:
+            if entry.life != life:
+                return
+            if entry.working and not entry.gateway.in_progress:
+                self._end_entry(entry)
+                self._restart_later(entry)
+                return
+            if self._clock.now() - began > STOP_BOUND and entry.working:
+                self.soak.checks.fail(f"{entry.name} never stopped")
+            self._clock.after(STOP_POLL, poll)
+
+        poll()
+        return True
+
+    def _lose_disk(self) -> bool:
+        entry = self._entry()
+        if entry is None or entry.disk is None:
+            return False
+        if not self._may_lose(entry):
+            return False
+        self._end_entry(entry)
+        entry.disk.lose()
+        self._restart_later(entry)
+        return True
+
+    def _may_lose(self, entry: entries.SoakEntry) -> bool:
+        """Returns whether every majority of disks survives the loss.
+
+        The loss of a majority is for an operator to mend, not for the log.
+        """
+        electorates = []
+        held = set()
+        for other in self.soak.entry_by_name.values():
+            if other.disk is None or not other.alive:
+                if other.disk is not None:
+                    return False
+                continue
+            voter = other.node.control
+            if voter is None:
+                continue
+            electorates.append(voter.agreement.voters)
+            held.add(voter.agreement.voter)
+        if entry.node.control is None:
+            return False
+        held.discard(entry.node.control.agreement.voter)
+        for voters in electorates:
+            if voters and 2 * len(held & set(voters)) <= len(voters):
+                return False
+        return True
+
+    def _cut_pair(self) -> bool:
+        names = list(self.soak.entry_by_name)
+        one, other = self._clock.rng.sample(names, 2)
+        self._cut_for([(one, other)], 0.5, 15.0)
+        return True
+
+    def _cut_for(
+        self, pairs: list[tuple[str, str]], low: float, high: float
+    ) -> None:
+        for one, other in pairs:
+            self.soak.cut(one, other)
+
+        def heal() -> None:
+            for one, other in pairs:
+                self.soak.heal(one, other)
+
+        self._later(low, high, heal)
+
+    def _isolate_entry(self) -> bool:
+        name = self._clock.rng.choice(list(self.soak.entry_by_name))
+        pairs = [
+            (name, other) for other in self.soak.entry_by_name if other != name
+        ]
+        self._cut_for(pairs, 1.0, 20.0)
+        return True
+
+    def _cut_data_centre(self) -> bool:
+        data_centre = self._clock.rng.choice(world.DATA_CENTRES)
+        inside = []
+        outside = []
+        for entry in self.soak.entry_by_name.values():
+            side = inside if entry.data_centre == data_centre else outside
+            side.append(entry.name)
+        pairs = [(one, other) for one in inside for other in outside]
+        self._cut_for(pairs, 2.0, 25.0)
+        return True
+
+    # ---- Upstreams ------------------------------------------------------
+
+    def _upstream(self) -> Upstream | None:
+        found = [
+            upstream
+            for upstream in self.soak.all_upstreams
+            if upstream.working and upstream.leaving_since is None
+        ]
+        return self._clock.rng.choice(found) if found else None
+
+    def _kill_upstream(self) -> bool:
+        upstream = self._upstream()
+        if upstream is None:
+            return False
+        self._end_upstream(upstream, 1.0, 30.0)
+        return True
+
+    def _end_upstream(
+        self, upstream: Upstream, low: float, high: float
+    ) -> None:
+        upstream.kill()
+        life = upstream.life
+
+        def restart() -> None:
+            if upstream.life == life:
+                upstream.restart()
+
+        self._later(low, high, restart)
+
+    def _freeze_upstream(self) -> bool:
+        upstream = self._upstream()
+        if upstream is None:
+            return False
+        upstream.pause()
+        self._later(0.3, 10.0, upstream.resume)
+        return True
+
+    def _cut_upstream(self) -> bool:
+        upstream = self._upstream()
+        if upstream is None:
+            return False
+        upstream.cut = True
+
+        def heal() -> None:
+            upstream.cut = False
+
+        self._later(0.3, 10.0, heal)
+        return True
+
+    def _leave(self) -> bool:
+        upstream = self._upstream()
+        if upstream is None:
+            return False
+        upstream.leaving_since = self._clock.now()
+        upstream.send_announcement()
+        life = upstream.life
+
+        def gone() -> None:
+            if upstream.life == life:
+                self._end_upstream(upstream, 2.0, 10.0)
+
+        self._later(8.0, 15.0, gone)
+        return True
+
+    def _darken_domain(self) -> bool:
+        domain = self._clock.rng.choice(
+            sorted(
+                {engine.domain for engine in self.soak.engine_by_name.values()}
+            )
+        )
+        members = [
+            engine
+            for engine in self.soak.engine_by_name.values()
+            if engine.domain == domain
+        ]
+        length = self._clock.rng.uniform(2.0, 20.0)
+        for engine in members:
+            if engine.working:
+                self._end_upstream(engine, length, length + 1.0)
+        return True
+
+    # ---- The end --------------------------------------------------------
+
+    def heal_all(self) -> None:
+        """Ends all faults and starts everything that is down."""
+        self.active = False
+        for pair in list(self.soak.cuts):
+            one, other = sorted(pair)
+            self.soak.heal(one, other)
+        for entry in self.soak.entry_by_name.values():
+            if not entry.alive:
+                entry.start()
+            elif entry.paused:
+                entry.resume()
+        for upstream in self.soak.all_upstreams:
+            upstream.cut = False
+            if not upstream.alive:
+                upstream.restart()
+            elif upstream.paused:
+                upstream.resume()
--- /dev/null
+++ b/figford/tools/soaking/schedule.py
@@ -0,0 +1,67 @@
+"""Virtual time: a queue of events that are run in order."""
+
+import datetime
+import hashlib
+import heapq
+import random
+import typing
+
+import attrs
+
+EPOCH = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+
+
+def seconds(value: float) -> datetime.timedelta:
+    """Returns a duration."""
+    return datetime.timedelta(seconds=value)
+
+
+@attrs.define
+class Schedule:
+    """The virtual clock and what is to happen at which time."""
+
+    rng: random.Random
+    steps: int = 0
+    _now: datetime.timedelta = seconds(1000)
+    _queue: list[tuple[datetime.timedelta, int, typing.Callable]] = (
+        attrs.field(factory=list)
+    )
+    _numbers: int = 0
+    _trace: typing.Any = attrs.field(factory=hashlib.sha256)
+
+    def now(self) -> datetime.timedelta:
+        """Returns virtual monotonic time."""
+        return self._now
+
+    def wall(self) -> datetime.datetime:
+        """Returns the virtual time of day."""
+        return EPOCH + self._now
+
+    def after(
+        self, delay: datetime.timedelta, action: typing.Callable[[], None]
+    ) -> None:
+        """Runs an action after a delay."""
+        self._numbers += 1
+        due = self._now + max(delay, datetime.timedelta(0))
+        heapq.heappush(self._queue, (due, self._numbers, action))
+
+    def jitter(self, low: float, high: float) -> datetime.timedelta:
+        """Returns a random duration between two numbers of seconds."""
+        return seconds(self.rng.uniform(low, high))
+
+    def note(self, *what: object) -> None:
+        """Adds something to the digest of the run."""
+        line = f"{self._now // seconds(1e-6)} {what}\n"
+        self._trace.update(line.encode())
+
+    @property
+    def digest(self) -> str:
+        """Returns the digest of everything noted so far."""
+        return self._trace.hexdigest()[:16]
+
+    def step(self) -> None:
+        """Runs the next event."""
+        due, _, action = heapq.heappop(self._queue)
+        self._now = due
+        self.steps += 1
+        action()
--- /dev/null
+++ b/figford/tools/soaking/world.py
@@ -0,0 +1,601 @@
+"""The soak's deployment: entries, engines, services, callers, operators."""
+
+import datetime
+import json
+import random
+import typing
+
+import attrs
+from twisted.internet import defer
+
+from figford import control
+from figford import effects
+from figford import errors
+from figford import messages
+from figford import operators
+from figford.tools import engine as engines
+from figford.tools.soaking import checks as oracle
+from figford.tools.soaking import entries
+from figford.tools.soaking import fakes
+from figford.tools.soaking import schedule
+from figford import upstreams
+
+KEY = "soak-key"
+DATA_CENTRES = ("north", "south", "west")
+ENTRIES = {
+    "n1": ("north", True),
+    "n2": ("north", True),
+    "s1": ("south", True),
+    "s2": ("south", True),
+    "w1": ("west", True),
+    "w2": ("west", False),
+}
+DOMAINS_PER_DATA_CENTRE = 2
+ENGINES_PER_DOMAIN = 3
+GROUP_SIZE = 2
+RECONNECT_EVERY = schedule.seconds(0.5)
+# A cut shorter than this holds messages back; a longer one breaks links.
+LINK_SILENCE = schedule.seconds(6)
+CALL_TIMEOUT = schedule.seconds(3)
+
+
+@attrs.define(eq=False)
+class Link:
+    """A connection between two entries, ordered each way."""
+
+    left: str
+    right: str
+    lives: tuple[int, int]
+    free_at: dict[str, datetime.timedelta] = attrs.field(factory=dict)
+    held: list[typing.Callable[[], None]] = attrs.field(factory=list)
+    open: bool = True
+
+
+@attrs.define(eq=False)
+class Soak:
+    """The whole deployment in virtual time."""
+
+    seed: int
+    clock: schedule.Schedule = attrs.field(init=False)
+    rng: random.Random = attrs.field(init=False)
+    checks: oracle.Checks = attrs.field(init=False)
+    entry_by_name: dict[str, entries.SoakEntry] = attrs.field(factory=dict)
+    engine_by_name: dict[str, fakes.FakeEngine] = attrs.field(factory=dict)
+    service_by_name: dict[str, fakes.FakeService] = attrs.field(factory=dict)
+    cuts: dict[frozenset[str], datetime.timedelta] = attrs.field(factory=dict)
+    _link_by_pair: dict[frozenset[str], Link] = attrs.field(factory=dict)
+    quiet_from: datetime.timedelta | None = None
+    _calls: int = 0
+    _submissions: int = 0
+    _outcome_by_submission: dict[str, messages.Outcome] = attrs.field(
+        factory=dict
+    )
+
+    def __attrs_post_init__(self) -> None:
+        """Builds the deployment and starts everything."""
+        self.rng = random.Random(self.seed)
+        self.clock = schedule.Schedule(self.rng)
+        self.checks = oracle.Checks(self.clock)
+        for name, (data_centre, has_disk) in ENTRIES.items():
+            disk = fakes.FakeDisk(self.clock) if has_disk else None
+            self.entry_by_name[name] = entries.SoakEntry(
+                self, name, data_centre, disk
+            )
+        self._found()
+        self._make_upstreams()
+        for entry in self.entry_by_name.values():
+            entry.start()
+        self._connect_round()
+        self.clock.after(schedule.seconds(2), self._operator_round)
+        self.clock.after(schedule.seconds(4), self._model_round)
+        self.clock.after(schedule.seconds(4), self._booking_round)
+
+    def _found(self) -> None:
+        first = self.entry_by_name["n1"].disk
+        if first is None:
+            raise AssertionError("the founder has a disk")
+        first.records = control.founding_records("n1.first")
+
+    def _make_upstreams(self) -> None:
+        for data_centre in DATA_CENTRES:
+            for domain in range(DOMAINS_PER_DATA_CENTRE):
+                for index in range(ENGINES_PER_DOMAIN):
+                    name = f"{data_centre}-{domain}-{index}"
+                    self.engine_by_name[name] = fakes.FakeEngine(
+                        self.clock,
+                        self.checks,
+                        name,
+                        data_centre,
+                        f"{data_centre}-{domain}",
+                        self.rng.random() < 0.7,
+                        self._announce,
+                    )
+            for index in range(2):
+                name = f"{data_centre}-service-{index}"
+                self.service_by_name[name] = fakes.FakeService(
+                    self.clock, self.checks, name, data_centre, self._announce
+                )
+        for upstream in self.all_upstreams:
+            upstream.start()
+
+    @property
+    def all_upstreams(self) -> list[fakes.FakeEngine | fakes.FakeService]:
+        """Returns all engines and services."""
+        return [*self.engine_by_name.values(), *self.service_by_name.values()]
+
+    # ---- Links ----------------------------------------------------------
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Returns whether two entries can't reach each other."""
+        return frozenset((one, other)) in self.cuts
+
+    def cut(self, one: str, other: str) -> None:
+        """Cuts two entries off from each other."""
+        self.cuts.setdefault(frozenset((one, other)), self.clock.now())
+
+    def heal(self, one: str, other: str) -> None:
+        """Ends a cut; held messages arrive unless the link broke."""
+        pair = frozenset((one, other))
+        if self.cuts.pop(pair, None) is None:
+            return
+        link = self._link_by_pair.get(pair)
+        if link is not None:
+            held, link.held = link.held, []
+            for action in held:
+                self.clock.after(schedule.seconds(0.001), action)
+
+    def _connect_round(self) -> None:
+        self.clock.after(RECONNECT_EVERY, self._connect_round)
+        names = list(self.entry_by_name)
+        for index, left in enumerate(names):
+            for right in names[index + 1 :]:
+                self._review_pair(left, right)
+
+    def _review_pair(self, left: str, right: str) -> None:
+        pair = frozenset((left, right))
+        link = self._link_by_pair.get(pair)
+        if link is not None:
+            since = self.cuts.get(pair)
+            if since is not None and (self.clock.now() - since > LINK_SILENCE):
+                self._break(link)
+            return
+        one, other = self.entry_by_name[left], self.entry_by_name[right]
+        if not (one.working and other.working) or pair in self.cuts:
+            return
+        link = Link(left, right, (one.life, other.life))
+        self._link_by_pair[pair] = link
+        for entry, peer in ((one, other), (other, one)):
+            entry.carry_out(entry.node.link_up(peer.node.me, self.clock.now()))
+
+    def _break(self, link: Link) -> None:
+        link.open = False
+        del self._link_by_pair[frozenset((link.left, link.right))]
+        for name, life in zip((link.left, link.right), link.lives):
+            entry = self.entry_by_name[name]
+            peer = link.right if name == link.left else link.left
+            if entry.alive and entry.life == life:
+                entry.run(lambda e=entry, p=peer: e.node.link_down(p))
+
+    def break_links_of(self, name: str) -> None:
+        """Breaks all links of an entry that died."""
+        for pair, link in list(self._link_by_pair.items()):
+            if name in pair:
+                self._break(link)
+
+    def send(
+        self, source: str, target: str, message: messages.PeerMessage
+    ) -> None:
+        """Carries a message over the link, in order."""
+        link = self._link_by_pair.get(frozenset((source, target)))
+        if link is None:
+            return
+        receiver = self.entry_by_name[target]
+        life = receiver.life
+
+        def arrive() -> None:
+            if not link.open or receiver.life != life:
+                return
+            if self.is_cut(source, target):
+                link.held.append(arrive)
+                return
+            receiver.run(handle)
+
+        def handle() -> None:
+            if receiver.life == life:
+                receiver.carry_out(
+                    receiver.node.receive(source, message, self.clock.now())
+                )
+
+        due = self.clock.now() + self.clock.jitter(0.0005, 0.01)
+        due = max(due, link.free_at.get(target, due))
+        link.free_at[target] = due
+        self.clock.after(due - self.clock.now(), arrive)
+
+    # ---- Upstreams ------------------------------------------------------
+
+    def _announce(
+        self,
+        upstream: fakes.FakeEngine | fakes.FakeService,
+        announcement: messages.Announcement,
+    ) -> None:
+        """Brings an announcement to some entry of the data centre."""
+        if upstream.cut:
+            return
+        candidates = [
+            entry
+            for entry in self.entry_by_name.values()
+            if entry.data_centre == upstream.data_centre and entry.alive
+        ]
+        if not candidates:
+            return
+        entry = self.rng.choice(candidates)
+        life = entry.life
+
+        def arrive() -> None:
+            if entry.life == life:
+                entry.carry_out(
+                    entry.node.announce(announcement, self.clock.now())
+                )
+
+        delay = self.clock.jitter(0.001, 0.05)
+        self.clock.after(delay, lambda: entry.run(arrive))
+
+    def send_order(
+        self, entry: entries.SoakEntry, order: effects.SendOrder
+    ) -> None:
+        """Brings an order to an engine, if its time has not passed."""
+        engine = self.engine_by_name[order.upstream]
+        life = engine.life
+
+        def connected() -> None:
+            # The entry checks the time after connecting.
+            if self.clock.now() < order.valid_until and entry.alive:
+                self.clock.after(self.clock.jitter(0.001, 0.02), arrive)
+
+        def arrive() -> None:
+            if engine.life == life and not engine.cut:
+                healthy = self._group_is_healthy(engine)
+                engine.order(order.order, healthy)
+
+        self.clock.after(
+            self.clock.jitter(0.001, 0.05), lambda: entry.run(connected)
+        )
+
+    def _group_is_healthy(self, engine: fakes.FakeEngine) -> bool:
+        """Returns whether all members of the engine's group are well.
+
+        A group that any entry saw broken lately does not count: repairing
+        it is no planned change.
+        """
+        seat = engine.seat
+        if seat is None:
+            return False
+        members = [
+            other
+            for other in self.engine_by_name.values()
+            if other.seat is not None
+            and (other.seat.group, other.seat.fence)
+            == (seat.group, seat.fence)
+        ]
+        if len(members) != seat.size:
+            return False
+        now = self.clock.now()
+        for member in members:
+            if not member.working or member.cut:
+                return False
+            for entry in self.entry_by_name.values():
+                if entry.data_centre != engine.data_centre:
+                    continue
+                if not entry.working:
+                    return False
+                if not entry.node.upstreams.is_fresh(member.name, now):
+                    return False
+        return True
+
+    def open_stream(
+        self,
+        entry: entries.SoakEntry,
+        address: str,
+        headers: dict[bytes, bytes],
+        body: bytes,
+        receiver: upstreams.StreamReceiver,
+    ) -> entries.FakeAttempt:
+        """Brings a model request to an engine."""
+        attempt = entries.FakeAttempt()
+        engine = self.engine_by_name[address]
+        group = headers[b"figford-group"].decode()
+        fence = int(headers[b"figford-fence"])
+        self._check_members(group, fence, entry)
+        self.clock.note(entry.name, "stream", group, fence)
+        stream = fakes.FakeStream(
+            headers[b"figford-request"].decode(),
+            json.loads(body)["prompt"],
+            int(headers[b"figford-resume-from"]),
+            receiver,
+        )
+        attempt.stream = stream
+
+        def arrive() -> None:
+            if attempt.cancelled:
+                return
+            if engine.working and not engine.cut:
+                if engine.open_stream(stream, group, fence):
+                    return
+                failure: errors.FigfordError = upstreams.NothingSentError("no")
+            else:
+                failure = upstreams.NothingSentError("not reached")
+            entry.run(lambda: receiver.stream_ended(failure))
+
+        self.clock.after(self.clock.jitter(0.001, 0.02), arrive)
+        return attempt
+
+    def _check_members(
+        self, group: str, fence: int, entry: entries.SoakEntry
+    ) -> None:
+        view = entry.node.group_table.by_group(self.clock.now())[group]
+        for name in view.member_names:
+            engine = self.engine_by_name[name]
+            self.checks.member_used(
+                group, name, engine.seated_at(group, fence)
+            )
+
+    def call_service(
+        self,
+        entry: entries.SoakEntry,
+        request: upstreams.PlainRequest,
+        may_send: typing.Callable[[], bool] | None,
+    ) -> defer.Deferred:
+        """Brings a call to a service."""
+        service = self.service_by_name[request.address]
+        result: defer.Deferred = defer.Deferred()
+        life = entry.life
+        name = request.body.decode()
+
+        def fail(error: errors.FigfordError) -> None:
+            if entry.life == life and not result.called:
+                entry.run(lambda: result.called or result.errback(error))
+
+        def connected() -> None:
+            if entry.life != life:
+                return
+            if not service.working or service.cut:
+                fail(upstreams.NothingSentError("not reached"))
+                return
+            if may_send is not None and not may_send():
+                fail(upstreams.NothingSentError("may not be sent"))
+                return
+            self.clock.after(self.clock.jitter(0.001, 0.02), arrive)
+
+        def arrive() -> None:
+            if not service.working or service.cut:
+                self.clock.after(CALL_TIMEOUT, lost)
+                return
+            if service.leaving_since is not None:
+                self.checks.leaving_used(service.name, service.leaving_since)
+            self.checks.delivered(name)
+            self.checks.ran(name.partition("#")[0])
+            if self.rng.random() < 0.05:
+                self.clock.after(CALL_TIMEOUT, lost)
+                return
+            self.clock.after(self.clock.jitter(0.01, 0.5), answer)
+
+        def lost() -> None:
+            fail(upstreams.BrokenAnswerError("no answer"))
+
+        def answer() -> None:
+            if entry.life != life or result.called:
+                return
+            done = upstreams.PlainAnswer(200, [], b"booked " + request.body)
+            entry.run(lambda: result.called or result.callback(done))
+
+        delay = self.clock.jitter(0.001, 0.02)
+        self.clock.after(delay, lambda: entry.run(connected))
+        return result
+
+    # ---- Callers --------------------------------------------------------
+
+    def _some_entry(self) -> entries.SoakEntry | None:
+        alive = [
+            entry for entry in self.entry_by_name.values() if entry.working
+        ]
+        return self.rng.choice(alive) if alive else None
+
+    def _model_round(self) -> None:
+        self.clock.after(self.clock.jitter(0.02, 0.3), self._model_round)
+        entry = self._some_entry()
+        if entry is None:
+            return
+        self._calls += 1
+        prompt = f"prompt {self._calls % 50}"
+        wanted = "".join(
+            engines.token_text(prompt, position)
+            for position in range(fakes.ANSWER_TOKENS)
+        )
+
+        def finished(side: entries.CallerSide) -> None:
+            if side.refusal is not None:
+                self.checks.counts[side.refusal.kind] += 1
+                return
+            if side.body.rstrip().endswith(b"data: [DONE]"):
+                found = _text_of(side.body)
+                self.checks.answered(prompt, found, wanted)
+            elif b"event: error" in side.body:
+                self.checks.counts["cut with an error"] += 1
+            else:
+                self.checks.fail("an answer was cut without an error")
+
+        side = entries.CallerSide(finished)
+        entry.ask_model(KEY, "chat", prompt, side)
+
+    def _booking_round(self) -> None:
+        self.clock.after(self.clock.jitter(0.1, 1.0), self._booking_round)
+        self._calls += 1
+        key = f"key-{self._calls}" if self.rng.random() < 0.8 else None
+        call = key or f"single-{self._calls}"
+        self._book(call, key, 0)
+
+    def _book(self, call: str, key: str | None, resend: int) -> None:
+        entry = self._some_entry()
+        if entry is None:
+            return
+        # The part before # is the call; the whole is the body. Resends of
+        # a call have the same body; only single attempts are numbered.
+        body = f"{call}#"
+
+        def finished(side: entries.CallerSide) -> None:
+            self._booked(side, call, key, resend)
+
+        side = entries.CallerSide(finished)
+        entry.book(KEY, key, body, side)
+        if key is not None and resend < 3 and self.rng.random() < 0.3:
+            # A resend overlaps with the call that it repeats.
+            self.clock.after(
+                self.clock.jitter(0.0, 4.0),
+                lambda: self._book(call, key, resend + 1),
+            )
+
+    def _booked(
+        self,
+        side: entries.CallerSide,
+        call: str,
+        key: str | None,
+        resend: int,
+    ) -> None:
+        refusal = side.refusal
+        if refusal is None:
+            if not self.checks.runs_by_call[call]:
+                self.checks.fail(f"{call} is answered and never ran")
+            self.checks.answered(call, side.body.decode(), f"booked {call}#")
+            return
+        self.checks.counts[refusal.kind] += 1
+        if refusal.run_state is errors.RunState.NOT_RUN:
+            ran = self.checks.runs_by_call[call] > 0
+            if key is None:
+                self.checks.refused_not_run(f"{call}#", ran)
+            elif ran and refusal.kind in ("no-capacity", "no-quorum"):
+                self.checks.counts["refused beside a run"] += 1
+        if key is not None and resend < 3:
+            self.clock.after(
+                self.clock.jitter(0.2, 5.0),
+                lambda: self._book(call, key, resend + 1),
+            )
+
+    # ---- Operators ------------------------------------------------------
+
+    def _operator_round(self) -> None:
+        self.clock.after(self.clock.jitter(2, 12), self._operator_round)
+        if self.quiet_from is not None:
+            return
+        racers = 2 if self.rng.random() < 0.3 else 1
+        version = None
+        for _ in range(racers):
+            entry = self._some_entry()
+            if entry is None:
+                return
+            if version is None:
+                version = entry.node.follower.version
+            self._submissions += 1
+            configuration = self._configuration()
+            command = messages.Submit(
+                f"submission-{self._submissions}",
+                version,
+                configuration.to_document(),
+                "soak",
+            )
+            self._submit(entry, command, 0)
+
+    def _submit(
+        self, entry: entries.SoakEntry, command: messages.Submit, resend: int
+    ) -> None:
+        deadline = self.clock.now() + schedule.seconds(5)
+
+        def decided(outcome: messages.Outcome | None) -> None:
+            self._submitted(command, outcome, resend)
+
+        if entry.working:
+            entry.propose(command, deadline, decided)
+
+    def _submitted(
+        self,
+        command: messages.Submit,
+        outcome: messages.Outcome | None,
+        resend: int,
+    ) -> None:
+        first = self._outcome_by_submission.get(command.submission)
+        match outcome:
+            case messages.Accepted(version):
+                self.checks.accepted(version, _fingerprint(command.document))
+            case messages.Conflict():
+                self.checks.counts["conflict"] += 1
+        if outcome is not None:
+            if first is not None and type(first) is not type(outcome):
+                self.checks.fail("a resend got another outcome")
+            self._outcome_by_submission[command.submission] = outcome
+        if resend < 2 and (outcome is None or self.rng.random() < 0.2):
+            entry = self._some_entry()
+            if entry is not None:
+                self._submit(entry, command, resend + 1)
+
+    def _configuration(self) -> operators.Configuration:
+        replicas = {
+            data_centre: self.rng.randint(1, 2) for data_centre in DATA_CENTRES
+        }
+        return operators.Configuration(
+            serving_groups=[
+                operators.ServingGroup(
+                    name="chat",
+                    model="m1",
+                    replicas=replicas,
+                    shape=operators.Replica(instances=GROUP_SIZE),
+                    concurrency=8,
+                )
+            ],
+            client_accounts=[
+                operators.ClientAccount(
+                    name="kiosks",
+                    key_digest=operators.key_digest(KEY),
+                    weight=float(self.rng.randint(1, 1000)),
+                )
+            ],
+            plain_services=[
+                operators.PlainService(name="bookings", prefix="/bookings")
+            ],
+            routing_rules=[
+                operators.RoutingRule(
+                    name="all",
+                    accounts=["kiosks"],
+                    models=["chat"],
+                    services=["bookings"],
+                )
+            ],
+            data_centres=[
+                operators.DataCentre(
+                    name=data_centre,
+                    entries=[
+                        name
+                        for name, (place, _) in ENTRIES.items()
+                        if place == data_centre
+                    ],
+                )
+                for data_centre in DATA_CENTRES
+            ],
+        )
+
+    def configured(self, entry: entries.SoakEntry) -> None:
+        """Checks a configuration that came into force at an entry."""
+        view = entry.node.follower.view
+        self.checks.in_force(
+            entry.name, view.version, _fingerprint(view.document)
+        )
+        self.clock.note(entry.name, "version", view.version)
+
+
+def _fingerprint(document: dict) -> str:
+    return json.dumps(document, sort_keys=True)
+
+
+def _text_of(body: bytes) -> str:
+    pieces = [piece for piece in body.split(b"\n\n") if piece]
+    return "".join(
+        piece.partition(b"data: ")[2].decode() for piece in pieces[:-1]
+    )
