--- a/figford/__main__.py
+++ b/figford/__main__.py
@@ -1,6 +1,18 @@
-"""Runs the `figford` command as a module."""
+"""Runs the `figford` command."""
 
-from figford import cli
+import os
+
+
+def main() -> None:
+    """Runs the command with plain help texts.
+
+    The library for coloured ones would cost an entry some megabytes.
+    """
+    os.environ.setdefault("TYPER_USE_RICH", "0")
+    from figford import cli
 
-if __name__ == "__main__":
     cli.main()
+
+
+if __name__ == "__main__":
+    main()
--- a/figford/agreement.py
+++ b/figford/agreement.py
@@ -20,6 +20,7 @@
 ENTRIES_PER_APPEND = 200
 # A learner is made a voter when it is this close to the leader's log.
 PROMOTION_LAG_ENTRIES = 20
+PROMOTION_SILENCE = HEARTBEAT * 2
 
 
 class Role(enum.Enum):
@@ -217,11 +218,22 @@
         if self.leading:
             self._refresh_progress(now)
 
-    def caught_up(self, learner: str) -> bool:
-        """Returns whether a learner is close enough to become a voter."""
+    @property
+    def learners(self) -> set[str]:
+        """Returns the disks that the leader brings up to date."""
+        return self._learners
+
+    def caught_up(self, learner: str, now: datetime.timedelta) -> bool:
+        """Returns whether a learner may become a voter now.
+
+        It must be close to the leader's log and have answered just now: a
+        dead disk that is voted in counts against the quorum.
+        """
         progress = self._progress_by_voter.get(learner)
         if progress is None or not progress.match_index:
             return False
+        if now - progress.last_heard > PROMOTION_SILENCE:
+            return False
         lag = self.log.last_index - progress.match_index
         return lag <= PROMOTION_LAG_ENTRIES
 
--- a/figford/assembly.py
+++ b/figford/assembly.py
@@ -100,13 +100,32 @@
 
 @attrs.define
 class _Group:
-    """The announced state of one group, at its highest fencing number."""
+    """The announced state of one group at one fencing number."""
 
-    fence: int = 0
+    fence: int
     present: dict[int, messages.Announcement] = attrs.field(factory=dict)
     absent: dict[int, messages.Announcement] = attrs.field(factory=dict)
     size: int = 0
 
+    @property
+    def whole(self) -> bool:
+        """Returns whether a fresh member sits on every rank."""
+        return set(self.present) == set(range(self.size))
+
+    @property
+    def precedence(self) -> tuple[bool, int]:
+        """Returns by what the state that counts is chosen."""
+        return self.whole, self.fence
+
+    @property
+    def healthy(self) -> list[messages.Announcement]:
+        """Returns the members that are there and stay, by rank."""
+        return [
+            self.present[rank]
+            for rank in sorted(self.present)
+            if not self.present[rank].leaving
+        ]
+
 
 @attrs.define
 class Planner:
@@ -194,22 +213,30 @@
         return wanted
 
     def _announced(self, view: View) -> dict[str, _Group]:
-        found: dict[str, _Group] = {}
+        """Returns each group at the fencing number that counts.
+
+        That is the highest one; but a group that is whole at a lower one
+        counts before one that is not, as when orders were lost.
+        """
+        found: dict[tuple[str, int], _Group] = {}
         everyone = [(item, True) for item in view.fresh.values()]
         everyone += [(item, False) for item in view.missing.values()]
         for announcement, is_fresh in everyone:
             seat = announcement.seat
             if seat is None:
                 continue
-            group = found.setdefault(seat.group, _Group())
-            if seat.fence < group.fence:
-                continue
-            if seat.fence > group.fence:
-                group = found[seat.group] = _Group(fence=seat.fence)
+            group = found.setdefault(
+                (seat.group, seat.fence), _Group(seat.fence)
+            )
             group.size = max(group.size, seat.size)
             side = group.present if is_fresh else group.absent
             side[seat.rank] = announcement
-        return found
+        chosen: dict[str, _Group] = {}
+        for (name, _), group in found.items():
+            best = chosen.get(name)
+            if best is None or group.precedence > best.precedence:
+                chosen[name] = group
+        return chosen
 
     def _members_in_use(
         self,
@@ -341,7 +368,7 @@
         if forming is not None:
             self._settle_forming(group, spec, forming, state, view, now)
         elif state is not None:
-            self._settle_announced(group, spec, state, view, now)
+            self._settle_announced(group, spec, state, announced, view, now)
 
     def _settle_forming(
         self,
@@ -363,6 +390,10 @@
             del self.forming_by_group[group]
             self.drains_by_group.pop(group, None)
             return
+        if state is not None and _needs_nothing(state, spec):
+            # What seemed lost came back before the orders took effect.
+            del self.forming_by_group[group]
+            return
         lost = any(
             name not in view.fresh or view.fresh[name].leaving
             for name in forming.members
@@ -378,43 +409,38 @@
         group: str,
         spec: operators.ServingGroup,
         state: _Group,
+        announced: dict[str, _Group],
         view: View,
         now: datetime.timedelta,
     ) -> None:
-        leaving = [item for item in state.present.values() if item.leaving]
-        whole = set(state.present) == set(range(state.size))
-        allowed = _fits(state, spec)
-        if whole and not leaving and allowed:
+        if _needs_nothing(state, spec):
             self.broken_since_by_group.pop(group, None)
             self.drains_by_group.pop(group, None)
             return
-        if whole and not self._drained(group, state.fence, view, now):
+        if state.whole and not self._drained(group, state.fence, view, now):
             return
-        if not allowed:
+        if not _fits(state, spec):
             self._release_all(state, now)
             return
-        self._repair(group, spec, state, view, now)
+        self._repair(group, spec, state, announced, view, now)
 
     def _repair(
         self,
         group: str,
         spec: operators.ServingGroup,
         state: _Group,
+        announced: dict[str, _Group],
         view: View,
         now: datetime.timedelta,
     ) -> None:
         since = self.broken_since_by_group.setdefault(group, now)
-        healthy = [
-            state.present[rank]
-            for rank in sorted(state.present)
-            if not state.present[rank].leaving
-        ]
+        healthy = state.healthy
         leaving = len(state.present) - len(healthy)
         if not repair.hold_passed(now - since, view.policy.hold, leaving):
             return
         domain = _domain_of(state)
         spares = self._spares(domain, spec.model, view)
-        others = self._broken_neighbours(group, spec, domain, view)
+        others = self._broken_neighbours(group, spec, domain, announced)
         situation = self._situation(
             group, spec, healthy, leaving, state, spares, others, view, now
         )
@@ -484,23 +510,16 @@
         group: str,
         spec: operators.ServingGroup,
         domain: str,
-        view: View,
+        announced: dict[str, _Group],
     ) -> list[messages.Announcement]:
         """Returns healthy members of one later broken group like this."""
         for other in sorted(self.broken_since_by_group):
-            same_kind = other.startswith(f"{spec.name}.")
-            if other <= group or not same_kind:
+            state = announced.get(other)
+            if other <= group or state is None or state.whole:
                 continue
-            members = [
-                item
-                for item in view.fresh.values()
-                if item.seat is not None
-                and item.seat.group == other
-                and item.fabric_domain == domain
-                and not item.leaving
-            ]
-            if members:
-                return sorted(members, key=lambda item: item.upstream)
+            same_kind = other.startswith(f"{spec.name}.")
+            if same_kind and _domain_of(state) == domain and state.healthy:
+                return state.healthy
         return []
 
     # ---- Groups that are not there yet ----------------------------------
@@ -579,14 +598,14 @@
         view: View,
         now: datetime.timedelta,
     ) -> None:
-        """Frees members that came back with an older fencing number."""
+        """Frees members that sit at another fencing number."""
         forming = self.forming_by_group.get(group)
         for announcement in view.fresh.values():
             seat = announcement.seat
             if seat is None or seat.group != group:
                 continue
             is_member = forming and announcement.upstream in forming.members
-            if seat.fence < state.fence and not is_member:
+            if seat.fence != state.fence and not is_member:
                 self._release(announcement, now)
 
     def _release_all(self, state: _Group, now: datetime.timedelta) -> None:
@@ -640,6 +659,12 @@
     return seat is not None and (seat.group, seat.fence) == (group, fence)
 
 
+def _needs_nothing(state: _Group, spec: operators.ServingGroup) -> bool:
+    """Returns whether a group is whole, as wanted, and stays."""
+    stays = len(state.healthy) == len(state.present)
+    return state.whole and stays and _fits(state, spec)
+
+
 def _fits(state: _Group, spec: operators.ServingGroup) -> bool:
     """Returns whether a group has a size and a model that it may have."""
     smallest = spec.shape.minimum_instances or spec.shape.instances
--- a/figford/control.py
+++ b/figford/control.py
@@ -176,7 +176,7 @@
             return self._change_voters(kept, now)
         learner = self._next_learner(now)
         self.agreement.set_learners({learner} if learner else set(), now)
-        if learner and self.agreement.caught_up(learner):
+        if learner and self.agreement.caught_up(learner, now):
             return self._change_voters([*voters, learner], now)
         return []
 
--- a/figford/daemon.py
+++ b/figford/daemon.py
@@ -163,6 +163,7 @@
             self.config.limits,
             self,
             self.rng,
+            self._fatal,
         )
 
     # ---- Starting and stopping ------------------------------------------
--- a/figford/gateway.py
+++ b/figford/gateway.py
@@ -53,7 +53,11 @@
 
 @attrs.define
 class Gateway:
-    """The calls in progress at one entry."""
+    """The calls in progress at one entry.
+
+    `on_broken` is told of a failure inside a callback, which is a broken
+    invariant or a mistake, never an ordinary refusal.
+    """
 
     node: nodes.Node
     dispatcher: dispatch.Dispatcher
@@ -63,6 +67,7 @@
     limits: settings.Limits
     proposer: Proposer
     rng: random.Random
+    on_broken: typing.Callable[[typing.Any], None]
     access: access_tables.AccessTable = attrs.field(
         factory=lambda: access_tables.AccessTable(operators.Configuration())
     )
--- a/figford/readiness.py
+++ b/figford/readiness.py
@@ -54,6 +54,11 @@
     _required_version: int | None = None
     _ask_due: datetime.timedelta = datetime.timedelta(0)
 
+    @property
+    def by_quorum(self) -> bool:
+        """Returns whether a quorum, not the peers, gave confirmation."""
+        return self._required_version is not None
+
     def ask_due(self, now: datetime.timedelta) -> bool:
         """Returns whether to ask a quorum for its version now."""
         if self.confirmed or now < self._ask_due:
@@ -71,11 +76,12 @@
         self, version: int, company: Company, now: datetime.timedelta
     ) -> None:
         """Confirms the version held once it is known to be current."""
-        if self.confirmed:
-            return
         if self._required_version is not None:
+            # A quorum's word counts even after the peers' was taken.
             self.confirmed = version >= self._required_version
             return
+        if self.confirmed:
+            return
         waited = now - self.started_at >= QUORUM_WAIT
         if waited and company.hears_most:
             self.confirmed = version >= company.highest_version
--- a/figford/servicecalls.py
+++ b/figford/servicecalls.py
@@ -97,6 +97,7 @@
         called.addCallbacks(
             self._answered, self._failed, (address,), None, (address,)
         )
+        called.addErrback(self.gateway.on_broken)
 
     def _answered(self, answer: upstreams.PlainAnswer, address: str) -> None:
         self.gateway.dispatcher.breakers.succeeded(address)
@@ -185,6 +186,7 @@
         called.addCallbacks(
             self._answered, self._failed, (address,), None, (address,)
         )
+        called.addErrback(self.gateway.on_broken)
 
     def _answered(self, answer: upstreams.PlainAnswer, address: str) -> None:
         self.gateway.dispatcher.breakers.succeeded(address)
--- /dev/null
+++ b/figford/tests/test_agreement.py
@@ -0,0 +1,236 @@
+"""Agreement among voters, fuzzed against what was committed."""
+
+import datetime
+import random
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from figford import agreement
+from figford import control
+from figford import messages
+
+VOTERS = ["a.1", "b.1", "c.1"]
+STEP = datetime.timedelta(milliseconds=50)
+
+
+class Member:
+    """A voter with a disk that keeps what was synced."""
+
+    def __init__(self, voter, records):
+        self.voter = voter
+        self.disk = list(records)
+        self.unsynced = []
+        self.lives = 0
+        self.start(datetime.timedelta(0))
+
+    def start(self, now):
+        self.lives += 1
+        rng = random.Random(f"{self.voter}{self.lives}")
+        self.agreement = agreement.Agreement(self.voter, rng)
+        self.agreement.restore(self.disk, now)
+        self.unsynced = []
+        self.applied = self.agreement.commit_index
+
+
+def voter_records(voter):
+    first = messages.Entry(
+        1, 1, datetime.timedelta(0), messages.VoterChange(VOTERS)
+    )
+    return [
+        messages.Identity(voter),
+        messages.HardState(1, None),
+        messages.Appended([first]),
+    ]
+
+
+class Cluster(stateful.RuleBasedStateMachine):
+    """Three voters; the oracle is the list of committed entries."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = datetime.timedelta(0)
+        self.members = {v: Member(v, voter_records(v)) for v in VOTERS}
+        self.network = []
+        self.committed = {}
+        self.acknowledged = {}
+        self.cut = set()
+        self.proposed = 0
+
+    def take(self, member, output):
+        member.unsynced.append((output.records, output.sends))
+        for entry in output.committed:
+            known = self.committed.setdefault(entry.index, entry)
+            assert known == entry, "two entries committed at one index"
+
+    def sync(self, member):
+        batches, member.unsynced = member.unsynced, []
+        for records, sends in batches:
+            member.disk.extend(records)
+            for addressed in sends:
+                self.network.append((member.voter, addressed))
+        log = member.agreement.log
+        self.take(
+            member,
+            member.agreement.synced(log.last_index, log.last_term, self.now),
+        )
+
+    @stateful.rule(
+        voter=strategies.sampled_from(VOTERS),
+        steps=strategies.integers(1, 40),
+    )
+    def pass_time(self, voter, steps):
+        self.now += STEP * steps
+        member = self.members[voter]
+        self.take(member, member.agreement.tick(self.now))
+
+    @stateful.rule(voter=strategies.sampled_from(VOTERS))
+    def sync_disk(self, voter):
+        self.sync(self.members[voter])
+
+    @stateful.rule(data=strategies.data())
+    def deliver(self, data):
+        if not self.network:
+            return
+        index = data.draw(strategies.integers(0, len(self.network) - 1))
+        self.pass_message(index)
+
+    @stateful.rule()
+    def deliver_all_and_sync(self):
+        for _ in range(20):
+            for member in self.members.values():
+                self.sync(member)
+            if not self.network:
+                return
+            while self.network:
+                self.pass_message(0)
+
+    def pass_message(self, index):
+        source, addressed = self.network.pop(index)
+        if frozenset((source, addressed.voter)) in self.cut:
+            return
+        member = self.members[addressed.voter]
+        self.take(member, member.agreement.handle(addressed.message, self.now))
+
+    @stateful.rule(voter=strategies.sampled_from(VOTERS))
+    def propose(self, voter):
+        member = self.members[voter]
+        if not member.agreement.leading:
+            return
+        self.proposed += 1
+        command = messages.Submit(f"s{self.proposed}", 0, {}, voter)
+        self.take(member, member.agreement.propose(command, self.now)[1])
+
+    @stateful.rule(voter=strategies.sampled_from(VOTERS))
+    def crash(self, voter):
+        self.members[voter].start(self.now)
+
+    @stateful.rule(voter=strategies.sampled_from(VOTERS))
+    def compact(self, voter):
+        chosen = self.members[voter].agreement
+        self.take(
+            self.members[voter], chosen.compact(chosen.commit_index, b"")
+        )
+
+    @stateful.rule(pair=strategies.sampled_from([(0, 1), (0, 2), (1, 2)]))
+    def cut_or_heal(self, pair):
+        key = frozenset((VOTERS[pair[0]], VOTERS[pair[1]]))
+        self.cut ^= {key}
+
+    @stateful.invariant()
+    def one_leader_per_term(self):
+        terms = [
+            member.agreement.term
+            for member in self.members.values()
+            if member.agreement.leading
+        ]
+        assert len(terms) == len(set(terms))
+
+    @stateful.invariant()
+    def log_time_never_goes_back(self):
+        for member in self.members.values():
+            times = [entry.at for entry in member.agreement.log.entries]
+            assert times == sorted(times)
+
+    def teardown(self):
+        """Once all is well, everything committed is still there."""
+        self.cut = set()
+        for _ in range(400):
+            self.now += STEP
+            for member in self.members.values():
+                self.take(member, member.agreement.tick(self.now))
+                self.sync(member)
+            while self.network:
+                self.pass_message(0)
+        leaders = [
+            m.agreement for m in self.members.values() if m.agreement.settled
+        ]
+        assert len(leaders) == 1
+        log = leaders[0].log
+        for index, entry in self.committed.items():
+            if index > log.snapshot.index:
+                assert log.entries[index - log.snapshot.index - 1] == entry
+
+
+Cluster.TestCase.settings = settings(
+    max_examples=60,
+    stateful_step_count=60,
+    deadline=None,
+    derandomize=True,
+)
+TestCluster = Cluster.TestCase
+
+
+def elected(voter="a.1"):
+    member = Member(voter, control.founding_records(voter))
+    now = datetime.timedelta(seconds=5)
+    member.agreement.tick(now)
+    return member.agreement, now
+
+
+def test_single_voter_commits_only_after_sync():
+    leader, now = elected()
+    assert leader.leading
+    assert not leader.settled
+    output = leader.synced(leader.log.last_index, leader.log.last_term, now)
+    assert [entry.index for entry in output.committed] == [1, 2]
+    assert leader.settled
+
+
+def test_voters_change_one_at_a_time():
+    leader, now = elected()
+    leader.synced(leader.log.last_index, leader.log.last_term, now)
+    with pytest.raises(AssertionError):
+        leader.propose_voters(["a.1", "b.1", "c.1"], now)
+    assert leader.propose_voters(["a.1", "b.1"], now) is not None
+    # The first change is not committed, so a second has to wait.
+    assert leader.propose_voters(["a.1"], now) is None
+
+
+def test_blank_disk_neither_campaigns_nor_votes_in_its_old_name():
+    blank = agreement.Agreement("a.2", random.Random(1))
+    blank.restore([messages.Identity("a.2")], datetime.timedelta(0))
+    output = blank.tick(datetime.timedelta(hours=1))
+    assert output.sends == []
+
+
+def test_leader_cut_off_steps_down():
+    leader, now = elected()
+    leader.synced(leader.log.last_index, leader.log.last_term, now)
+    leader.propose_voters(["a.1", "b.1"], now)
+    later = now + agreement.ELECTION_TIMEOUT * 3
+    leader.tick(later)
+    leader.tick(later + agreement.ELECTION_TIMEOUT * 2)
+    assert not leader.leading
+
+
+def test_log_time_is_not_the_leaders_clock():
+    leader, now = elected()
+    leader.synced(leader.log.last_index, leader.log.last_term, now)
+    index, _ = leader.propose(
+        messages.Noop(), now + datetime.timedelta(seconds=7)
+    )
+    entry = leader.log.entries[index - 1]
+    assert entry.at == datetime.timedelta(seconds=7)
--- a/figford/tools/deployment.py
+++ b/figford/tools/deployment.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import secrets
 import shutil
 import signal
@@ -27,20 +28,34 @@
 HOST = "127.0.0.1"
 WAIT_SECONDS = 60.0
 POLL_SECONDS = 0.05
+PORT_RANGE = (12_000, 32_000)
 CALL_TIMEOUT_SECONDS = 60.0
 
 
+_handed_out: set[int] = set()
+
+
 class DeploymentError(errors.FigfordError):
     """The deployment did not do what was waited for."""
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns loopback ports that were free a moment ago."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for held in sockets:
-            held.bind((HOST, 0))
-        return [held.getsockname()[1] for held in sockets]
+    """Returns loopback ports that were free a moment ago.
+
+    They lie below the range from which the system takes the ports of
+    outgoing connections, so that none of these can take them.
+    """
+    first, last = PORT_RANGE
+    found = []
+    while len(found) < count:
+        port = random.SystemRandom().randint(first, last)
+        if port in found or port in _handed_out:
+            continue
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            found.append(port)
+    _handed_out.update(found)
+    return found
 
 
 @attrs.frozen
--- a/figford/tools/engine.py
+++ b/figford/tools/engine.py
@@ -52,6 +52,7 @@
     position: int
     length: int
     model: str
+    received_at: float
 
 
 @attrs.define(eq=False)
@@ -173,6 +174,8 @@
             "id": stream.name,
             "object": "chat.completion.chunk",
             "model": stream.model,
+            "received_at": stream.received_at,
+            "sent_at": time.monotonic(),
             "choices": [
                 {
                     "index": 0,
@@ -257,6 +260,7 @@
             position=int(request.getHeader("figford-resume-from") or 0),
             length=int(document.get("max_tokens") or engine.tokens),
             model=document["model"],
+            received_at=time.monotonic(),
         )
         request.setHeader(b"content-type", b"text/event-stream")
         engine.streams.append(stream)
--- /dev/null
+++ b/figford/tools/load.py
@@ -0,0 +1,244 @@
+"""A load generator: open-loop model requests, measured per token.
+
+The stand-in engine writes the time at which it sent a token into the
+token, so that a token's way can be timed on one machine.
+"""
+
+import json
+import math
+import random
+import time
+import typing
+
+import attrs
+from twisted.internet import defer
+from twisted.internet import protocol
+from twisted.internet import task
+from twisted.web import client
+from twisted.web import http_headers
+import typer
+
+from figford import upstreams
+
+PERCENTILES = (50, 95, 99)
+
+
+@attrs.define
+class Sample:
+    """Measurements of one kind, in seconds.
+
+    A first way is that of a request to the engine and of its first token
+    back, without the time that the engine took in between.
+    """
+
+    values: list[float] = attrs.field(factory=list)
+
+    def percentile(self, percent: float) -> float:
+        """Returns a percentile; 0 where nothing was measured.
+
+        >>> Sample([1.0, 2.0, 3.0]).percentile(50)
+        2.0
+        """
+        if not self.values:
+            return 0.0
+        ordered = sorted(self.values)
+        rank = math.ceil(percent / 100 * len(ordered)) - 1
+        return ordered[max(0, rank)]
+
+    def summary(self) -> dict[str, float]:
+        """Returns count and percentiles in milliseconds."""
+        result: dict[str, float] = {"count": len(self.values)}
+        for percent in PERCENTILES:
+            result[f"p{percent}_ms"] = round(
+                self.percentile(percent) * 1000, 3
+            )
+        return result
+
+
+@attrs.define
+class Report:
+    """What one run measured."""
+
+    first_byte: Sample = attrs.field(factory=Sample)
+    first_way: Sample = attrs.field(factory=Sample)
+    token_way: Sample = attrs.field(factory=Sample)
+    between: Sample = attrs.field(factory=Sample)
+    whole: Sample = attrs.field(factory=Sample)
+    outcomes: dict[str, int] = attrs.field(factory=dict)
+    tokens: int = 0
+    seconds: float = 0.0
+
+    def count(self, outcome: str) -> None:
+        """Counts a request by its outcome."""
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+
+    def to_plain(self) -> dict:
+        """Returns the report as plain data."""
+        return {
+            "first_byte": self.first_byte.summary(),
+            "first_way": self.first_way.summary(),
+            "token_way": self.token_way.summary(),
+            "between_tokens": self.between.summary(),
+            "whole": self.whole.summary(),
+            "outcomes": self.outcomes,
+            "tokens": self.tokens,
+            "seconds": round(self.seconds, 3),
+            "tokens_per_second": round(self.tokens / self.seconds, 1),
+        }
+
+
+class _Reader(protocol.Protocol):
+    """Reads one streamed answer and times it."""
+
+    def __init__(self, report: Report, began: float) -> None:
+        self.done: defer.Deferred = defer.Deferred()
+        self._report = report
+        self._began = began
+        self._last: float | None = None
+        self._rest = b""
+        self._ended = False
+        self._timed_first = False
+
+    def dataReceived(self, data: bytes) -> None:
+        """Times the tokens in the data."""
+        now = time.monotonic()
+        if self._last is None:
+            self._report.first_byte.values.append(now - self._began)
+        else:
+            self._report.between.values.append(now - self._last)
+        self._last = now
+        events = (self._rest + data).split(b"\n\n")
+        self._rest = events.pop()
+        for event in events:
+            self._token(event, now)
+
+    def _token(self, event: bytes, now: float) -> None:
+        _, _, content = event.partition(b"data: ")
+        if content == b"[DONE]":
+            self._ended = True
+            return
+        if event.startswith(b"event: error"):
+            return
+        self._report.tokens += 1
+        chunk = json.loads(content)
+        way = now - chunk["sent_at"]
+        self._report.token_way.values.append(way)
+        if not self._timed_first:
+            self._timed_first = True
+            way_in = chunk["received_at"] - self._began
+            self._report.first_way.values.append(way_in + way)
+
+    def connectionLost(
+        self, reason: typing.Any = protocol.connectionDone
+    ) -> None:
+        """Counts the answer as whole or cut."""
+        self._report.count("whole" if self._ended else "cut")
+        self._report.whole.values.append(time.monotonic() - self._began)
+        self.done.callback(None)
+
+
+@attrs.define(eq=False)
+class LoadRun:
+    """One run against one address."""
+
+    reactor: typing.Any
+    addresses: list[str]
+    key: str
+    model: str
+    tokens: int
+    rng: random.Random
+    report: Report = attrs.field(factory=Report)
+    _agent: client.Agent = attrs.field(init=False)
+    _number: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Makes the client."""
+        pool = client.HTTPConnectionPool(self.reactor, persistent=True)
+        pool.maxPersistentPerHost = 1_000
+        pool.retryAutomatically = False
+        self._agent = client.Agent(self.reactor, pool=pool)
+
+    @defer.inlineCallbacks
+    def run(self, rate: float, seconds: float) -> typing.Iterator[typing.Any]:
+        """Sends requests at a rate and waits for all answers."""
+        began = time.monotonic()
+        pending = []
+        while time.monotonic() - began < seconds:
+            pending.append(self._request())
+            yield task.deferLater(
+                self.reactor, self.rng.expovariate(rate), lambda: None
+            )
+        yield defer.DeferredList(pending)
+        self.report.seconds = time.monotonic() - began
+
+    def _request(self) -> defer.Deferred:
+        self._number += 1
+        address = self.addresses[self._number % len(self.addresses)]
+        body = {
+            "model": self.model,
+            "stream": True,
+            "max_tokens": self.tokens,
+            "messages": [
+                {"role": "user", "content": f"prompt {self._number}"}
+            ],
+        }
+        began = time.monotonic()
+        requested = self._agent.request(
+            b"POST",
+            f"http://{address}/v1/chat/completions".encode(),
+            http_headers.Headers(
+                {
+                    b"authorization": [f"Bearer {self.key}".encode()],
+                    b"content-type": [b"application/json"],
+                }
+            ),
+            upstreams.BytesProducer(json.dumps(body).encode()),
+        )
+        requested.addCallback(self._answered, began)
+        requested.addErrback(
+            lambda failure: self.report.count(failure.type.__name__)
+        )
+        return requested
+
+    def _answered(self, response: typing.Any, began: float) -> typing.Any:
+        if response.code != 200:
+            self.report.count(str(response.code))
+            return client.readBody(response)
+        reader = _Reader(self.report, began)
+        response.deliverBody(reader)
+        return reader.done
+
+
+def run(
+    address: str = "127.0.0.1:8080",
+    key: str = "demo-key",
+    model: str = "assistant",
+    rate: float = 15.0,
+    tokens: int = 333,
+    seconds: float = 10.0,
+    seed: int = 1,
+) -> None:
+    """Sends an open-loop load to loopback addresses; prints JSON."""
+    from twisted.internet import reactor
+
+    addresses = address.split(",")
+    if not all(item.startswith("127.") for item in addresses):
+        typer.echo("load goes to loopback addresses only", err=True)
+        raise typer.Exit(2)
+    load = LoadRun(reactor, addresses, key, model, tokens, random.Random(seed))
+
+    def begin() -> None:
+        load.run(rate, seconds).addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    typer.echo(json.dumps(load.report.to_plain()))
+
+
+def main() -> None:
+    """Runs the command."""
+    typer.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/figford/tools/soak.py
+++ b/figford/tools/soak.py
@@ -46,12 +46,12 @@
     trace = ""
     try:
         while soak.clock.steps < steps:
-            soak.clock.step()
+            soak.step()
         injected.heal_all()
         until = soak.clock.now() + RECOVERY
         soak.quiet_from = soak.clock.now()
         while soak.clock.now() < until:
-            soak.clock.step()
+            soak.step()
         check_recovered(soak)
     except Exception as error:
         # Any exception is a violation: none may reach the event loop.
--- a/figford/tools/soaking/checks.py
+++ b/figford/tools/soaking/checks.py
@@ -47,6 +47,31 @@
         if known != document:
             self.fail(f"version {version} at {entry} is another document")
 
+    def version_rises(self, entry: str, before: int, after: int) -> None:
+        """Checks that an entry never goes to a lower version."""
+        if after <= before:
+            self.fail(f"{entry} went from version {before} to {after}")
+
+    def served_by(
+        self, entry: str, version: int, started_at: datetime.timedelta
+    ) -> None:
+        """Checks that a restarted entry serves by no older version.
+
+        What was accepted before it started must be in force when it
+        serves, since a quorum told it so.
+        """
+        highest = self.highest_accepted_before(started_at)
+        if version < highest:
+            self.fail(
+                f"{entry} serves by version {version}; {highest} was"
+                " accepted before it started"
+            )
+
+    def planners(self, data_centre: str, holders: list[str]) -> None:
+        """Checks that at most one entry plans a data centre."""
+        if len(holders) > 1:
+            self.fail(f"{data_centre} has the planners {holders}")
+
     def accepted(self, version: int, document: str) -> None:
         """Notes that an operator was told a version was accepted."""
         self.accepted_at_by_version.setdefault(version, self.clock.now())
--- a/figford/tools/soaking/entries.py
+++ b/figford/tools/soaking/entries.py
@@ -62,6 +62,12 @@
     ) -> defer.Deferred:
         """Carries a call to a service."""
 
+    def broken(self, failure: typing.Any) -> None:
+        """Takes a failure inside a callback."""
+
+    def check_entry(self, entry: "SoakEntry") -> None:
+        """Checks what must hold at any moment, as an entry ticks."""
+
     def configured(self, entry: "SoakEntry") -> None:
         """Notes that a configuration came into force at an entry."""
 
@@ -164,6 +170,7 @@
     started_at: datetime.timedelta = schedule.seconds(0)
     stopping: bool = False
     buffered: list[typing.Callable[[], None]] = attrs.field(factory=list)
+    version_before: int = 0
     _disks_made: int = 0
     _on_outcome_by_proposal: dict[str, gateways.OnOutcome] = attrs.field(
         factory=dict
@@ -186,6 +193,7 @@
         self.buffered = []
         self._on_outcome_by_proposal = {}
         self.started_at = clock.now()
+        self.version_before = 0
         rng = random.Random(clock.rng.getrandbits(64))
         records, voter = self._load_disk()
         me = messages.Peer(
@@ -230,6 +238,7 @@
             limits=settings.Limits(),
             proposer=self,
             rng=rng,
+            on_broken=self.world.broken,
         )
 
     def _loop(self, life: int) -> None:
@@ -241,6 +250,7 @@
     def _tick(self) -> None:
         self.carry_out(self.node.tick(self.world.clock.now()))
         self.gateway.tick()
+        self.world.check_entry(self)
 
     def run(self, action: typing.Callable[[], None]) -> None:
         """Does something now, or on waking where the process is frozen."""
--- a/figford/tools/soaking/faults.py
+++ b/figford/tools/soaking/faults.py
@@ -163,6 +163,10 @@
             if voter is None:
                 continue
             electorates.append(voter.agreement.voters)
+            # A learner may be voted in at this very moment.
+            electorates.append(
+                [*voter.agreement.voters, *sorted(voter.agreement.learners)]
+            )
             held.add(voter.agreement.voter)
         if entry.node.control is None:
             return False
--- a/figford/tools/soaking/world.py
+++ b/figford/tools/soaking/world.py
@@ -67,6 +67,7 @@
     quiet_from: datetime.timedelta | None = None
     _calls: int = 0
     _submissions: int = 0
+    _broken: list[typing.Any] = attrs.field(factory=list)
     _outcome_by_submission: dict[str, messages.Outcome] = attrs.field(
         factory=dict
     )
@@ -123,6 +124,34 @@
         """Returns all engines and services."""
         return [*self.engine_by_name.values(), *self.service_by_name.values()]
 
+    def broken(self, failure: typing.Any) -> None:
+        """Keeps a failure inside a callback for `step` to raise."""
+        self._broken.append(failure)
+
+    def step(self) -> None:
+        """Runs the next event; raises what broke in it."""
+        self.clock.step()
+        if self._broken:
+            self._broken[0].raiseException()
+
+    def check_entry(self, entry: entries.SoakEntry) -> None:
+        """Checks what must hold at any moment, as an entry ticks."""
+        now = self.clock.now()
+        node = entry.node
+        if node.planning.holds(now):
+            holders = [
+                other.name
+                for other in self.entry_by_name.values()
+                if other.data_centre == entry.data_centre
+                and other.working
+                and other.node.planning.holds(now)
+            ]
+            self.checks.planners(entry.data_centre, holders)
+        if node.is_ready(now) and node.readiness.by_quorum:
+            self.checks.served_by(
+                entry.name, node.follower.version, entry.started_at
+            )
+
     # ---- Links ----------------------------------------------------------
 
     def is_cut(self, one: str, other: str) -> bool:
@@ -584,6 +613,10 @@
     def configured(self, entry: entries.SoakEntry) -> None:
         """Checks a configuration that came into force at an entry."""
         view = entry.node.follower.view
+        self.checks.version_rises(
+            entry.name, entry.version_before, view.version
+        )
+        entry.version_before = view.version
         self.checks.in_force(
             entry.name, view.version, _fingerprint(view.document)
         )
