Processes under kills, freezes, lost disks, cuts; recovery by hand

Cause: the proofs so far ran in virtual time; a majority of lost disks had no way back. Change: 12 tests of real processes that wait on events; figford recover makes a surviving disk the only voter, under a new name and with a gap in the versions, and says what may be lost.

--- a/figford/cli.py
+++ b/figford/cli.py
@@ -175,6 +175,37 @@
     typer.echo(f"founded: {voter}")
 
 
+@app.command()
+def recover(
+    config: SettingsOption,
+    yes: typing.Annotated[
+        bool, typer.Option("--yes", help="Do it; else only warn.")
+    ] = False,
+) -> None:
+    """Make a surviving disk the only voter after a majority was lost."""
+    from figford import daemon
+
+    loaded = _load_settings(config)
+    if not yes:
+        typer.echo(
+            "What the lost disks accepted and this one does not hold is"
+            " gone: configurations and claims of calls. A call whose claim"
+            " is gone can run again. Former voters must not start with their"
+            " old folders. Repeat with --yes.",
+            err=True,
+        )
+        raise typer.Exit(ExitCode.USAGE)
+    try:
+        recovery = daemon.recover_deployment(loaded)
+    except errors.FigfordError as error:
+        _fail(error, ExitCode.FAILED)
+    typer.echo(f"only voter: {recovery.voter}")
+    typer.echo(f"former voters: {', '.join(recovery.former_voters)}")
+    typer.echo(
+        f"held: entries to {recovery.last_index}, version {recovery.version}"
+    )
+
+
 @app.command()
 def check(
     config: typing.Annotated[
--- a/figford/control.py
+++ b/figford/control.py
@@ -1,6 +1,7 @@
 """The part of an entry with a disk: its share in the replicated log."""
 
 import datetime
+import random
 
 import attrs
 
@@ -15,6 +16,8 @@
 VOTER_REVIEW_EVERY = datetime.timedelta(seconds=1)
 # A claim on the answer of a proposal lapses with the proposal's retries.
 WAITING_LIMIT = 10_000
+# Versions that are left out after a recovery by hand.
+RECOVERY_GAP = 1_000
 
 
 @attrs.define
@@ -37,6 +40,48 @@
     ]
 
 
+@attrs.frozen
+class Recovery:
+    """A disk made the only voter, and what is known of the loss."""
+
+    records: list[messages.Record]
+    voter: str
+    former_voters: list[str]
+    last_index: int
+    version: int
+
+
+def recover(records: list[messages.Record], new_name: str) -> Recovery:
+    """Returns records that make a surviving disk the only voter.
+
+    It votes under a new name, so that former voters that come back can
+    count it in no quorum of theirs. What they accepted and this disk does
+    not hold is lost; versions go on after a gap.
+    """
+    voter = agreements.Agreement(new_name, random.Random(0))
+    voter.restore(records, datetime.timedelta(0))
+    log = voter.log
+    former = log.voters()
+    last_index = log.last_index
+    held = ledgers.Ledger()
+    if log.snapshot.index:
+        held.load(log.snapshot)
+    for entry in log.entries:
+        held.apply(entry)
+    version = held.state.version
+    term = voter.term + 1
+    commands: list[messages.Command] = [messages.VoterChange([new_name])]
+    if version:
+        commands.append(messages.RaiseVersion(version + RECOVERY_GAP))
+    for command in commands:
+        entry = messages.Entry(log.last_index + 1, term, log.last_at, command)
+        log.replace_from([entry])
+    voter.voter = new_name
+    voter.term = term
+    voter.voted_for = None
+    return Recovery(voter.all_records(), new_name, former, last_index, version)
+
+
 @attrs.define
 class Control:
     """Agreement and ledger of one disk.
--- a/figford/daemon.py
+++ b/figford/daemon.py
@@ -32,7 +32,6 @@
 from figford import messages
 from figford import metrics as metric_sets
 from figford import node as nodes
-from figford import operators
 from figford import routing
 from figford import settings
 from figford import store
@@ -75,6 +74,22 @@
     return voter
 
 
+def recover_deployment(config: settings.Settings) -> control.Recovery:
+    """Makes this entry's disk the only voter, after a majority was lost."""
+    if config.data_folder is None:
+        raise errors.SettingsError(
+            "is needed to recover a deployment", "data_folder"
+        )
+    journal = store.FileJournal(pathlib.Path(config.data_folder))
+    journal.open()
+    try:
+        recovery = control.recover(journal.load(), new_voter(config.instance))
+        journal.rewrite(recovery.records)
+    finally:
+        journal.close()
+    return recovery
+
+
 @attrs.define(eq=False)
 class Entry:
     """One entry process: its ports, its decisions and its disk."""
@@ -551,8 +566,3 @@
         )
     reactor.run(installSignalHandlers=False)
     return codes[0] if codes else 1
-
-
-def check_configuration(text: str) -> operators.Configuration:
-    """Returns the configuration of YAML text, checked."""
-    return operators.Configuration.from_yaml(text)
--- a/figford/ledger.py
+++ b/figford/ledger.py
@@ -72,6 +72,8 @@
                 return self._record_outcome(entry.command)
             case messages.GrantWitness():
                 return self._grant_witness(entry.command, entry.at)
+            case messages.RaiseVersion(version):
+                self.state.version = max(self.state.version, version)
         return messages.Done()
 
     def dump(self) -> bytes:
--- a/figford/messages.py
+++ b/figford/messages.py
@@ -193,6 +193,17 @@
     duration: datetime.timedelta
 
 
+@attrs.frozen
+class RaiseVersion:
+    """Command: go on at a higher version, after a recovery by hand.
+
+    The gap keeps versions that were lost with a majority's disks from
+    being given to other configurations.
+    """
+
+    version: int
+
+
 @attrs.frozen
 class ReadVersion:
     """Command: read the version in force, confirmed by a quorum.
@@ -208,6 +219,7 @@
     | ClaimCall
     | RecordOutcome
     | GrantWitness
+    | RaiseVersion
     | ReadVersion
 )
 
--- /dev/null
+++ b/figford/tests/test_processes.py
@@ -0,0 +1,366 @@
+"""Real processes under kills, freezes, lost disks, cuts and races."""
+
+import concurrent.futures
+import http.client
+import signal
+
+import attrs
+import pytest
+
+from figford import control
+from figford import operators
+from figford.tools import demo
+from figford.tools import deployment
+from figford.tools import engine
+
+ENTRIES = [
+    deployment.EntryPlan("entry-1", "medellin", disk=True),
+    deployment.EntryPlan("entry-2", "medellin", disk=True),
+    deployment.EntryPlan("entry-3", "medellin", disk=True),
+]
+TOKENS = 40
+PROMPT = "explain the netlist"
+WANTED = "".join(engine.token_text(PROMPT, i) for i in range(TOKENS))
+NAMES = [plan.name for plan in ENTRIES]
+
+
+def configuration(replicas=2, weight=1.0):
+    base = demo.demo_configuration()
+    return attrs.evolve(
+        base,
+        serving_groups=[
+            attrs.evolve(
+                base.serving_groups[0], replicas={"medellin": replicas}
+            )
+        ],
+        client_accounts=[attrs.evolve(base.client_accounts[0], weight=weight)],
+        data_centres=[operators.DataCentre(name="medellin", entries=NAMES)],
+    )
+
+
+def leader_of(running):
+    for name in running.process_by_name:
+        if name in NAMES and running.status(name).get("leader"):
+            return name
+    return None
+
+
+def voters_settled(running):
+    leader = leader_of(running)
+    return leader and len(running.status(leader)["voters"]) == len(ENTRIES)
+
+
+def in_force(running, version, names=NAMES):
+    return all(
+        running.status(name).get("configuration_version") == version
+        for name in names
+    )
+
+
+@pytest.fixture(name="running")
+def fixture_running(tmp_path):
+    running = deployment.Deployment(tmp_path, ENTRIES)
+    try:
+        running.start_entries()
+        running.wait("all voters", lambda: voters_settled(running))
+        yield running
+    finally:
+        running.kill_all()
+
+
+@pytest.fixture(name="serving")
+def fixture_serving(running):
+    for name in ("north", "south"):
+        running.start_engines(
+            name, "medellin", f"fabric-{name}", 2, {"tokens": TOKENS}
+        )
+    assert running.submit("entry-1", configuration(), 0, "first").status == 200
+    running.wait("version 1", lambda: in_force(running, 1))
+    for name in NAMES:
+        running.wait_ready(name)
+        running.wait_groups(name, 2)
+    return running
+
+
+def followers(running):
+    leader = running.wait("a leader", lambda: leader_of(running))
+    return leader, [name for name in NAMES if name != leader]
+
+
+def test_leader_killed_and_its_disk_lost(running):
+    leader, others = followers(running)
+    accepted = running.submit(others[0], configuration(), 0, "before")
+    assert accepted.json()["version"] == 1
+    running.kill(leader)
+    running.wait("another leader", lambda: leader_of(running))
+    accepted = running.submit(others[0], configuration(1), 1, "after")
+    assert accepted.json()["version"] == 2
+    # The resend of what was accepted before gets its first outcome.
+    resent = running.submit(others[1], configuration(), 0, "before")
+    assert resent.json()["version"] == 1
+    before = running.status(others[0])["voters"]
+    running.lose_disk(leader)
+    running.start_entry(leader)
+
+    def voted_in_anew():
+        if not voters_settled(running):
+            return False
+        voters = running.status(leader_of(running)).get("voters", [])
+        return len(set(voters) - set(before)) == 1
+
+    running.wait("the blank disk voted in anew", voted_in_anew)
+    running.wait("version 2", lambda: in_force(running, 2))
+
+
+def test_majority_of_disks_lost_and_recovered_by_hand(running):
+    accepted = running.submit("entry-1", configuration(), 0, "before")
+    assert accepted.json()["version"] == 1
+    running.wait("version 1", lambda: in_force(running, 1))
+    for name in NAMES:
+        running.kill(name)
+    for name in ("entry-2", "entry-3"):
+        running.lose_disk(name)
+    path = str(running.settings_path("entry-1"))
+    with pytest.raises(deployment.DeploymentError, match="can run again"):
+        demo.figford("recover", "--settings", path)
+    told = demo.figford("recover", "--settings", path, "--yes")
+    assert "version 1" in told
+    for name in NAMES:
+        running.start_entry(name)
+    running.wait("all voters again", lambda: voters_settled(running))
+    version = 1 + control.RECOVERY_GAP
+    running.wait("the version", lambda: in_force(running, version))
+    after = running.submit("entry-2", configuration(1), version, "after")
+    assert after.json()["version"] == version + 1
+
+
+def test_two_operators_race_with_one_version(running):
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        answers = list(
+            pool.map(
+                lambda item: running.submit(
+                    item[0], configuration(weight=item[1]), 0, item[0]
+                ),
+                [("entry-1", 1.0), ("entry-2", 2.0)],
+            )
+        )
+    assert sorted(answer.status for answer in answers) == [200, 409]
+    loser = next(answer for answer in answers if answer.status == 409)
+    winner = next(answer for answer in answers if answer.status == 200)
+    name = NAMES[answers.index(winner)]
+    assert loser.json()["type"] == "urn:figford:configuration-conflict"
+    assert name in loser.json()["detail"]
+
+
+def test_frozen_leader_is_replaced_and_does_not_revert(running):
+    leader, others = followers(running)
+    running.send_signal(leader, signal.SIGSTOP)
+    running.wait(
+        "another leader",
+        lambda: any(running.status(name).get("leader") for name in others),
+    )
+    accepted = running.submit(others[0], configuration(), 0, "while frozen")
+    assert accepted.json()["version"] == 1
+    running.send_signal(leader, signal.SIGCONT)
+    running.wait("version 1", lambda: in_force(running, 1))
+    late = running.submit(leader, configuration(1), 0, "late")
+    assert late.status == 409
+
+
+def test_cut_off_entry_stops_serving_and_comes_back(serving):
+    alone, others = followers(serving)
+    cut = {"blocked": others}
+    deployment.call(serving.operators_address(alone), "POST", "/faults", cut)
+    serving.wait(
+        "the lone entry not ready",
+        lambda: serving.status(alone).get("ready") is False,
+    )
+    refused = serving.chat(alone, demo.KEY, demo.MODEL, PROMPT)
+    assert refused.status == 503
+    assert refused.json()["run"] == "not_run"
+    assert "retry-after" in refused.headers
+    accepted = serving.submit(others[0], configuration(1), 1, "meanwhile")
+    assert accepted.json()["version"] == 2
+    deployment.call(
+        serving.operators_address(alone), "POST", "/faults", {"blocked": []}
+    )
+    serving.wait("version 2", lambda: in_force(serving, 2))
+    serving.wait_ready(alone)
+
+
+def test_engine_dies_mid_answer(serving):
+    """The answer goes on at the other group from the position reached."""
+    with concurrent.futures.ThreadPoolExecutor(4) as pool:
+        answers = [
+            pool.submit(
+                serving.chat,
+                NAMES[i % 3],
+                demo.KEY,
+                demo.MODEL,
+                PROMPT,
+                stream=True,
+            )
+            for i in range(4)
+        ]
+        serving.wait(
+            "requests in progress",
+            lambda: sum(
+                serving.status(name).get("in_progress", 0) for name in NAMES
+            )
+            == 4,
+        )
+        serving.kill("north")
+        for answer in answers:
+            text = deployment.stream_text(answer.result().body)
+            assert text == WANTED
+    for name in NAMES:
+        serving.wait_groups(name, 1)
+
+
+def test_no_group_left_refuses_at_once(serving):
+    serving.kill("north")
+    serving.kill("south")
+    serving.wait_groups("entry-1", 0)
+    refused = serving.chat("entry-1", demo.KEY, demo.MODEL, PROMPT)
+    assert refused.status == 503
+    assert refused.json()["type"] == "urn:figford:no-capacity"
+    assert refused.json()["run"] == "not_run"
+    assert int(refused.headers["retry-after"]) >= 1
+
+
+def test_planned_shrink_cuts_no_request(serving):
+    with concurrent.futures.ThreadPoolExecutor(6) as pool:
+        answers = [
+            pool.submit(
+                serving.chat,
+                NAMES[i % 3],
+                demo.KEY,
+                demo.MODEL,
+                PROMPT,
+                stream=True,
+            )
+            for i in range(6)
+        ]
+        accepted = serving.submit("entry-2", configuration(1), 1, "shrink")
+        assert accepted.status == 200
+        for answer in answers:
+            text = deployment.stream_text(answer.result().body)
+            assert text == WANTED
+    for name in NAMES:
+        serving.wait_groups(name, 1)
+
+
+def test_entry_stops_gracefully_with_work_in_progress(serving):
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(
+            serving.chat,
+            "entry-3",
+            demo.KEY,
+            demo.MODEL,
+            PROMPT,
+            stream=True,
+        )
+        serving.wait(
+            "the request in progress",
+            lambda: serving.status("entry-3").get("in_progress") == 1,
+        )
+        assert serving.stop("entry-3") == 0
+        assert deployment.stream_text(answer.result().body) == WANTED
+
+
+HEADERS = {"authorization": f"Bearer {demo.KEY}"}
+
+
+def book(running, entry, key):
+    return deployment.call(
+        running.callers_address(entry),
+        "POST",
+        "/shelters/book",
+        {"shelter": 1},
+        {**HEADERS, "idempotency-key": key},
+    )
+
+
+def runs(address):
+    return deployment.call(address, "GET", "/shelters/runs").json()
+
+
+def has_service(running, name):
+    return any(
+        row["kind"] == "service"
+        for row in running.status(name).get("upstreams", [])
+    )
+
+
+def test_owner_of_a_booking_killed_after_the_claim(serving):
+    service = serving.start_service(
+        "shelters-1", "medellin", "shelters", delay=30.0
+    )
+    for name in NAMES:
+        serving.wait("the service", lambda n=name: has_service(serving, n))
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        lost = pool.submit(book, serving, "entry-3", "k1")
+        serving.wait(
+            "the booking at the service", lambda: runs(service).get("k1")
+        )
+        busy = book(serving, "entry-1", "k1")
+        assert busy.status == 409
+        assert busy.json()["run"] == "unknown"
+        serving.kill("entry-3")
+        with pytest.raises((OSError, http.client.HTTPException)):
+            lost.result()
+    serving.wait(
+        "a typed unknown",
+        lambda: book(serving, "entry-1", "k1").status == 502,
+    )
+    told = book(serving, "entry-2", "k1").json()
+    assert told["type"] == "urn:figford:outcome-unknown"
+    assert told["run"] == "unknown"
+    assert runs(service)["k1"] == 1
+
+
+def test_booking_answer_survives_the_restart_of_all_entries(serving):
+    service = serving.start_service("shelters-1", "medellin", "shelters")
+    for name in NAMES:
+        serving.wait("the service", lambda n=name: has_service(serving, n))
+    first = book(serving, "entry-1", "k2")
+    assert first.status == 200
+    for name in NAMES:
+        serving.kill(name)
+    for name in NAMES:
+        serving.start_entry(name)
+    for name in NAMES:
+        serving.wait_ready(name)
+    again = book(serving, "entry-2", "k2")
+    assert (again.status, again.body) == (200, first.body)
+    other = deployment.call(
+        serving.callers_address("entry-3"),
+        "POST",
+        "/shelters/book",
+        {"shelter": 9},
+        {**HEADERS, "idempotency-key": "k2"},
+    )
+    assert other.status == 422
+    assert runs(service)["k2"] == 1
+
+
+def test_booking_without_quorum_is_refused_as_not_run(serving):
+    service = serving.start_service("shelters-1", "medellin", "shelters")
+    serving.wait("the service", lambda: has_service(serving, "entry-1"))
+    _, others = followers(serving)
+    serving.send_signal(others[0], signal.SIGSTOP)
+    serving.send_signal(others[1], signal.SIGSTOP)
+    survivor = next(name for name in NAMES if name not in others)
+    refused = book(serving, survivor, "k3")
+    assert refused.status == 503
+    assert refused.json()["run"] == "not_run"
+    for name in others:
+        serving.send_signal(name, signal.SIGCONT)
+    for name in NAMES:
+        serving.wait_ready(name)
+    assert runs(service) == {}
+    serving.wait(
+        "the key usable again",
+        lambda: book(serving, survivor, "k3").status == 200,
+    )
+    assert runs(service)["k3"] == 1
--- a/figford/tools/service.py
+++ b/figford/tools/service.py
@@ -67,7 +67,7 @@
             document: dict = dict(service.runs_by_key)
         else:
             document = {"service": service.service, "free": 7}
-        return self._answer(request, document)
+        return self._encode(request, document)
 
     def render_POST(self, request: server.Request) -> typing.Any:
         """Runs a booking and counts it under its key."""
@@ -78,9 +78,13 @@
         service.runs_by_key[key] = runs
         return self._answer(request, {"booked": key, "runs": runs})
 
-    def _answer(self, request: server.Request, document: dict) -> typing.Any:
+    @staticmethod
+    def _encode(request: server.Request, document: dict) -> bytes:
         request.setHeader(b"content-type", b"application/json")
-        body = json.dumps(document, sort_keys=True).encode()
+        return json.dumps(document, sort_keys=True).encode()
+
+    def _answer(self, request: server.Request, document: dict) -> typing.Any:
+        body = self._encode(request, document)
         if not self._service.delay_seconds:
             return body
         self._service.busy += 1
