Fuzzed inputs, TLS on the callers' port, dispatch and membership tests

Cause: bad input, late messages and limits had no tests; the tls setting did nothing. Found and mended: configuration order differed after a round trip through YAML (keyed items are now kept in the order of their names); a request that ended within the report lag still counted as outstanding. Before: no such tests.

--- a/figford/daemon.py
+++ b/figford/daemon.py
@@ -203,7 +203,9 @@
             self.config.operators_address,
             administration.QuietSite(self._operators_port().root()),
         )
-        yield self._listen(self.config.callers_address, self._caller_site())
+        yield self._listen(
+            self.config.callers_address, self._caller_site(), self.config.tls
+        )
         self._loop(self._tick, TICK_SECONDS)
         self._loop(self.gateway.tick, GATEWAY_TICK_SECONDS)
         _log.info(
@@ -231,15 +233,24 @@
 
     @defer.inlineCallbacks
     def _listen(
-        self, address: str, site: server.Site
+        self,
+        address: str,
+        site: server.Site,
+        tls: settings.Tls | None = None,
     ) -> typing.Iterator[typing.Any]:
         host, port = settings.split_address(address)
-        kind = (
-            endpoints.TCP6ServerEndpoint
-            if ":" in host
-            else endpoints.TCP4ServerEndpoint
-        )
-        endpoint = kind(self.reactor, port, interface=host)
+        if tls is not None:
+            endpoint: typing.Any = endpoints.SSL4ServerEndpoint(
+                self.reactor, port, _tls_context(tls), interface=host
+            )
+        elif ":" in host:
+            endpoint = endpoints.TCP6ServerEndpoint(
+                self.reactor, port, interface=host
+            )
+        else:
+            endpoint = endpoints.TCP4ServerEndpoint(
+                self.reactor, port, interface=host
+            )
         listening = yield endpoint.listen(site)
         self._ports.append(listening)
 
@@ -519,6 +530,21 @@
         self.hub.block(instances)
 
 
+def _tls_context(tls: settings.Tls) -> typing.Any:
+    """Returns what the callers' port needs for TLS.
+
+    Raises SettingsError where the library or the files are missing.
+    """
+    try:
+        # Costs some megabytes, so it is imported only where TLS is set.
+        from twisted.internet import ssl
+
+        return ssl.DefaultOpenSSLContextFactory(tls.key, tls.certificate)
+    except Exception as error:
+        # The library raises types of its own for each kind of bad file.
+        raise errors.SettingsError(str(error) or repr(error), "tls") from error
+
+
 def configure_logs(level: str) -> None:
     """Sends log records to standard error."""
     handler = logbook.StreamHandler(
--- a/figford/fields.py
+++ b/figford/fields.py
@@ -281,8 +281,16 @@
     return _field(read, None)
 
 
-def many(kind: type) -> typing.Any:
-    """Returns a field for a list of items of another checked class."""
+def _by_name(items: typing.Iterable[typing.Any]) -> list:
+    return sorted(items, key=lambda item: str(item.name))
+
+
+def many(kind: type, keyed: bool = False) -> typing.Any:
+    """Returns a field for a list of items of another checked class.
+
+    Where the items are keyed by name their order carries no meaning, and
+    they are kept in the order of their names.
+    """
 
     def read(value: object, path: str, problems: Problems) -> list:
         if not isinstance(value, (list, tuple)):
@@ -297,7 +305,9 @@
             for index, item in enumerate(value)
         ]
 
-    return _field(read, [])
+    metadata = {_KIND: read, "unit": ""}
+    converter = _by_name if keyed else list
+    return attrs.field(factory=list, converter=converter, metadata=metadata)
 
 
 def from_plain(
--- a/figford/operators.py
+++ b/figford/operators.py
@@ -181,12 +181,14 @@
 class Configuration:
     """All that operators configure; the unit of submission."""
 
-    serving_groups: list[ServingGroup] = fields.many(ServingGroup)
-    client_accounts: list[ClientAccount] = fields.many(ClientAccount)
-    routing_rules: list[RoutingRule] = fields.many(RoutingRule)
-    plain_services: list[PlainService] = fields.many(PlainService)
-    data_centres: list[DataCentre] = fields.many(DataCentre)
-    policies: list[Policy] = fields.many(Policy)
+    serving_groups: list[ServingGroup] = fields.many(ServingGroup, keyed=True)
+    client_accounts: list[ClientAccount] = fields.many(
+        ClientAccount, keyed=True
+    )
+    routing_rules: list[RoutingRule] = fields.many(RoutingRule, keyed=True)
+    plain_services: list[PlainService] = fields.many(PlainService, keyed=True)
+    data_centres: list[DataCentre] = fields.many(DataCentre, keyed=True)
+    policies: list[Policy] = fields.many(Policy, keyed=True)
 
     def __attrs_post_init__(self) -> None:
         """Checks that names are unique and references hold."""
--- a/figford/routing.py
+++ b/figford/routing.py
@@ -104,6 +104,9 @@
         key = (view.group, view.fence)
         sent = self._sent_by_group[key]
         sent.in_progress -= 1
+        if sent.recent:
+            # Ended before a report could tell of it.
+            sent.recent.popleft()
         if sent.in_progress < 0:
             raise AssertionError("more requests ended than were sent")
         if not sent.in_progress:
--- /dev/null
+++ b/figford/tests/test_assembly.py
@@ -0,0 +1,290 @@
+"""The planner, fuzzed with stand-ins that obey, refuse, die and return."""
+
+import datetime
+
+import attrs
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from figford import assembly
+from figford import groups
+from figford import leases
+from figford import messages
+from figford import operators
+
+STEP = datetime.timedelta(milliseconds=500)
+START = datetime.timedelta(seconds=100)
+ENTRIES = frozenset({"e1", "e2"})
+
+
+def engine(name, domain="f1", **more):
+    return messages.Announcement(
+        upstream=name,
+        incarnation=1,
+        sequence=1,
+        data_centre="north",
+        fabric_domain=domain,
+        address=name,
+        kind=messages.UpstreamKind.ENGINE,
+        **more,
+    )
+
+
+def spec(replicas=1, **more):
+    return operators.ServingGroup(
+        name="chat",
+        model="m",
+        replicas={"north": replicas},
+        shape=operators.Replica(instances=2),
+        **more,
+    )
+
+
+def view(engines, serving_groups, missing=(), now=START):
+    return assembly.View(
+        serving_groups=serving_groups,
+        policy=operators.Policy(name="p"),
+        fresh={item.upstream: item for item in engines},
+        missing={item.upstream: item for item in missing},
+        silent_since={item.upstream: now for item in missing},
+        entries=ENTRIES,
+    )
+
+
+def planner(now=START, number=1):
+    made = assembly.Planner("e1", "north")
+    made.start(number, now)
+    return made, now + assembly.LEARNING_TIME
+
+
+def plan(made, seen, now):
+    return made.plan(seen, now + leases.DURATION, now)
+
+
+def orders(actions):
+    return [item for item in actions if isinstance(item, assembly.SendOrder)]
+
+
+def test_forms_a_group_in_one_domain():
+    made, now = planner()
+    engines = [engine("a"), engine("b", "f2"), engine("c", "f2")]
+    sent = orders(plan(made, view(engines, [spec()]), now))
+    assert [item.upstream for item in sent] == ["b", "c"]
+    assert {item.order.fence for item in sent} == {leases.fence(1, 1)}
+
+
+def test_learns_before_it_decides():
+    made, now = planner()
+    early = now - datetime.timedelta(milliseconds=1)
+    assert plan(made, view([engine("a"), engine("b")], [spec()]), early) == []
+
+
+def test_upstreams_that_ignore_fencing_get_no_early_order():
+    made, now = planner()
+    engines = [engine("a", checks_fencing=False), engine("b")]
+    seen = view(engines, [spec()])
+    assert [item.upstream for item in orders(plan(made, seen, now))] == ["b"]
+    later = START + leases.DURATION + assembly.ORDER_TIMEOUT
+    sent = orders(plan(made, seen, later))
+    assert "a" in [item.upstream for item in sent]
+
+
+def test_planner_without_a_lease_must_not_plan():
+    made, now = planner()
+    with pytest.raises(AssertionError):
+        made.plan(view([], []), now, now)
+
+
+def seated(name, fence, rank, domain="f1", **more):
+    seat = messages.Seat("chat.north.0", "chat", fence, rank, 2)
+    more.setdefault("state", messages.UpstreamState.SERVING)
+    return engine(name, domain, seat=seat, models=["m"], **more)
+
+
+def test_whole_group_at_a_lower_number_is_kept():
+    made, now = planner(number=9)
+    engines = [seated("a", 5, 0), seated("b", 5, 1), seated("c", 7, 0)]
+    sent = orders(plan(made, view(engines, [spec()]), now))
+    assert [item.upstream for item in sent] == ["c"]
+    assert isinstance(sent[0].order, messages.ReleaseSeat)
+
+
+def test_unwanted_group_is_drained_before_its_release():
+    made, now = planner()
+    engines = [seated("a", 5, 0), seated("b", 5, 1)]
+    seen = view(engines, [spec(replicas=0)])
+    first = plan(made, seen, now)
+    assert not orders(first)
+    (ask,) = [item.drain for item in first if not orders([item])]
+    for instance, left in (("e1", 0), ("e2", 1)):
+        reply = messages.DrainReply(
+            ask.group, ask.fence, ask.number, instance, left
+        )
+        made.drain_reply(reply, now)
+    assert not orders(plan(made, seen, now + STEP))
+    reply = messages.DrainReply(ask.group, ask.fence, ask.number, "e2", 0)
+    made.drain_reply(reply, now + STEP)
+    assert len(orders(plan(made, seen, now + STEP))) == 2
+
+
+def test_broken_group_takes_a_spare_after_the_hold():
+    made, now = planner()
+    engines = [seated("a", 5, 0), engine("spare")]
+    lost = [seated("b", 5, 1)]
+    seen = view(engines, [spec()], lost, now)
+    assert not orders(plan(made, seen, now))
+    for _ in range(200):
+        now += STEP
+        sent = orders(plan(made, seen, now))
+        if sent:
+            break
+    assert sorted(item.upstream for item in sent) == ["a", "spare"]
+    assert made.repairs_by_kind["replace"] == 1
+
+
+class PlannerMachine(stateful.RuleBasedStateMachine):
+    """Engines that take or miss orders; planners that come and go."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = START
+        self.number = 0
+        self.engines = {
+            f"{domain}{index}": engine(f"{domain}{index}", domain)
+            for domain in ("x", "y")
+            for index in range(3)
+        }
+        self.silent_since = {}
+        self.replicas = 2
+        self.new_planner()
+
+    @stateful.rule()
+    def new_planner(self):
+        self.number += 1
+        self.planner = assembly.Planner("e1", "north")
+        self.planner.start(self.number, self.now)
+        self.now += assembly.LEARNING_TIME
+
+    @stateful.rule(replicas=strategies.integers(0, 2))
+    def configure(self, replicas):
+        self.replicas = replicas
+
+    @stateful.rule(
+        name=strategies.sampled_from(["x0", "x1", "y0", "y2"]),
+        change=strategies.sampled_from(["silent", "back", "restart", "leave"]),
+    )
+    def change_engine(self, name, change):
+        held = self.engines[name]
+        if change == "silent":
+            self.silent_since.setdefault(name, self.now)
+            return
+        self.silent_since.pop(name, None)
+        if change == "restart":
+            self.engines[name] = attrs.evolve(
+                engine(name, held.fabric_domain),
+                incarnation=held.incarnation + 1,
+            )
+        if change == "leave":
+            self.engines[name] = attrs.evolve(
+                held, state=messages.UpstreamState.LEAVING
+            )
+
+    @stateful.rule(
+        steps=strategies.integers(1, 20),
+        lost=strategies.sets(strategies.integers(0, 40), max_size=10),
+    )
+    def run(self, steps, lost):
+        sent = 0
+        for _ in range(steps):
+            self.now += STEP
+            seen = self.view()
+            for action in plan(self.planner, seen, self.now):
+                sent += 1
+                if sent not in lost:
+                    self.carry_out(action)
+            self.check()
+
+    def view(self):
+        fresh = {
+            name: item
+            for name, item in self.engines.items()
+            if name not in self.silent_since
+        }
+        return assembly.View(
+            serving_groups=[spec(self.replicas)],
+            policy=operators.Policy(name="p"),
+            fresh=fresh,
+            missing={name: self.engines[name] for name in self.silent_since},
+            silent_since=dict(self.silent_since),
+            entries=ENTRIES,
+        )
+
+    def carry_out(self, action):
+        match action:
+            case assembly.AskDrain(drain):
+                for instance in ENTRIES:
+                    reply = messages.DrainReply(
+                        drain.group, drain.fence, drain.number, instance, 0
+                    )
+                    self.planner.drain_reply(reply, self.now)
+            case assembly.SendOrder(upstream, _, order):
+                self.obey(upstream, order)
+
+    def obey(self, name, order):
+        held = self.engines[name]
+        if name in self.silent_since or order.fence < held.highest_fence:
+            return
+        held = attrs.evolve(held, highest_fence=order.fence)
+        match order:
+            case messages.JoinGroup(seat=seat):
+                held = attrs.evolve(
+                    held,
+                    seat=seat,
+                    models=["m"],
+                    state=messages.UpstreamState.SERVING,
+                )
+            case messages.ReleaseSeat():
+                if held.seat and held.seat.group == order.group:
+                    held = attrs.evolve(
+                        held, seat=None, state=messages.UpstreamState.IDLE
+                    )
+        self.engines[name] = held
+
+    def check(self):
+        """Forming groups share no member, nor with whole groups' seats."""
+        members = [
+            (name, group)
+            for group, forming in self.planner.forming_by_group.items()
+            for name in forming.members
+        ]
+        names = [name for name, _ in members]
+        assert len(names) == len(set(names))
+        whole = groups.complete_groups(list(self.view().fresh.values()))
+        for name, group in members:
+            for other in whole.values():
+                if name in other.member_names:
+                    assert other.group == group
+
+    def teardown(self):
+        """Once nothing fails, what is wanted stands."""
+        self.silent_since = {}
+        for name, held in self.engines.items():
+            if held.state is messages.UpstreamState.LEAVING:
+                self.engines[name] = attrs.evolve(
+                    engine(name, held.fabric_domain),
+                    incarnation=held.incarnation + 1,
+                )
+        for _ in range(400):
+            self.now += STEP
+            for action in plan(self.planner, self.view(), self.now):
+                self.carry_out(action)
+        whole = groups.complete_groups(list(self.engines.values()))
+        assert len(whole) == self.replicas
+
+
+PlannerMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=25, deadline=None, derandomize=True
+)
+TestPlannerMachine = PlannerMachine.TestCase
--- a/figford/tests/test_processes.py
+++ b/figford/tests/test_processes.py
@@ -1,10 +1,20 @@
 """Real processes under kills, freezes, lost disks, cuts and races."""
 
 import concurrent.futures
+import datetime
 import http.client
+import ipaddress
+import json
 import signal
+import ssl
+import urllib.error
+import urllib.request
 
 import attrs
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography import x509
 import pytest
 
 from figford import control
@@ -364,3 +374,57 @@
         lambda: book(serving, survivor, "k3").status == 200,
     )
     assert runs(service)["k3"] == 1
+
+
+def test_callers_port_speaks_tls(tmp_path):
+    key = tmp_path / "key.pem"
+    certificate = tmp_path / "certificate.pem"
+    _write_certificate(key, certificate)
+    running = deployment.Deployment(
+        tmp_path / "d",
+        ENTRIES[:1],
+        {"tls": {"key": str(key), "certificate": str(certificate)}},
+    )
+    try:
+        running.start_entries()
+        running.wait("the entry answers", lambda: running.status("entry-1"))
+        context = ssl.create_default_context(cafile=str(certificate))
+        address = running.callers_address("entry-1")
+        with urllib.request.urlopen(
+            urllib.request.Request(f"https://{address}/health"),
+            context=context,
+        ) as answer:
+            raise AssertionError(answer.status)
+    except urllib.error.HTTPError as error:
+        assert error.code == 503
+        assert json.load(error)["type"] == "urn:figford:not-ready"
+    finally:
+        running.kill_all()
+
+
+def _write_certificate(key_path, certificate_path):
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "test")])
+    now = datetime.datetime.now(datetime.timezone.utc)
+    address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .add_extension(x509.SubjectAlternativeName([address]), False)
+        .sign(key, hashes.SHA256())
+    )
+    key_path.write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    certificate_path.write_bytes(
+        certificate.public_bytes(serialization.Encoding.PEM)
+    )
