Routing by home groups, no over-commitment, first tokens in time

Ruled out: the fair queue; refused requests were not the loss, late ones were. Change: an entry has its share of a group's concurrency and borrows more only while the report leaves room for all entries doing the same; queue and admission count the time to the first token (mean and two deviations); each prefix has a home group by rendezvous hashing. The soak handed stream events to processes that had died; mended.

--- a/figford/assembly.py
+++ b/figford/assembly.py
@@ -7,6 +7,7 @@
 
 import collections
 import datetime
+import typing
 
 import attrs
 
@@ -55,6 +56,11 @@
 Action = SendOrder | AskDrain
 
 
+Decide = typing.Callable[
+    [repair.Situation, repair.Weights, repair.SilenceHistory], repair.Decision
+]
+
+
 @attrs.define
 class Forming:
     """A group whose members were ordered to join and are not all there."""
@@ -140,6 +146,7 @@
     broken_since_by_group: dict[str, datetime.timedelta] = attrs.field(
         factory=dict
     )
+    decide: Decide = repair.decide
     history: repair.SilenceHistory = attrs.field(factory=repair.SilenceHistory)
     repairs_by_kind: collections.Counter[str] = attrs.field(
         factory=collections.Counter
@@ -447,7 +454,7 @@
         weights = repair.Weights(
             view.policy.downtime_weight, view.policy.stranding_weight
         )
-        decision = repair.decide(situation, weights, self.history)
+        decision = self.decide(situation, weights, self.history)
         missing = spec.shape.instances - len(healthy)
         if isinstance(decision, repair.Wait):
             return
--- a/figford/dispatch.py
+++ b/figford/dispatch.py
@@ -19,6 +19,7 @@
 # Assumed service time of a request until some have been seen.
 FIRST_SERVICE_TIME = datetime.timedelta(seconds=2)
 SERVICE_TIME_SMOOTHING = 0.1
+FIRST_TOKEN_DEVIATIONS = 2.0
 LEAST_RETRY_AFTER = datetime.timedelta(seconds=1)
 ATTEMPTS_LIMIT = 4
 
@@ -90,6 +91,8 @@
     _active_by_request: dict[str, _Active] = attrs.field(factory=dict)
     _queue_by_model: dict[str, admission.FairQueue] = attrs.field(factory=dict)
     _service_seconds: float = FIRST_SERVICE_TIME.total_seconds()
+    _first_token_seconds: float = 0.0
+    _first_token_deviation: float = 0.0
 
     # ---- Events ---------------------------------------------------------
 
@@ -111,6 +114,18 @@
                 return effects
         return self._enqueue(active, queue, now)
 
+    def first_token(self, request: str, now: datetime.timedelta) -> None:
+        """Notes that the first token of a request arrived."""
+        active = self._active_by_request.get(request)
+        if active is None or active.attempts > 1:
+            return
+        taken = (now - active.started_at).total_seconds()
+        change = taken - self._first_token_seconds
+        self._first_token_seconds += SERVICE_TIME_SMOOTHING * change
+        self._first_token_deviation += SERVICE_TIME_SMOOTHING * (
+            abs(change) - self._first_token_deviation
+        )
+
     def ended(
         self,
         request: str,
@@ -168,7 +183,8 @@
         """Refuses what waited too long; interrupts work on broken groups."""
         effects: list[Effect] = []
         for queue in self._queue_by_model.values():
-            for waiting in queue.expired(now):
+            # One that can't have its first token in time any more is late.
+            for waiting in queue.expired(now + self._first_token_time):
                 effects.append(self._refuse_waiting(waiting, now))
         for name, active in self._active_by_request.items():
             view = active.view
@@ -242,8 +258,9 @@
             (view, self.table.load_of(view))
             for view in self._candidates(spec.name, active.tried, now)
         ]
+        capacity = routing.Capacity(spec.concurrency, self.limits.entries)
         view = self.router.choose(
-            candidates, spec.concurrency, active.request.prefix, now
+            candidates, capacity, active.request.prefix, now
         )
         if view is None:
             return []
@@ -278,7 +295,7 @@
                 )
             ]
         wait = self._expected_wait(queue, request, now)
-        if now + wait > request.deadline:
+        if now + wait + self._first_token_time > request.deadline:
             return [self._refuse_late(active, wait, now)]
         try:
             queue.push(
@@ -294,6 +311,14 @@
             return [self._refuse(active, refusal, now)]
         return []
 
+    @property
+    def _first_token_time(self) -> datetime.timedelta:
+        """Returns the time that nearly all first tokens take."""
+        seconds = self._first_token_seconds + (
+            FIRST_TOKEN_DEVIATIONS * self._first_token_deviation
+        )
+        return datetime.timedelta(seconds=seconds)
+
     def _expected_wait(
         self,
         queue: admission.FairQueue,
--- a/figford/modelcalls.py
+++ b/figford/modelcalls.py
@@ -209,6 +209,7 @@
         if first:
             seconds = (now - self.started_at).total_seconds()
             feeds.first_token.add(seconds)
+            self.gateway.dispatcher.first_token(self.request.request, now)
         else:
             seconds = (now - self.last_data_at).total_seconds()
             feeds.between_tokens.add(seconds)
--- a/figford/routing.py
+++ b/figford/routing.py
@@ -1,10 +1,15 @@
 """Which group gets a request.
 
 The score of a group is its expected work: the reported load, corrected for
-its lag by what this entry sent since, per unit of its concurrency. Of two
-random groups the better is taken, so that entries do not herd; a group
-whose cache holds the prompt's prefix is preferred while it is not busier
-than the others by more than the saving.
+its lag by what this entry sent since, per unit of its concurrency. Of a few
+random groups the best is taken, so that entries do not herd. Each prefix of
+a prompt has a home group by its hash, the same at all entries; that group
+and one whose cache is known to hold the prefix are preferred while they are
+not busier than the others by more than the saving.
+
+An entry always has its share of a group's concurrency. It goes over that
+only while the report leaves room even if all other entries have sent as
+much as this one since.
 """
 
 import collections
@@ -20,8 +25,9 @@
 # Reports lag behind; what was sent this recently is not in them yet.
 REPORT_LAG = datetime.timedelta(seconds=1)
 # A prefix hint is worth this share of a group's concurrency when fresh.
-AFFINITY_SHARE = 0.25
+AFFINITY_SHARE = 0.5
 HINT_LIFE = datetime.timedelta(seconds=120)
+SAMPLED_GROUPS = 2
 HINTS_KEPT = 20_000
 PREFIX_LENGTH_CHARACTERS = 256
 
@@ -32,6 +38,19 @@
     return xxhash.xxh64_intdigest(prefix.encode("utf-8", "surrogatepass"))
 
 
+@attrs.frozen
+class Capacity:
+    """What one group takes at a time, and how many entries share it."""
+
+    concurrency: int
+    entries: int
+
+    @property
+    def share(self) -> int:
+        """Returns what an entry may always have in progress on it."""
+        return max(1, self.concurrency // self.entries)
+
+
 @attrs.define
 class _Sent:
     """What this entry sent to one group."""
@@ -120,42 +139,84 @@
     ) -> int:
         """Returns the expected requests on a group, from all entries."""
         sent = self._sent_by_group.get((view.group, view.fence))
+        reported = load.running + load.queued
         if sent is None:
-            return load.running + load.queued
-        while sent.recent and now - sent.recent[0] > REPORT_LAG:
-            sent.recent.popleft()
-        reported = load.running + load.queued + len(sent.recent)
-        return max(sent.in_progress, reported)
+            return reported
+        return max(sent.in_progress, reported + _recent(sent, now))
+
+    def has_room(
+        self,
+        view: groups.GroupView,
+        load: messages.Load,
+        capacity: Capacity,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Returns whether this entry may send a group one more request."""
+        sent = self._sent_by_group.get((view.group, view.fence))
+        in_progress = sent.in_progress if sent else 0
+        if in_progress < capacity.share:
+            return True
+        recent = _recent(sent, now) if sent else 0
+        reported = load.running + load.queued
+        return reported + recent * capacity.entries < capacity.concurrency
 
     def choose(
         self,
         candidates: list[tuple[groups.GroupView, messages.Load]],
-        concurrency: int,
+        capacity: Capacity,
         prefix: int | None,
         now: datetime.timedelta,
     ) -> groups.GroupView | None:
         """Returns the group for a request; None where all are full."""
-        open_views = []
-        for view, load in candidates:
-            outstanding = self.outstanding(view, load, now)
-            if outstanding < concurrency:
-                open_views.append((outstanding / concurrency, view))
+        open_views = [
+            (self.outstanding(view, load, now) / capacity.concurrency, view)
+            for view, load in candidates
+            if self.has_room(view, load, capacity, now)
+        ]
         if not open_views:
             return None
-        sampled = self.rng.sample(open_views, min(2, len(open_views)))
+        sampled = self.rng.sample(
+            open_views, min(SAMPLED_GROUPS, len(open_views))
+        )
+        home = None
         if prefix is not None:
+            home = home_group(prefix, [view.group for view, _ in candidates])
             hinted = self.hints.group_of(prefix)
-            sampled += [item for item in open_views if item[1].group == hinted]
+            sampled += [
+                item for item in open_views if item[1].group in (home, hinted)
+            ]
 
         def cost(item: tuple[float, groups.GroupView]) -> tuple[float, str]:
             share, view = item
             saving = 0.0
             if prefix is not None:
                 strength = self.hints.strength(prefix, view.group, now)
-                saving = AFFINITY_SHARE * strength
+                at_home = float(view.group == home)
+                saving = AFFINITY_SHARE * max(strength, at_home)
             return share - saving, view.group
 
         chosen = min(sampled, key=cost)[1]
         if prefix is not None:
             self.hints.note(prefix, chosen.group, now)
         return chosen
+
+
+def home_group(prefix: int, names: list[str]) -> str:
+    """Returns the group that all entries prefer for a prefix.
+
+    When a group goes, only its own prefixes get another home.
+
+    >>> home_group(7, ["a", "b", "c"]) in ("a", "b", "c")
+    True
+    """
+    return max(
+        names,
+        key=lambda name: xxhash.xxh64_intdigest(f"{prefix}:{name}".encode()),
+    )
+
+
+def _recent(sent: _Sent, now: datetime.timedelta) -> int:
+    """Returns how many requests were sent too lately to be reported."""
+    while sent.recent and now - sent.recent[0] > REPORT_LAG:
+        sent.recent.popleft()
+    return len(sent.recent)
--- /dev/null
+++ b/figford/tools/experiment.py
@@ -0,0 +1,478 @@
+"""Compares repair policies on seeded traces, under a virtual clock.
+
+The planner itself runs against small fakes of one data centre's engines.
+Beside the policies stands a lower bound that knows the trace: the groups
+that could serve at each moment if every change took no time.
+"""
+
+import concurrent.futures
+import datetime
+import math
+import pathlib
+import random
+import statistics
+import typing
+
+import attrs
+import typer
+
+from figford import assembly
+from figford import leases
+from figford import membership
+from figford import messages
+from figford import operators
+from figford import repair
+from figford.tools import platform
+
+STEP_SECONDS = 0.5
+GROUP_SIZE = 4
+ORDER_SECONDS = 0.1
+JOIN_SECONDS = 1.5
+LENGTH_SECONDS = 3600.0
+STORE_GIGABYTES_PER_SECOND = 2.0
+WEIGHTS_GIGABYTES = 8.0
+PAUSE_MEDIAN_SECONDS = 5.0
+PAUSE_SIGMA = 0.9
+
+
+@attrs.frozen
+class Site:
+    """One data centre of a deployment and what its operator weighs."""
+
+    name: str
+    domains: tuple[int, ...]
+    groups: int
+    weights: repair.Weights
+
+
+SITES = (
+    Site("kioscos", (9, 8), 4, repair.Weights(downtime=10.0, stranding=0.5)),
+    Site("dawair", (9, 8), 4, repair.Weights(downtime=2.0, stranding=1.0)),
+)
+
+
+@attrs.frozen
+class Fault:
+    """An engine is away from `start` for `length` seconds."""
+
+    engine: str
+    start: float
+    length: float
+    loses_state: bool
+
+
+def always_wait(*_: object) -> repair.Decision:
+    """Baseline: never takes a spare while members may come back."""
+    return repair.Wait()
+
+
+def replace_at_once(
+    situation: repair.Situation, *_: object
+) -> repair.Decision:
+    """Baseline: takes spares as soon as there are enough."""
+    missing = situation.size - situation.healthy
+    if situation.spares >= missing:
+        return repair.Replace()
+    return repair.Wait()
+
+
+def release_at_once(*_: object) -> repair.Decision:
+    """Baseline: frees the healthy members of every broken group."""
+    return repair.Release()
+
+
+POLICIES: dict[str, tuple[assembly.Decide, float]] = {
+    "figford": (repair.decide, 1.0),
+    "always wait": (always_wait, 0.0),
+    "replace at once": (replace_at_once, 0.0),
+    "release at once": (release_at_once, 0.0),
+}
+
+
+def make_trace(site: Site, seed: int) -> list[Fault]:
+    """Returns the faults of one run, by their start."""
+    rng = random.Random(f"{site.name}-{seed}")
+    faults = []
+    for domain, count in enumerate(site.domains):
+        names = [f"{domain}-{index}" for index in range(count)]
+        for name in names:
+            faults += _engine_faults(rng, name, names)
+        faults += _domain_faults(rng, names)
+    return sorted(faults, key=lambda fault: fault.start)
+
+
+def _engine_faults(
+    rng: random.Random, name: str, names: list[str]
+) -> list[Fault]:
+    faults = []
+    at = rng.expovariate(1 / 600)
+    while at < LENGTH_SECONDS:
+        faults.append(_one_fault(rng, name, at))
+        if rng.random() < 0.2:
+            other = rng.choice(names)
+            faults.append(_one_fault(rng, other, at + rng.uniform(0, 15)))
+        at += rng.expovariate(1 / 600)
+    return faults
+
+
+def _one_fault(rng: random.Random, name: str, at: float) -> Fault:
+    kind = rng.choices(["pause", "restart", "failure"], [60, 25, 15])[0]
+    match kind:
+        case "pause":
+            length = PAUSE_MEDIAN_SECONDS * math.exp(rng.gauss(0, PAUSE_SIGMA))
+            return Fault(name, at, length, False)
+        case "restart":
+            return Fault(name, at, rng.uniform(20, 90), True)
+    return Fault(name, at, rng.uniform(300, 1500), True)
+
+
+def _domain_faults(rng: random.Random, names: list[str]) -> list[Fault]:
+    faults = []
+    at = rng.expovariate(1 / 1200)
+    while at < LENGTH_SECONDS:
+        length = rng.uniform(10, 120)
+        loses_state = rng.random() < 0.3
+        for name in names:
+            back = length + rng.uniform(0, 2)
+            faults.append(Fault(name, at, back, loses_state))
+        at += rng.expovariate(1 / 1200)
+    return faults
+
+
+@attrs.define
+class Engine:
+    """The fake of one engine."""
+
+    name: str
+    domain: str
+    away_until: float = 0.0
+    away_since: float = 0.0
+    incarnation: int = 1
+    seat: messages.Seat | None = None
+    models: list[str] = attrs.field(factory=list)
+    serving_at: float = 0.0
+    highest_fence: int = 0
+
+    def is_away(self, now: float) -> bool:
+        """Returns whether the engine is away."""
+        return now < self.away_until
+
+    def serves(self, now: float) -> bool:
+        """Returns whether the engine serves in its seat."""
+        return self.seat is not None and now >= self.serving_at
+
+    def announcement(self, now: float) -> messages.Announcement:
+        """Returns what the engine says of itself."""
+        state = messages.UpstreamState.IDLE
+        if self.seat is not None:
+            state = messages.UpstreamState.LOADING
+            if self.serves(now):
+                state = messages.UpstreamState.SERVING
+        return messages.Announcement(
+            upstream=self.name,
+            incarnation=self.incarnation,
+            sequence=1,
+            data_centre="site",
+            fabric_domain=self.domain,
+            address=self.name,
+            kind=messages.UpstreamKind.ENGINE,
+            state=state,
+            models=self.models,
+            seat=self.seat,
+            highest_fence=self.highest_fence,
+        )
+
+
+@attrs.define
+class Tally:
+    """Downtime and stranding of one run, in seconds."""
+
+    group_down: float = 0.0
+    accelerators_idle: float = 0.0
+    moves: int = 0
+
+    def cost(self, weights: repair.Weights) -> float:
+        """Returns the weighted cost."""
+        return (
+            weights.downtime * self.group_down
+            + weights.stranding * self.accelerators_idle
+        )
+
+
+@attrs.define
+class Run:
+    """One policy on one trace."""
+
+    site: Site
+    trace: list[Fault]
+    planner: assembly.Planner
+    hold_seconds: float
+    engines: dict[str, Engine] = attrs.field(factory=dict)
+    tally: Tally = attrs.field(factory=Tally)
+    store: platform.FakeWeightStore = attrs.field(
+        factory=lambda: platform.FakeWeightStore(STORE_GIGABYTES_PER_SECOND)
+    )
+    _loading_until: list[float] = attrs.field(factory=list)
+    _started: int = 0
+
+    @classmethod
+    def make(cls, site: Site, seed: int, policy: str) -> "Run":
+        """Returns a run whose groups stand at its beginning."""
+        decide, hold = POLICIES[policy]
+        planner = assembly.Planner("entry", "site", decide=decide)
+        planner.start(1, datetime.timedelta(0))
+        run = cls(site, make_trace(site, seed), planner, hold)
+        for domain, count in enumerate(site.domains):
+            for index in range(count):
+                name = f"{domain}-{index}"
+                run.engines[name] = Engine(name, f"domain-{domain}")
+        return run
+
+    def run(self) -> Tally:
+        """Runs the trace; what it takes to start up does not count."""
+        settle = 120.0
+        now = assembly.LEARNING_TIME.total_seconds()
+        while now < settle + LENGTH_SECONDS:
+            if now >= settle:
+                self._begin_faults(now - settle)
+            self._plan(now)
+            if now >= settle:
+                self._count(now)
+            now += STEP_SECONDS
+        return self.tally
+
+    def _begin_faults(self, at: float) -> None:
+        offset = 120.0
+        while self._started < len(self.trace):
+            fault = self.trace[self._started]
+            if fault.start > at:
+                return
+            self._started += 1
+            engine = self.engines[fault.engine]
+            now = at + offset
+            if not engine.is_away(now):
+                engine.away_since = now
+            engine.away_until = max(engine.away_until, now + fault.length)
+            if fault.loses_state:
+                engine.seat = None
+                engine.models = []
+                engine.incarnation += 1
+
+    def _plan(self, now: float) -> None:
+        moment = datetime.timedelta(seconds=now)
+        view = self._view(now)
+        for action in self.planner.plan(
+            view, moment + leases.DURATION, moment
+        ):
+            match action:
+                case assembly.AskDrain(drain):
+                    reply = messages.DrainReply(
+                        drain.group, drain.fence, drain.number, "entry", 0
+                    )
+                    self.planner.drain_reply(reply, moment)
+                case assembly.SendOrder(upstream, _, order):
+                    self._obey(self.engines[upstream], order, now)
+
+    def _view(self, now: float) -> assembly.View:
+        silence = membership.UPSTREAM_SILENCE.total_seconds()
+        fresh = {}
+        missing = {}
+        silent_since = {}
+        for name, engine in self.engines.items():
+            announced = engine.announcement(now)
+            if engine.is_away(now) and now - engine.away_since > silence:
+                # The last announcement is from before the loss of state.
+                missing[name] = announced
+                silent_since[name] = datetime.timedelta(
+                    seconds=engine.away_since
+                )
+            else:
+                fresh[name] = announced
+                self._note_return(engine, now)
+        return assembly.View(
+            serving_groups=[
+                operators.ServingGroup(
+                    name="chat",
+                    model="m",
+                    replicas={"site": self.site.groups},
+                    shape=operators.Replica(instances=GROUP_SIZE),
+                    weights_gigabytes=WEIGHTS_GIGABYTES,
+                )
+            ],
+            policy=operators.Policy(
+                name="p",
+                downtime_weight=self.site.weights.downtime,
+                stranding_weight=self.site.weights.stranding,
+                hold=datetime.timedelta(seconds=self.hold_seconds),
+            ),
+            fresh=fresh,
+            missing=missing,
+            silent_since=silent_since,
+            entries=frozenset({"entry"}),
+        )
+
+    def _note_return(self, engine: Engine, now: float) -> None:
+        silence = membership.UPSTREAM_SILENCE.total_seconds()
+        length = engine.away_until - engine.away_since
+        if engine.away_since and not engine.is_away(now):
+            if length > silence:
+                self.planner.history.ended(length)
+            engine.away_since = 0.0
+
+    def _obey(self, engine: Engine, order: messages.Order, now: float) -> None:
+        if engine.is_away(now) or order.fence < engine.highest_fence:
+            return
+        engine.highest_fence = order.fence
+        match order:
+            case messages.ReleaseSeat(group=group):
+                if engine.seat is not None and engine.seat.group == group:
+                    engine.seat = None
+            case messages.JoinGroup(seat=seat, model=model):
+                if engine.seat == seat:
+                    return
+                self.tally.moves += 1
+                engine.seat = seat
+                wait = JOIN_SECONDS + ORDER_SECONDS
+                if model not in engine.models:
+                    wait += self._load(now)
+                    engine.models = [model]
+                engine.serving_at = now + wait
+
+    def _load(self, now: float) -> float:
+        self._loading_until = [t for t in self._loading_until if t > now]
+        seconds = self.store.transfer_time(
+            int(WEIGHTS_GIGABYTES * 1e9), len(self._loading_until) + 1
+        ).total_seconds()
+        self._loading_until.append(now + seconds)
+        return seconds
+
+    def _count(self, now: float) -> None:
+        members: dict[tuple[str, int], int] = {}
+        present = 0
+        for engine in self.engines.values():
+            if engine.is_away(now):
+                continue
+            present += 1
+            if engine.seat is not None and engine.serves(now):
+                key = (engine.seat.group, engine.seat.fence)
+                members[key] = members.get(key, 0) + 1
+        whole = sum(count == GROUP_SIZE for count in members.values())
+        self._add(whole, present)
+
+    def _add(self, whole: int, present: int) -> None:
+        down = max(0, self.site.groups - whole)
+        self.tally.group_down += down * STEP_SECONDS
+        idle = present - whole * GROUP_SIZE
+        self.tally.accelerators_idle += idle * STEP_SECONDS
+
+    def lower_bound(self) -> Tally:
+        """Returns the tally where every change takes no time."""
+        settle = 120.0
+        now = settle
+        while now < settle + LENGTH_SECONDS:
+            self._begin_faults(now - settle)
+            present = 0
+            whole = 0
+            for domain in range(len(self.site.domains)):
+                here = sum(
+                    not engine.is_away(now)
+                    for engine in self.engines.values()
+                    if engine.domain == f"domain-{domain}"
+                )
+                present += here
+                whole += here // GROUP_SIZE
+            self._add(min(whole, self.site.groups), present)
+            now += STEP_SECONDS
+        return self.tally
+
+
+LOWER_BOUND = "lower bound"
+
+
+def one_run(job: tuple[int, int, str]) -> tuple[int, int, str, Tally]:
+    """Runs one site, seed and policy."""
+    site, seed, policy = job
+    if policy == LOWER_BOUND:
+        tally = Run.make(SITES[site], seed, "figford").lower_bound()
+    else:
+        tally = Run.make(SITES[site], seed, policy).run()
+    return site, seed, policy, tally
+
+
+def run_all(seeds: int, processes: int) -> dict[tuple[int, str], list[Tally]]:
+    """Returns the tallies by site and policy, in the order of seeds."""
+    jobs = [
+        (site, seed, policy)
+        for site in range(len(SITES))
+        for policy in [*POLICIES, LOWER_BOUND]
+        for seed in range(1, seeds + 1)
+    ]
+    found: dict[tuple[int, str], list[Tally]] = {}
+    with concurrent.futures.ProcessPoolExecutor(processes) as pool:
+        for site, _, policy, tally in pool.map(one_run, jobs):
+            found.setdefault((site, policy), []).append(tally)
+    return found
+
+
+def table(found: dict[tuple[int, str], list[Tally]]) -> list[str]:
+    """Returns the lines of the table of results."""
+    lines = [
+        "| site | policy | group-seconds down | accelerator-seconds idle"
+        " | moves | weighted cost (spread) | wins against figford |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for (site, policy), tallies in found.items():
+        weights = SITES[site].weights
+        costs = [tally.cost(weights) for tally in tallies]
+        ours = [tally.cost(weights) for tally in found[site, "figford"]]
+        wins = sum(cost < own for cost, own in zip(costs, ours))
+        lines.append(
+            f"| {SITES[site].name} | {policy}"
+            f" | {statistics.mean(t.group_down for t in tallies):.0f}"
+            f" | {statistics.mean(t.accelerators_idle for t in tallies):.0f}"
+            f" | {statistics.mean(t.moves for t in tallies):.0f}"
+            f" | {statistics.mean(costs):.0f}"
+            f" ({statistics.stdev(costs):.0f})"
+            f" | {wins} of {len(costs)} |"
+        )
+    return lines
+
+
+def plot(
+    found: dict[tuple[int, str], list[Tally]], path: pathlib.Path
+) -> None:
+    """Draws the weighted costs; needs matplotlib."""
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(1, len(SITES), figsize=(11, 4))
+    for site, axis in enumerate(axes):
+        names = [*POLICIES, LOWER_BOUND]
+        costs: list[typing.Any] = [
+            [tally.cost(SITES[site].weights) for tally in found[site, name]]
+            for name in names
+        ]
+        axis.boxplot(costs)
+        axis.set_xticks(range(1, len(names) + 1), names, rotation=20)
+        axis.set_title(f"{SITES[site].name}: weighted cost of an hour")
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def run(
+    seeds: int = 24, processes: int = 4, picture: pathlib.Path | None = None
+) -> None:
+    """Runs the comparison and prints its table."""
+    found = run_all(seeds, processes)
+    for line in table(found):
+        typer.echo(line)
+    if picture is not None:
+        plot(found, picture)
+
+
+def main() -> None:
+    """Runs the command."""
+    typer.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/figford/tools/soaking/entries.py
+++ b/figford/tools/soaking/entries.py
@@ -92,6 +92,35 @@
         """Does nothing."""
 
 
+@attrs.define(eq=False)
+class LifeReceiver:
+    """Hands stream events to a process while that very process lives.
+
+    A frozen process gets them on waking.
+    """
+
+    entry: "SoakEntry"
+    life: int
+    attempt: FakeAttempt
+    receiver: upstreams.StreamReceiver
+
+    def stream_data(self, data: bytes) -> None:
+        """Passes bytes on."""
+        self._run(lambda: self.receiver.stream_data(data))
+
+    def stream_ended(self, error: errors.FigfordError | None) -> None:
+        """Passes the end on."""
+        self._run(lambda: self.receiver.stream_ended(error))
+
+    def _run(self, action: typing.Callable[[], None]) -> None:
+        def guarded() -> None:
+            if not self.attempt.cancelled:
+                action()
+
+        if self.entry.life == self.life:
+            self.entry.run(guarded)
+
+
 @attrs.define(eq=False)
 class FakeClient:
     """Stands in for the HTTP client of an entry."""
--- a/figford/tools/soaking/world.py
+++ b/figford/tools/soaking/world.py
@@ -336,11 +336,12 @@
         fence = int(headers[b"figford-fence"])
         self._check_members(group, fence, entry)
         self.clock.note(entry.name, "stream", group, fence)
+        alive = entries.LifeReceiver(entry, entry.life, attempt, receiver)
         stream = fakes.FakeStream(
             headers[b"figford-request"].decode(),
             json.loads(body)["prompt"],
             int(headers[b"figford-resume-from"]),
-            receiver,
+            alive,
         )
         attempt.stream = stream
 
@@ -353,7 +354,7 @@
                 failure: errors.FigfordError = upstreams.NothingSentError("no")
             else:
                 failure = upstreams.NothingSentError("not reached")
-            entry.run(lambda: receiver.stream_ended(failure))
+            alive.stream_ended(failure)
 
         self.clock.after(self.clock.jitter(0.001, 0.02), arrive)
         return attempt
--- /dev/null
+++ b/figford/tools/traffic.py
@@ -0,0 +1,440 @@
+"""Measures routing and limits on seeded traffic under a virtual clock.
+
+Several entries with the real dispatcher stand before fakes of groups that
+batch continuously, cache prompt prefixes in limited memory and report
+their load with a lag.
+"""
+
+import collections
+import datetime
+import random
+import typing
+
+import attrs
+import typer
+
+from figford import dispatch
+from figford import groups
+from figford import membership
+from figford import messages
+from figford import operators
+from figford import routing
+from figford.tools import load
+from figford.tools.soaking import schedule
+
+ENTRIES = 6
+GROUPS = 12
+CONCURRENCY = 16
+REPORT_EVERY = 1.0
+PREFILL_SECONDS = 0.4
+CACHED_PREFILL_SECONDS = 0.06
+TOKEN_SECONDS = 0.02
+MEAN_TOKENS = 100
+CACHED_PREFIXES = 24
+PREFIXES = 200
+PREFIX_SKEW = 0.8
+FIRST_TOKEN_TIMEOUT = 2.0
+TICK = 0.25
+
+
+class RoundRobin(routing.Router):
+    """Baseline: takes the groups in turn."""
+
+    turn = 0
+
+    def choose(self, candidates, capacity, prefix, now):
+        """Returns the next group, full or not."""
+        if not candidates:
+            return None
+        self.turn += 1
+        return candidates[self.turn % len(candidates)][0]
+
+
+class LeastOutstanding(routing.Router):
+    """Baseline: takes the group with the fewest own requests."""
+
+    def choose(self, candidates, capacity, prefix, now):
+        """Returns the group with the fewest requests of this entry."""
+        if not candidates:
+            return None
+        return min(
+            (view for view, _ in candidates),
+            key=lambda view: (
+                self.in_progress(view.group, view.fence),
+                self.rng.random(),
+            ),
+        )
+
+
+def make_router(kind: str, rng: random.Random) -> routing.Router:
+    """Returns a router by the name of its policy."""
+    return {
+        "figford": routing.Router,
+        "round robin": RoundRobin,
+        "least outstanding": LeastOutstanding,
+    }[kind](rng)
+
+
+@attrs.define(eq=False)
+class Group:
+    """The fake of one group."""
+
+    name: str
+    clock: schedule.Schedule
+    running: int = 0
+    sequence: int = 0
+    alive: bool = True
+    served: int = 0
+    hits: int = 0
+    busy_seconds: float = 0.0
+    waiting: collections.deque = attrs.field(factory=collections.deque)
+    cached: collections.OrderedDict[int, None] = attrs.field(
+        factory=collections.OrderedDict
+    )
+
+    def take(
+        self,
+        prefix: int,
+        tokens: int,
+        first: typing.Callable[[], None],
+        done: typing.Callable[[], None],
+    ) -> None:
+        """Serves a request when the batch has room."""
+        self.waiting.append((prefix, tokens, first, done))
+        self._fill()
+
+    def _fill(self) -> None:
+        while self.waiting and self.running < CONCURRENCY:
+            prefix, tokens, first, done = self.waiting.popleft()
+            self.running += 1
+            prefill = self._prefill(prefix)
+            whole = prefill + tokens * TOKEN_SECONDS
+            self.busy_seconds += whole
+            self.clock.after(schedule.seconds(prefill), first)
+            self.clock.after(
+                schedule.seconds(whole), lambda d=done: self._end(d)
+            )
+
+    def _prefill(self, prefix: int) -> float:
+        self.served += 1
+        hit = prefix in self.cached
+        self.cached[prefix] = None
+        self.cached.move_to_end(prefix)
+        if len(self.cached) > CACHED_PREFIXES:
+            self.cached.popitem(last=False)
+        self.hits += hit
+        # A batch that is fuller takes longer to prefill.
+        crowding = 1 + self.running / CONCURRENCY
+        base = CACHED_PREFILL_SECONDS if hit else PREFILL_SECONDS
+        return base * crowding
+
+    def _end(self, done: typing.Callable[[], None]) -> None:
+        self.running -= 1
+        done()
+        self._fill()
+
+    def announcement(self) -> messages.Announcement:
+        """Returns what the group's first member says of itself."""
+        self.sequence += 1
+        return messages.Announcement(
+            upstream=self.name,
+            incarnation=1,
+            sequence=self.sequence,
+            data_centre="site",
+            fabric_domain="f",
+            address=self.name,
+            kind=messages.UpstreamKind.ENGINE,
+            state=messages.UpstreamState.SERVING,
+            seat=messages.Seat(self.name, "chat", 1, 0, 1),
+            load=messages.Load(running=self.running, queued=len(self.waiting)),
+        )
+
+
+SPEC = operators.ServingGroup(
+    name="chat",
+    model="m",
+    replicas={"site": GROUPS},
+    shape=operators.Replica(instances=1),
+    concurrency=CONCURRENCY,
+)
+
+
+def make_account(name: str, share: float) -> operators.ClientAccount:
+    """Returns an account with a share of the whole capacity."""
+    rate = capacity() * share
+    return operators.ClientAccount(
+        name=name,
+        key_digest=name,
+        limits=operators.Limits(
+            requests_per_second=rate * 2,
+            burst=max(1, int(rate * 4)),
+            concurrency=max(
+                ENTRIES, int(GROUPS * CONCURRENCY * share * 3) + 1
+            ),
+        ),
+    )
+
+
+def capacity() -> float:
+    """Returns the requests a second that all groups can serve."""
+    whole = PREFILL_SECONDS + MEAN_TOKENS * TOKEN_SECONDS
+    return GROUPS * CONCURRENCY / whole
+
+
+@attrs.define
+class Tally:
+    """What one run measured."""
+
+    first_token: load.Sample = attrs.field(factory=load.Sample)
+    offered: int = 0
+    good: int = 0
+    refused: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+    good_by_account: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+    offered_by_account: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+
+
+@attrs.define(eq=False)
+class Traffic:
+    """One run: entries, groups and callers."""
+
+    seed: int
+    router: str
+    rate: float
+    accounts: dict[str, float]
+    lost_groups: int = 0
+    tally: Tally = attrs.field(factory=Tally)
+    clock: schedule.Schedule = attrs.field(init=False)
+    fakes: list[Group] = attrs.field(init=False)
+    dispatchers: list[dispatch.Dispatcher] = attrs.field(init=False)
+    _started_at: dict[str, datetime.timedelta] = attrs.field(factory=dict)
+    _call: dict[str, tuple[int, int, str]] = attrs.field(factory=dict)
+    _number: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Makes entries and groups."""
+        self.clock = schedule.Schedule(random.Random(self.seed))
+        self.fakes = [
+            Group(f"g{index}", self.clock) for index in range(GROUPS)
+        ]
+        self.dispatchers = [
+            self._dispatcher(index) for index in range(ENTRIES)
+        ]
+        self._report()
+        self._tick()
+
+    def _dispatcher(self, index: int) -> dispatch.Dispatcher:
+        rng = random.Random(self.seed * 100 + index)
+        made = dispatch.Dispatcher(
+            groups.GroupTable(membership.UpstreamTable("site")),
+            make_router(self.router, rng),
+        )
+        made.limits.entries = ENTRIES
+        return made
+
+    def _report(self) -> None:
+        for group in self.fakes:
+            if not group.alive:
+                continue
+            announcement = group.announcement()
+            for dispatcher in self.dispatchers:
+                dispatcher.table.upstreams.announce(
+                    announcement, self.clock.now(), False
+                )
+        self.clock.after(schedule.seconds(REPORT_EVERY), self._report)
+
+    def _tick(self) -> None:
+        for dispatcher in self.dispatchers:
+            self._carry_out(dispatcher, dispatcher.tick(self.clock.now()))
+        self.clock.after(schedule.seconds(TICK), self._tick)
+
+    def run(self, seconds: float) -> Tally:
+        """Runs the traffic; the first tenth warms up and is not counted."""
+        end = self.clock.now() + schedule.seconds(seconds)
+        self.clock.after(schedule.seconds(seconds * 0.1), self._lose_groups)
+        self._arrive()
+        while self.clock.now() < end:
+            self.clock.step()
+        return self.tally
+
+    def _lose_groups(self) -> None:
+        for group in self.fakes[: self.lost_groups]:
+            group.alive = False
+
+    def _arrive(self) -> None:
+        rng = self.clock.rng
+        self.clock.after(
+            schedule.seconds(rng.expovariate(self.rate)), self._arrive
+        )
+        account = rng.choices(
+            list(self.accounts), list(self.accounts.values())
+        )[0]
+        share = 1 / len(self.accounts)
+        dispatcher = rng.choice(self.dispatchers)
+        self._number += 1
+        name = f"r{self._number}"
+        prefix = int(PREFIXES * rng.random() ** (1 / (1 - PREFIX_SKEW)))
+        now = self.clock.now()
+        self._call[name] = (prefix, _tokens(rng), account)
+        self._started_at[name] = now
+        self.tally.offered += 1
+        self.tally.offered_by_account[account] += 1
+        request = dispatch.ModelRequest(
+            name,
+            make_account(account, share),
+            operators.RequestClass.CHAT,
+            SPEC,
+            prefix,
+            now + schedule.seconds(FIRST_TOKEN_TIMEOUT),
+        )
+        self._carry_out(dispatcher, dispatcher.submit(request, now))
+
+    def _carry_out(
+        self, dispatcher: dispatch.Dispatcher, todo: list[dispatch.Effect]
+    ) -> None:
+        for effect in todo:
+            match effect:
+                case dispatch.Start(name, view):
+                    self._start(dispatcher, name, view)
+                case dispatch.Refuse(_, refusal):
+                    self.tally.refused[refusal.kind] += 1
+                case dispatch.Interrupt(name):
+                    again = dispatcher.retry(
+                        name, True, True, self.clock.now()
+                    )
+                    self._carry_out(dispatcher, again)
+
+    def _start(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        name: str,
+        view: groups.GroupView,
+    ) -> None:
+        group = next(g for g in self.fakes if g.name == view.group)
+        prefix, tokens, account = self._call[name]
+
+        def current() -> bool:
+            return group.alive and dispatcher.view_of(name) is view
+
+        def first() -> None:
+            if not current():
+                return
+            dispatcher.first_token(name, self.clock.now())
+            waited = (
+                self.clock.now() - self._started_at[name]
+            ).total_seconds()
+            self.tally.first_token.values.append(waited)
+            if waited <= FIRST_TOKEN_TIMEOUT:
+                self.tally.good += 1
+                self.tally.good_by_account[account] += 1
+
+        def done() -> None:
+            if current():
+                now = self.clock.now()
+                self._carry_out(
+                    dispatcher, dispatcher.ended(name, tokens, True, now)
+                )
+
+        group.take(prefix, tokens, first, done)
+
+
+def _tokens(rng: random.Random) -> int:
+    return max(1, int(rng.expovariate(1 / MEAN_TOKENS)))
+
+
+def imbalance(values: list[float]) -> float:
+    """Returns the largest value over the mean.
+
+    >>> imbalance([1.0, 1.0, 4.0])
+    2.0
+    """
+    return max(values) / (sum(values) / len(values))
+
+
+def show_routing(seeds: int, seconds: float) -> None:
+    """Prints the comparison of routers at 70 % of capacity."""
+    typer.echo(
+        "| router | first token p50 s | p95 s | prefix hits"
+        " | imbalance | refused |"
+    )
+    typer.echo("| --- | --- | --- | --- | --- | --- |")
+    for router in ("figford", "round robin", "least outstanding"):
+        first = load.Sample()
+        hits = served = refused = offered = 0
+        spread = []
+        for seed in range(1, seeds + 1):
+            accounts = {f"a{i}": 1.0 for i in range(10)}
+            traffic = Traffic(seed, router, capacity() * 0.7, accounts)
+            tally = traffic.run(seconds)
+            first.values += tally.first_token.values
+            hits += sum(group.hits for group in traffic.fakes)
+            served += sum(group.served for group in traffic.fakes)
+            refused += sum(tally.refused.values())
+            offered += tally.offered
+            spread.append(
+                imbalance([group.busy_seconds for group in traffic.fakes])
+            )
+        typer.echo(
+            f"| {router} | {first.percentile(50):.3f}"
+            f" | {first.percentile(95):.3f} | {hits / served:.0%}"
+            f" | {sum(spread) / len(spread):.2f}"
+            f" | {refused / offered:.1%} |"
+        )
+
+
+def show_limits(seconds: float) -> None:
+    """Prints goodput under overload, a greedy account and lost groups."""
+    even = {f"a{i}": 1.0 for i in range(10)}
+    greedy = {**even, "a0": 10.0}
+    cases = [
+        ("1x of capacity", 1.0, even, 0),
+        ("2x of capacity", 2.0, even, 0),
+        ("4x of capacity", 4.0, even, 0),
+        ("one account at ten times its share", 1.9, greedy, 0),
+        ("half the groups lost, 1x", 1.0, even, GROUPS // 2),
+    ]
+    typer.echo(
+        "| case | offered/s | good/s | first token p95 s | refused"
+        " | good share of the small accounts | of a0 |"
+    )
+    typer.echo("| --- | --- | --- | --- | --- | --- | --- |")
+    for title, factor, accounts, lost in cases:
+        traffic = Traffic(
+            1, "figford", capacity() * factor, accounts, lost_groups=lost
+        )
+        tally = traffic.run(seconds)
+        small = [name for name in accounts if name != "a0"]
+        good = sum(tally.good_by_account[name] for name in small)
+        offered = sum(tally.offered_by_account[name] for name in small)
+        own = tally.good_by_account["a0"] / tally.offered_by_account["a0"]
+        kinds = ", ".join(
+            f"{kind} {count / tally.offered:.0%}"
+            for kind, count in sorted(tally.refused.items())
+        )
+        typer.echo(
+            f"| {title} | {tally.offered / seconds:.0f}"
+            f" | {tally.good / seconds:.0f}"
+            f" | {tally.first_token.percentile(95):.2f}"
+            f" | {kinds or '-'} | {good / offered:.0%} | {own:.0%} |"
+        )
+
+
+def run(seeds: int = 5, seconds: float = 120.0) -> None:
+    """Prints both comparisons."""
+    typer.echo(f"capacity without cache hits: {capacity():.0f} requests/s")
+    show_routing(seeds, seconds)
+    show_limits(seconds)
+
+
+def main() -> None:
+    """Runs the command."""
+    typer.run(run)
+
+
+if __name__ == "__main__":
+    main()
