Shorter heartbeats between entries; slopes for the target's size

Cause: worked out at the target's size an entry had 58.0 kB/s of control traffic against a bound of 17: 143 bytes a beat of an upstream, 178 bytes a heartbeat of an entry, most of them field names. Ruled out: fewer heartbeats, which would lengthen the time in which a broken group is still sent work.

--- a/figford/codec.py
+++ b/figford/codec.py
@@ -4,6 +4,7 @@
 import types
 import typing
 
+import attrs
 import cattrs
 from cattrs.preconf import cbor2 as preconf
 from cattrs.preconf import json as json_preconf
@@ -40,6 +41,10 @@
         datetime.timedelta,
         lambda value, _: datetime.timedelta(microseconds=value),
     )
+    # These make up most of the traffic, so their field names are left out.
+    for kind in (messages.Beat, messages.Load, messages.PeerState):
+        converter.register_unstructure_hook(kind, _as_list)
+        converter.register_structure_hook(kind, _list_reader(converter))
     for union in _tagged_unions():
         strategies.configure_tagged_union(
             union, converter, tag_name="_", tag_generator=_tag
@@ -47,6 +52,34 @@
     return converter
 
 
+def _as_list(value: typing.Any) -> list:
+    return [
+        _as_list(item) if attrs.has(type(item)) else item
+        for item in (
+            getattr(value, field.name) for field in attrs.fields(type(value))
+        )
+    ]
+
+
+def _list_reader(
+    converter: cattrs.Converter,
+) -> typing.Callable[[typing.Any, type], typing.Any]:
+    def read(values: typing.Any, kind: type) -> typing.Any:
+        fields = attrs.fields(kind)
+        if not isinstance(values, list) or len(values) != len(fields):
+            raise errors.MessageError(f"not the fields of {kind.__name__}")
+        parts = []
+        for value, field in zip(values, fields):
+            if attrs.has(field.type):
+                value = converter.structure(value, field.type)
+            elif type(value) is not field.type:
+                raise errors.MessageError(f"not a {kind.__name__}")
+            parts.append(value)
+        return kind(*parts)
+
+    return read
+
+
 def _tag(kind: type) -> str:
     return kind.__name__
 
--- a/figford/membership.py
+++ b/figford/membership.py
@@ -103,6 +103,23 @@
             known.heard_at = None
         return True
 
+    def pulse(
+        self, instance: str, state: messages.PeerState, now: datetime.timedelta
+    ) -> messages.Peer | None:
+        """Notes a heartbeat; returns what it makes of the peer."""
+        known = self.by_instance.get(instance)
+        if known is None:
+            return None
+        peer = attrs.evolve(
+            known.peer,
+            sequence=state.sequence,
+            version=state.version,
+            draining=state.draining,
+            hears_quorum=state.hears_quorum,
+        )
+        self.heard(peer, now)
+        return peer
+
     def heard(self, peer: messages.Peer, now: datetime.timedelta) -> bool:
         """Notes a message that came from the peer itself."""
         fresh = self.update(peer)
--- a/figford/messages.py
+++ b/figford/messages.py
@@ -493,6 +493,23 @@
     peers: list[Peer]
 
 
+@attrs.frozen
+class PeerState:
+    """What changes of a Peer while its process lives."""
+
+    sequence: int
+    version: int
+    draining: bool
+    hears_quorum: bool
+
+
+@attrs.frozen
+class Pulse:
+    """An entry's heartbeat on a link."""
+
+    now: PeerState
+
+
 @attrs.frozen
 class Announcements:
     """Announcements and beats that the sender passes on.
@@ -597,6 +614,7 @@
     | Proposal
     | ProposalResult
     | Peers
+    | Pulse
     | Announcements
     | AnnouncementQuery
     | ConfigurationView
--- a/figford/node.py
+++ b/figford/node.py
@@ -232,6 +232,9 @@
         match message:
             case messages.Peers():
                 return self._on_peers(instance, message, now)
+            case messages.Pulse(state):
+                pulsing = self.peers.pulse(instance, state, now)
+                return self._pull_from(pulsing, now) if pulsing else []
             case messages.Announcements():
                 return self._on_announcements(instance, message, now)
             case messages.AnnouncementQuery(names):
@@ -295,7 +298,13 @@
                 self.control is not None and self.control.hears_quorum(now)
             ),
         )
-        return self._tell_others(messages.Peers([self.me]), None)
+        state = messages.PeerState(
+            self.me.sequence,
+            self.me.version,
+            self.me.draining,
+            self.me.hears_quorum,
+        )
+        return self._tell_others(messages.Pulse(state), None)
 
     def _tell_others(
         self, message: messages.PeerMessage, but: str | None
--- /dev/null
+++ b/figford/tools/capacity.py
@@ -0,0 +1,712 @@
+"""Measures slopes on this machine and works out the target's load.
+
+Every slope is fitted by least squares over at least four points; the
+tables beside the target's bounds use nothing but these slopes.
+"""
+
+import datetime
+import gc
+import json
+import pathlib
+import random
+import tempfile
+import time
+import tracemalloc
+import typing
+
+import attrs
+import typer
+
+from figford import agreement
+from figford import codec
+from figford import control
+from figford import follower
+from figford import groups
+from figford import ledger
+from figford import membership
+from figford import messages
+from figford import node
+from figford import operators
+from figford import planning
+from figford import routing
+from figford import store
+
+# ---- The target ---------------------------------------------------------
+
+ENTRIES = 360
+UPSTREAMS = 2_000
+DATA_CENTRES = 13
+GROUP_SIZE = 4
+VOTERS = 7
+CHANGES_PER_DAY = 10_000
+REQUESTS_PER_SECOND = 1_700
+TOKENS_PER_SECOND = 600_000
+CORE_BOUND_PERCENT = 2.8
+MEMORY_BOUND_MB = 64.0
+TRAFFIC_BOUND_KB = 17.0
+SECONDS_PER_DAY = 86_400
+ENTRIES_PER_DATA_CENTRE = -(-ENTRIES // DATA_CENTRES)
+UPSTREAMS_PER_DATA_CENTRE = -(-UPSTREAMS // DATA_CENTRES)
+GROUPS_PER_DATA_CENTRE = UPSTREAMS_PER_DATA_CENTRE // GROUP_SIZE
+LINKS_PER_ENTRY = ENTRIES_PER_DATA_CENTRE - 1 + DATA_CENTRES - 1 + 2
+CLIENT_ACCOUNTS = 300
+
+SECOND = datetime.timedelta(seconds=1)
+MICRO = 1e6
+
+
+@attrs.frozen
+class Slope:
+    """A straight line through measured points."""
+
+    name: str
+    unit: str
+    points: tuple[tuple[float, float], ...]
+    per_item: float
+    fixed: float
+    fit: float
+
+    def at(self, count: float) -> float:
+        """Returns the value of the line."""
+        return self.fixed + self.per_item * count
+
+    def row(self) -> str:
+        """Returns a row of the table of slopes."""
+        points = ", ".join(f"{x:g}: {y:.4g}" for x, y in self.points)
+        return (
+            f"| {self.name} | {self.unit} | {points} | {self.per_item:.4g}"
+            f" | {self.fixed:.4g} | {self.fit:.3f} |"
+        )
+
+
+def fit(name: str, unit: str, points: list[tuple[float, float]]) -> Slope:
+    """Returns the least-squares line through at least four points.
+
+    >>> round(fit("x", "y", [(1, 3), (2, 5), (3, 7), (4, 9)]).per_item, 6)
+    2.0
+    """
+    if len(points) < 4:
+        raise AssertionError("a slope needs four points")
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    both = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    per_item = both / spread
+    fixed = mean_y - per_item * mean_x
+    total = sum((y - mean_y) ** 2 for _, y in points)
+    left = sum((y - fixed - per_item * x) ** 2 for x, y in points)
+    quality = 1 - left / total if total else 1.0
+    return Slope(name, unit, tuple(points), per_item, fixed, quality)
+
+
+def cpu_micros(action: typing.Callable[[], object], repeats: int) -> float:
+    """Returns the least processor time of one call, in microseconds."""
+    best = None
+    for _ in range(5):
+        began = time.process_time()
+        for _ in range(repeats):
+            action()
+        taken = (time.process_time() - began) / repeats * MICRO
+        best = taken if best is None else min(best, taken)
+    return best or 0.0
+
+
+def allocated_kilobytes(make: typing.Callable[[], object]) -> float:
+    """Returns what an object and all that it holds take, in kilobytes."""
+    gc.collect()
+    tracemalloc.start()
+    kept = make()
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return size / 1000
+
+
+# ---- Things to measure on ------------------------------------------------
+
+
+def announcement(index: int, sequence: int) -> messages.Announcement:
+    """Returns the announcement of an upstream in a whole group."""
+    group, rank = divmod(index, GROUP_SIZE)
+    return messages.Announcement(
+        upstream=f"worker-{index:05}",
+        incarnation=1_790_000_000_000,
+        sequence=sequence,
+        data_centre="dc01",
+        fabric_domain=f"fabric-{index // 32}",
+        address=f"10.1.{index // 250}.{index % 250}:9000",
+        kind=messages.UpstreamKind.ENGINE,
+        state=messages.UpstreamState.SERVING,
+        models=["parque-70b"],
+        seat=messages.Seat(
+            f"chat.dc01.{group}", "chat", 17_000_000 + group, rank, GROUP_SIZE
+        ),
+        load=messages.Load(running=sequence % 32, step_microseconds=20_000),
+        clock_ms=1_000_000 + sequence * 1000,
+    )
+
+
+PULSE = messages.Pulse(messages.PeerState(1_000_000, 100_000, False, True))
+
+
+def peer_name(index: int) -> str:
+    """Returns the name of an entry."""
+    return f"entry-{index:04}"
+
+
+def peer(index: int, data_centre: int = 1) -> messages.Peer:
+    """Returns what an entry says of itself."""
+    return messages.Peer(
+        peer_name(index),
+        1_790_000_000_000,
+        1,
+        f"dc{data_centre:02}",
+        f"10.2.{index // 250}.{index % 250}:8081",
+        f"10.2.{index // 250}.{index % 250}:8080",
+        None,
+        100,
+    )
+
+
+def document(items: int) -> dict:
+    """Returns a configuration of client accounts and serving groups."""
+    accounts = [
+        operators.ClientAccount(
+            name=f"account-{index}",
+            key_digest=operators.key_digest(f"key-{index}"),
+        )
+        for index in range(items)
+    ]
+    return operators.Configuration(
+        serving_groups=[
+            operators.ServingGroup(
+                name="chat",
+                model="parque-70b",
+                replicas={"dc01": GROUPS_PER_DATA_CENTRE},
+                shape=operators.Replica(instances=GROUP_SIZE),
+            )
+        ],
+        client_accounts=accounts,
+        routing_rules=[
+            operators.RoutingRule(
+                name="all",
+                accounts=[account.name for account in accounts],
+                models=["chat"],
+            )
+        ],
+        data_centres=[
+            operators.DataCentre(name="dc01", entries=["entry-0001"])
+        ],
+    ).to_document()
+
+
+def table_of(upstreams: int) -> membership.UpstreamTable:
+    """Returns a table that knows this many upstreams."""
+    table = membership.UpstreamTable("dc01")
+    for index in range(upstreams):
+        table.announce(announcement(index, 1), SECOND, True)
+    return table
+
+
+# ---- Slopes ---------------------------------------------------------------
+
+
+def beat_batch(upstreams: int, sequence: int) -> messages.Announcements:
+    """Returns one second's beats of this many upstreams."""
+    table = table_of(upstreams)
+    table.take_batch(SECOND)
+    for index in range(upstreams):
+        table.announce(announcement(index, sequence), SECOND * 2, True)
+    batch = table.take_batch(SECOND * 3)
+    if batch is None:
+        raise AssertionError("no beats are due")
+    return batch
+
+
+UPSTREAM_POINTS = (40, 80, 160, 320)
+
+
+def beats_cpu() -> Slope:
+    """Measures a second's beats of a data centre, as received."""
+    points = []
+    for count in UPSTREAM_POINTS:
+        data = codec.encode(beat_batch(count, 2), messages.PeerMessage)
+        table = table_of(count)
+
+        def receive(table: typing.Any = table, data: bytes = data) -> None:
+            message = codec.decode(data, messages.PeerMessage)
+            for beat in message.beats:
+                known = table.by_name[beat.upstream]
+                known.announcement = attrs.evolve(
+                    known.announcement, sequence=1
+                )
+                table.beat(beat, SECOND * 3)
+
+        points.append((float(count), cpu_micros(receive, 5)))
+    return fit("beats received", "us/s by upstreams", points)
+
+
+def beats_bytes() -> Slope:
+    """Measures the bytes of a second's beats."""
+    points = [
+        (
+            float(count),
+            float(
+                len(codec.encode(beat_batch(count, 2), messages.PeerMessage))
+            ),
+        )
+        for count in UPSTREAM_POINTS
+    ]
+    return fit("beats received", "bytes/s by upstreams", points)
+
+
+def first_hand_cpu() -> Slope:
+    """Measures announcements that upstreams post to this entry."""
+    points = []
+    for count in (2, 4, 8, 16):
+        table = table_of(count)
+        texts = [
+            json.dumps(
+                codec.to_plain(announcement(index, 2), messages.Announcement)
+            )
+            for index in range(count)
+        ]
+
+        def receive(table: typing.Any = table, texts: list = texts) -> None:
+            for text in texts:
+                item = codec.from_plain(
+                    json.loads(text), messages.Announcement
+                )
+                known = table.by_name[item.upstream]
+                known.announcement = attrs.evolve(
+                    known.announcement, sequence=1
+                )
+                table.announce(item, SECOND * 3, True)
+            table.take_batch(SECOND * 60)
+
+        points.append((float(count), cpu_micros(receive, 20)))
+    return fit("announcements taken", "us/s by upstreams", points)
+
+
+def heartbeat_cpu() -> Slope:
+    """Measures a second's heartbeats of linked peers, as received."""
+    points = []
+    for count in (7, 14, 28, 56):
+        table = membership.PeerTable(peer(0))
+        datas = [
+            codec.encode(PULSE, messages.PeerMessage) for _ in range(count)
+        ]
+        for index in range(count):
+            table.update(peer(index + 1))
+
+        def receive(table: typing.Any = table, datas: list = datas) -> None:
+            for index, data in enumerate(datas):
+                message = codec.decode(data, messages.PeerMessage)
+                table.pulse(peer_name(index + 1), message.now, SECOND)
+
+        points.append((float(count), cpu_micros(receive, 20)))
+    return fit("heartbeats received", "us/s by links", points)
+
+
+def heartbeat_bytes() -> float:
+    """Returns the bytes of one heartbeat."""
+    return len(codec.encode(PULSE, messages.PeerMessage))
+
+
+def tick_cpu() -> Slope:
+    """Measures the second's ticks of an entry that knows peers."""
+    points = []
+    for count in (30, 90, 180, 360):
+        table = membership.PeerTable(peer(0))
+        for index in range(1, count):
+            table.heard(peer(index, index % DATA_CENTRES + 1), SECOND)
+        made = node.Node(table, random.Random(1), SECOND)
+        made.follower.offer(messages.ConfigurationView(1, document(10)))
+        now = SECOND * 2
+
+        def second(made: typing.Any = made) -> None:
+            for _ in range(20):
+                made.tick(now)
+
+        points.append((float(count), cpu_micros(second, 3)))
+    return fit("ticks", "us/s by known entries", points)
+
+
+def plan_cpu() -> Slope:
+    """Measures a second of planning."""
+    points = []
+    configuration = operators.Configuration.from_document(document(10))
+    for count in UPSTREAM_POINTS:
+        table = table_of(count)
+        made = planning.Planning("e", 1, "dc01", random.Random(1), SECOND)
+        made.planner.start(1, SECOND * 0)
+        now = SECOND * 3.5
+
+        def second(made: typing.Any = made, table: typing.Any = table) -> None:
+            for _ in range(4):
+                view = planning.make_view(
+                    configuration, table, frozenset({"e"}), now
+                )
+                made.planner.plan(view, now * 2, now)
+
+        points.append((float(count), cpu_micros(second, 3)))
+    return fit("planning", "us/s by upstreams", points)
+
+
+def choice_cpu() -> Slope:
+    """Measures the choice of a group for one request."""
+    points = []
+    for count in (5, 10, 20, 40):
+        table = groups.GroupTable(table_of(count * GROUP_SIZE))
+        router = routing.Router(random.Random(1))
+        capacity = routing.Capacity(32, ENTRIES_PER_DATA_CENTRE)
+
+        def choose(table: typing.Any = table) -> None:
+            views = [
+                (view, table.load_of(view))
+                for view in table.by_group(SECOND * 2).values()
+            ]
+            router.choose(views, capacity, 7, SECOND * 2)
+
+        points.append((float(count), cpu_micros(choose, 200)))
+    return fit("choice of a group", "us/request by groups", points)
+
+
+def regroup_cpu() -> Slope:
+    """Measures finding the complete groups again after a change."""
+    points = []
+    for count in UPSTREAM_POINTS:
+        fresh = table_of(count).fresh(SECOND * 2)
+        points.append(
+            (
+                float(count),
+                cpu_micros(lambda f=fresh: groups.complete_groups(f), 5),
+            )
+        )
+    return fit("complete groups", "us/change by upstreams", points)
+
+
+CONFIGURATION_POINTS = (50, 100, 200, 400)
+
+
+def delta_cpu() -> Slope:
+    """Measures taking one change of configuration into force."""
+    points = []
+    for count in CONFIGURATION_POINTS:
+        old = document(count)
+        delta = _one_change(old)
+
+        def take(old: dict = old, delta: typing.Any = delta) -> None:
+            made = follower.ConfigurationFollower()
+            made.view = messages.ConfigurationView(1, old)
+            made.offer_delta(delta)
+            operators.Configuration.from_document(made.view.document)
+
+        points.append((float(count), cpu_micros(take, 2)))
+    return fit("change taken", "us/change by accounts", points)
+
+
+def _one_change(old: dict) -> messages.ConfigurationDelta:
+    changed = dict(old["client_accounts"]["account-1"], weight=2.0)
+    return messages.ConfigurationDelta(
+        1, 2, {"client_accounts": {"account-1": changed}}
+    )
+
+
+def delta_bytes() -> float:
+    """Returns the bytes of one change on a link."""
+    return len(codec.encode(_one_change(document(10)), messages.PeerMessage))
+
+
+def document_bytes() -> Slope:
+    """Measures the size of a whole configuration."""
+    points = [
+        (
+            float(count),
+            float(
+                len(
+                    codec.encode(
+                        messages.ConfigurationView(1, document(count)),
+                        messages.PeerMessage,
+                    )
+                )
+            ),
+        )
+        for count in CONFIGURATION_POINTS
+    ]
+    return fit("whole configuration", "bytes by accounts", points)
+
+
+@attrs.define
+class _Cluster:
+    """Voters joined in memory, for the cost of commits."""
+
+    members: dict[str, agreement.Agreement]
+    sent_bytes: int = 0
+
+    @classmethod
+    def make(cls, count: int) -> "_Cluster":
+        voters = [f"v{index}" for index in range(count)]
+        records = control.founding_records(voters[0])
+        first = messages.Entry(1, 1, SECOND * 0, messages.VoterChange(voters))
+        records[-1] = messages.Appended([first])
+        members = {}
+        for voter in voters:
+            member = agreement.Agreement(voter, random.Random(voter))
+            member.restore(
+                [messages.Identity(voter), *records[1:]], SECOND * 0
+            )
+            members[voter] = member
+        made = cls(members)
+        now = SECOND * 10
+        made.settle(voters[0], members[voters[0]].tick(now), now)
+        return made
+
+    def settle(
+        self, voter: str, output: agreement.Output, now: datetime.timedelta
+    ) -> None:
+        """Delivers messages until none are left."""
+        todo = [(voter, output)]
+        while todo:
+            source, out = todo.pop(0)
+            member = self.members[source]
+            if out.records:
+                log = member.log
+                todo.append(
+                    (
+                        source,
+                        member.synced(log.last_index, log.last_term, now),
+                    )
+                )
+            for addressed in out.sends:
+                data = codec.encode(addressed, messages.PeerMessage)
+                self.sent_bytes += len(data)
+                message = codec.decode(data, messages.PeerMessage).message
+                target = self.members[addressed.voter]
+                todo.append((addressed.voter, target.handle(message, now)))
+
+
+def commit_costs() -> tuple[Slope, Slope]:
+    """Measures a commit's processor time and bytes, over all voters."""
+    cpu = []
+    size = []
+    for count in (1, 3, 5, 7):
+        cluster = _Cluster.make(count)
+        leader = cluster.members["v0"]
+        now = SECOND * 11
+        command = messages.ClaimCall(
+            "account-1", "key", "d" * 64, "entry-0001@1", "attempt", SECOND
+        )
+
+        def commit(
+            cluster: typing.Any = cluster, leader: typing.Any = leader
+        ) -> None:
+            cluster.settle("v0", leader.propose(command, now)[1], now)
+
+        cpu.append((float(count), cpu_micros(commit, 50)))
+        before = cluster.sent_bytes
+        commit()
+        size.append((float(count), float(cluster.sent_bytes - before)))
+    return (
+        fit("commit, all voters together", "us by voters", cpu),
+        fit("commit, all voters together", "bytes by voters", size),
+    )
+
+
+def sync_millis() -> float:
+    """Returns the median time of a synced append, in milliseconds."""
+    record = messages.Appended([messages.Entry(1, 1, SECOND, messages.Noop())])
+    times = []
+    with tempfile.TemporaryDirectory() as folder:
+        journal = store.FileJournal(pathlib.Path(folder))
+        journal.open()
+        for _ in range(50):
+            began = time.perf_counter()
+            journal.append([record])
+            times.append((time.perf_counter() - began) * 1000)
+        journal.close()
+    return sorted(times)[len(times) // 2]
+
+
+def memory_slopes() -> list[Slope]:
+    """Measures what upstreams, peers, accounts and claims take."""
+    return [
+        fit(
+            "upstreams known",
+            "kB by upstreams",
+            [
+                (float(n), allocated_kilobytes(lambda n=n: table_of(n)))
+                for n in UPSTREAM_POINTS
+            ],
+        ),
+        fit(
+            "entries known",
+            "kB by entries",
+            [
+                (float(n), allocated_kilobytes(lambda n=n: _peers(n)))
+                for n in (30, 90, 180, 360)
+            ],
+        ),
+        fit(
+            "configuration",
+            "kB by accounts",
+            [
+                (float(n), allocated_kilobytes(lambda n=n: _held(n)))
+                for n in CONFIGURATION_POINTS
+            ],
+        ),
+        fit(
+            "claims (voters)",
+            "kB by claims",
+            [
+                (float(n), allocated_kilobytes(lambda n=n: _claims(n)))
+                for n in (250, 500, 1000, 2000)
+            ],
+        ),
+    ]
+
+
+def _peers(count: int) -> membership.PeerTable:
+    table = membership.PeerTable(peer(0))
+    for index in range(1, count + 1):
+        table.heard(peer(index), SECOND)
+    return table
+
+
+def _held(count: int) -> tuple[dict, operators.Configuration]:
+    plain = document(count)
+    return plain, operators.Configuration.from_document(plain)
+
+
+def _claims(count: int) -> ledger.Ledger:
+    made = ledger.Ledger()
+    answer = messages.StoredAnswer(200, "application/json", b"x" * 200)
+    for index in range(count):
+        name = f"key-{index}"
+        for command in (
+            messages.ClaimCall("a", name, "d" * 64, "e@1", name, SECOND),
+            messages.RecordOutcome("a", name, name, answer),
+        ):
+            made.apply(
+                messages.Entry(made.applied_index + 1, 1, SECOND * 0, command)
+            )
+    return made
+
+
+# ---- The page --------------------------------------------------------------
+
+
+@attrs.define
+class Sheet:
+    """All slopes, and what they come to at the target's size."""
+
+    slopes: dict[str, Slope] = attrs.field(factory=dict)
+
+    def measure(self) -> None:
+        """Measures every slope."""
+        for name, measured in (
+            ("beats", beats_cpu),
+            ("beats bytes", beats_bytes),
+            ("first hand", first_hand_cpu),
+            ("heartbeats", heartbeat_cpu),
+            ("ticks", tick_cpu),
+            ("planning", plan_cpu),
+            ("choice", choice_cpu),
+            ("regroup", regroup_cpu),
+            ("delta", delta_cpu),
+            ("document", document_bytes),
+        ):
+            self.slopes[name] = measured()
+        self.slopes["commit"], self.slopes["commit bytes"] = commit_costs()
+        for slope in memory_slopes():
+            self.slopes[slope.name] = slope
+
+    def print(self) -> None:
+        """Prints the slopes and the roles at the target's size."""
+        typer.echo("| what | unit | points | slope | fixed | R² |")
+        typer.echo("| --- | --- | --- | --- | --- | --- |")
+        for slope in self.slopes.values():
+            typer.echo(slope.row())
+        typer.echo("")
+        typer.echo(
+            f"one heartbeat: {heartbeat_bytes():.0f} bytes; one change:"
+            f" {delta_bytes():.0f} bytes; one synced append:"
+            f" {sync_millis():.2f} ms (median)"
+        )
+        typer.echo("")
+        typer.echo("| role | processor % of a core | kB/s | state kB |")
+        typer.echo("| --- | --- | --- | --- |")
+        for role, cpu, traffic, state in self.roles():
+            typer.echo(
+                f"| {role} | {cpu / 1e4:.2f} | {traffic / 1000:.1f}"
+                f" | {state:.0f} |"
+            )
+        typer.echo(
+            f"| bound | {CORE_BOUND_PERCENT} | {TRAFFIC_BOUND_KB} | see page |"
+        )
+
+    def roles(self) -> list[tuple[str, float, float, float]]:
+        """Returns role, us/s, bytes/s and kB of state at the target."""
+        at = {name: slope.at for name, slope in self.slopes.items()}
+        changes = CHANGES_PER_DAY / SECONDS_PER_DAY
+        own_upstreams = UPSTREAMS_PER_DATA_CENTRE / ENTRIES_PER_DATA_CENTRE
+        beats_sent = (
+            self.slopes["beats bytes"].per_item
+            * own_upstreams
+            * (ENTRIES_PER_DATA_CENTRE - 1)
+        )
+        entry_cpu = (
+            at["beats"](UPSTREAMS_PER_DATA_CENTRE)
+            + at["first hand"](own_upstreams)
+            + at["heartbeats"](LINKS_PER_ENTRY) * 2
+            + at["ticks"](ENTRIES)
+            + at["delta"](CLIENT_ACCOUNTS) * changes
+        )
+        entry_bytes = (
+            at["beats bytes"](UPSTREAMS_PER_DATA_CENTRE)
+            + beats_sent
+            + heartbeat_bytes() * LINKS_PER_ENTRY * 2
+            + delta_bytes() * changes * 2
+        )
+        entry_state = (
+            at["upstreams known"](UPSTREAMS_PER_DATA_CENTRE)
+            + at["entries known"](ENTRIES)
+            + at["configuration"](CLIENT_ACCOUNTS)
+        )
+        planner_cpu = at["planning"](UPSTREAMS_PER_DATA_CENTRE)
+        heartbeats = VOTERS / agreement.HEARTBEAT.total_seconds()
+        voter_cpu = at["commit"](VOTERS) / VOTERS * (changes + heartbeats)
+        leader_bytes = at["commit bytes"](VOTERS) * (changes + heartbeats / 7)
+        return [
+            ("entry (follower)", entry_cpu, entry_bytes, entry_state),
+            (
+                "entry that plans its data centre",
+                entry_cpu + planner_cpu,
+                entry_bytes,
+                entry_state,
+            ),
+            (
+                "entry that leads the log",
+                entry_cpu + voter_cpu,
+                entry_bytes + leader_bytes,
+                entry_state + at["claims (voters)"](10_000),
+            ),
+        ]
+
+
+def run() -> None:
+    """Measures and prints the sheet; takes about half a minute."""
+    sheet = Sheet()
+    sheet.measure()
+    sheet.print()
+
+
+def main() -> None:
+    """Runs the command."""
+    typer.run(run)
+
+
+if __name__ == "__main__":
+    main()
