Planner takeover without split votes; drained strays; moved groups

Cause: the control bench waited in vain for a planner after the first was killed. With three entries the two left voted for themselves again and again, at the same moment. Ruled out: the witness; three entries have none. Change: a candidate waits a random time after its own vote is free; whole strays are drained; a broken group may be formed anew in another domain when that costs least. One check of the soak is narrower: an order that was sent while a member was missing and arrives after it came back is no planned change.

--- a/figford/assembly.py
+++ b/figford/assembly.py
@@ -11,7 +11,6 @@
 
 import attrs
 
-from figford import groups
 from figford import leases
 from figford import membership
 from figford import messages
@@ -79,7 +78,6 @@
 class Drain:
     """A group that gets no new work until nothing is in progress."""
 
-    fence: int
     started_at: datetime.timedelta
     asked_at: datetime.timedelta | None = None
     idle_at_by_instance: dict[str, datetime.timedelta] = attrs.field(
@@ -142,7 +140,7 @@
     number: int = 0
     valid_until: datetime.timedelta = datetime.timedelta(0)
     forming_by_group: dict[str, Forming] = attrs.field(factory=dict)
-    drains_by_group: dict[str, Drain] = attrs.field(factory=dict)
+    drains: dict[tuple[str, int], Drain] = attrs.field(factory=dict)
     broken_since_by_group: dict[str, datetime.timedelta] = attrs.field(
         factory=dict
     )
@@ -170,7 +168,7 @@
         self._started_at = now
         self._unchecked_from = now + leases.DURATION + ORDER_TIMEOUT
         self.forming_by_group.clear()
-        self.drains_by_group.clear()
+        self.drains.clear()
         self.broken_since_by_group.clear()
 
     def plan(
@@ -193,6 +191,7 @@
         for group in sorted(wanted):
             self._settle(group, wanted[group], announced, view, now)
         self._form_absent(wanted, announced, view, now)
+        self._forget_drains(view)
         self._ask_drains(now)
         return self._actions
 
@@ -200,10 +199,8 @@
         self, reply: messages.DrainReply, now: datetime.timedelta
     ) -> None:
         """Notes whether an entry has work left on a draining group."""
-        drain = self.drains_by_group.get(reply.group)
-        if drain is None or drain.fence != reply.fence:
-            return
-        if reply.number != self.number:
+        drain = self.drains.get((reply.group, reply.fence))
+        if drain is None or reply.number != self.number:
             return
         if reply.in_progress:
             drain.idle_at_by_instance.pop(reply.instance, None)
@@ -395,7 +392,6 @@
         ]
         if len(seated) == len(forming.members):
             del self.forming_by_group[group]
-            self.drains_by_group.pop(group, None)
             return
         if state is not None and _needs_nothing(state, spec):
             # What seemed lost came back before the orders took effect.
@@ -422,7 +418,7 @@
     ) -> None:
         if _needs_nothing(state, spec):
             self.broken_since_by_group.pop(group, None)
-            self.drains_by_group.pop(group, None)
+            self.drains.pop((group, state.fence), None)
             return
         if state.whole and not self._drained(group, state.fence, view, now):
             return
@@ -448,14 +444,31 @@
         domain = _domain_of(state)
         spares = self._spares(domain, spec.model, view)
         others = self._broken_neighbours(group, spec, domain, announced)
-        situation = self._situation(
-            group, spec, healthy, leaving, state, spares, others, view, now
+        elsewhere = self._choose_members(spec, view) or []
+        silent = tuple(
+            (now - view.silent_since[item.upstream]).total_seconds()
+            for item in state.absent.values()
+        )
+        missing = spec.shape.instances - len(healthy)
+        situation = repair.Situation(
+            group=group,
+            size=spec.shape.instances,
+            minimum_size=spec.shape.minimum_instances,
+            healthy=len(healthy),
+            silent_seconds=silent,
+            leaving=leaving,
+            spares=len(spares),
+            spare_load_seconds=_load_seconds(spec, spares[:missing]),
+            join_seconds=JOIN_TIME.total_seconds(),
+            mergeable=len(others),
+            elsewhere_load_seconds=(
+                _load_seconds(spec, elsewhere) if elsewhere else None
+            ),
         )
         weights = repair.Weights(
             view.policy.downtime_weight, view.policy.stranding_weight
         )
         decision = self.decide(situation, weights, self.history)
-        missing = spec.shape.instances - len(healthy)
         if isinstance(decision, repair.Wait):
             return
         kind = type(decision).__name__.lower()
@@ -469,42 +482,11 @@
                 self._begin_forming(group, spec, members, now)
             case repair.Shrink():
                 self._begin_forming(group, spec, healthy, now)
+            case repair.Move():
+                self._begin_forming(group, spec, elsewhere, now)
             case repair.Release():
                 self._release_all(state, now)
 
-    def _situation(
-        self,
-        group: str,
-        spec: operators.ServingGroup,
-        healthy: list[messages.Announcement],
-        leaving: int,
-        state: _Group,
-        spares: list[messages.Announcement],
-        others: list[messages.Announcement],
-        view: View,
-        now: datetime.timedelta,
-    ) -> repair.Situation:
-        missing = spec.shape.instances - len(healthy)
-        silent = tuple(
-            (now - view.silent_since[item.upstream]).total_seconds()
-            for item in state.absent.values()
-        )
-        return repair.Situation(
-            group=group,
-            size=spec.shape.instances,
-            minimum_size=spec.shape.minimum_instances,
-            healthy=len(healthy),
-            silent_seconds=silent,
-            leaving=leaving,
-            spares=len(spares),
-            spare_load_seconds=_load_time(
-                spec, spares[:missing]
-            ).total_seconds(),
-            join_seconds=JOIN_TIME.total_seconds(),
-            mergeable=len(others),
-            better_use=False,
-        )
-
     def _spares(
         self, domain: str, model: str, view: View
     ) -> list[messages.Announcement]:
@@ -605,15 +587,26 @@
         view: View,
         now: datetime.timedelta,
     ) -> None:
-        """Frees members that sit at another fencing number."""
+        """Frees members that sit at another fencing number.
+
+        Where they are a whole group among themselves, as when a group came
+        back after it was replaced, they are drained first.
+        """
         forming = self.forming_by_group.get(group)
+        joining = forming.members if forming else []
+        strays: dict[int, _Group] = {}
         for announcement in view.fresh.values():
             seat = announcement.seat
             if seat is None or seat.group != group:
                 continue
-            is_member = forming and announcement.upstream in forming.members
-            if seat.fence != state.fence and not is_member:
-                self._release(announcement, now)
+            if seat.fence == state.fence or announcement.upstream in joining:
+                continue
+            stray = strays.setdefault(seat.fence, _Group(seat.fence))
+            stray.size = max(stray.size, seat.size)
+            stray.present[seat.rank] = announcement
+        for fence, stray in sorted(strays.items()):
+            if not stray.whole or self._drained(group, fence, view, now):
+                self._release_all(stray, now)
 
     def _release_all(self, state: _Group, now: datetime.timedelta) -> None:
         for rank in sorted(state.present):
@@ -629,9 +622,9 @@
         now: datetime.timedelta,
     ) -> bool:
         """Starts a drain or goes on with it; returns whether it is over."""
-        drain = self.drains_by_group.get(group)
-        if drain is None or drain.fence != fence:
-            self.drains_by_group[group] = Drain(fence, now)
+        drain = self.drains.get((group, fence))
+        if drain is None:
+            self.drains[group, fence] = Drain(now)
             return False
         if now - drain.started_at >= DRAIN_LIMIT:
             return True
@@ -641,8 +634,18 @@
             for instance in view.entries
         )
 
+    def _forget_drains(self, view: View) -> None:
+        """Ends the drains of groups in which nobody sits any more."""
+        seated = {
+            (item.seat.group, item.seat.fence)
+            for item in view.fresh.values()
+            if item.seat is not None
+        }
+        for key in set(self.drains) - seated:
+            del self.drains[key]
+
     def _ask_drains(self, now: datetime.timedelta) -> None:
-        for group, drain in sorted(self.drains_by_group.items()):
+        for (group, fence), drain in sorted(self.drains.items()):
             if drain.asked_at is not None and (
                 now - drain.asked_at < DRAIN_REPEAT
             ):
@@ -652,7 +655,7 @@
                 AskDrain(
                     messages.DrainGroup(
                         group,
-                        drain.fence,
+                        fence,
                         self.number,
                         self.instance,
                         DRAIN_LAPSE,
@@ -699,8 +702,7 @@
     return datetime.timedelta(seconds=gigabytes / STORE_GIGABYTES_PER_SECOND)
 
 
-def group_states(
-    views: dict[str, groups.GroupView],
-) -> collections.Counter[str]:
-    """Returns how many complete groups are in each state."""
-    return collections.Counter(view.state.value for view in views.values())
+def _load_seconds(
+    spec: operators.ServingGroup, members: list[messages.Announcement]
+) -> float:
+    return _load_time(spec, members).total_seconds()
--- a/figford/leases.py
+++ b/figford/leases.py
@@ -103,6 +103,7 @@
     _votes: set[str] = attrs.field(factory=set)
     _highest_seen: int = 0
     _lapsed_round: int = 0
+    _stand_at: datetime.timedelta | None = None
 
     def holds(self, now: datetime.timedelta) -> bool:
         """Returns whether this entry may plan at this moment."""
@@ -120,17 +121,18 @@
         `free` says whether this entry's own vote is not given to another.
         """
         if self.held_since is not None and now >= self.valid_until:
-            self._lose(now)
+            self._lose()
         holding = self.held_since is not None
-        if now < self._next_try or not (holding or free):
+        if not holding and not self._waited(free, now):
+            return None
+        if now < self._next_try:
             return None
         if not holding and self.number <= self._highest_seen:
             self.number = self._highest_seen + 1
         self.round += 1
         self._votes = set()
         self._sent_at = now
-        jitter = RETRY_SPREAD * self.rng.random()
-        self._next_try = now + RENEW_EVERY + (0 if holding else 1) * jitter
+        self._next_try = now + RENEW_EVERY
         return messages.LeaseRequest(
             data_centre=self.data_centre,
             candidate=self.instance,
@@ -140,6 +142,19 @@
             duration=DURATION,
         )
 
+    def _waited(self, free: bool, now: datetime.timedelta) -> bool:
+        """Returns whether the own vote has been free for a random time.
+
+        All voters become free at about the same time; without the wait
+        the candidates would split the votes again and again.
+        """
+        if not free:
+            self._stand_at = None
+            return False
+        if self._stand_at is None:
+            self._stand_at = now + RETRY_SPREAD * self.rng.random()
+        return now >= self._stand_at
+
     def voted(
         self,
         vote: messages.LeaseVote,
@@ -150,7 +165,7 @@
         self.saw_number(vote.number)
         if self.held_since is not None and now >= self.valid_until:
             # A lapsed lease comes back under another number only.
-            self._lose(now)
+            self._lose()
         if vote.incarnation != self.incarnation or not vote.granted:
             return
         if vote.round != self.round or self._lapsed_round == self.round:
@@ -179,10 +194,9 @@
             not self._has_majority(electorate)
         )
 
-    def _lose(self, now: datetime.timedelta) -> None:
+    def _lose(self) -> None:
         self.held_since = None
         self._lapsed_round = self.round
-        self._next_try = now + RETRY_SPREAD * self.rng.random()
 
     def give_up(self) -> None:
         """Stops holding the lease, as on a graceful stop."""
--- a/figford/repair.py
+++ b/figford/repair.py
@@ -62,7 +62,9 @@
     """A broken group as the planner sees it.
 
     `join_seconds` is the time to form a group whose members hold the
-    weights; `load_seconds` the time until a spare has loaded them.
+    weights, `spare_load_seconds` the time until the spares have loaded
+    them, `elsewhere_load_seconds` the same for a whole group of free
+    engines in any domain, None where there are not enough.
     """
 
     group: str
@@ -75,7 +77,7 @@
     spare_load_seconds: float
     join_seconds: float
     mergeable: int
-    better_use: bool
+    elsewhere_load_seconds: float | None
 
 
 @attrs.frozen
@@ -98,12 +100,17 @@
     """Go on with the healthy members alone."""
 
 
+@attrs.frozen
+class Move:
+    """Form the group anew elsewhere; its healthy members become free."""
+
+
 @attrs.frozen
 class Release:
-    """Free the healthy members for another group."""
+    """Free the healthy members."""
 
 
-Decision = Wait | Replace | Merge | Shrink | Release
+Decision = Wait | Replace | Merge | Shrink | Move | Release
 
 
 def _rate(situation: Situation, weights: Weights) -> float:
@@ -153,9 +160,9 @@
         lost_share = missing / situation.size
         penalty = weights.downtime * lost_share * GONE_SECONDS
         costs.append((rate * situation.join_seconds + penalty, 3, Shrink()))
-    if situation.better_use:
-        # The members serve elsewhere; this group stays down meanwhile.
-        costs.append((weights.downtime * GONE_SECONDS / 2, 4, Release()))
+    if situation.elsewhere_load_seconds is not None:
+        seconds = max(situation.join_seconds, situation.elsewhere_load_seconds)
+        costs.append((rate * seconds, 4, Move()))
     if situation.leaving or not situation.silent_seconds:
         wait = rate * GONE_SECONDS
     else:
--- a/figford/tests/test_assembly.py
+++ b/figford/tests/test_assembly.py
@@ -144,6 +144,38 @@
     assert made.repairs_by_kind["replace"] == 1
 
 
+def test_whole_group_that_was_replaced_is_drained_first():
+    made, now = planner(number=9)
+    engines = [
+        seated("a", 5, 0),
+        seated("b", 5, 1),
+        seated("c", 7, 0, "f2"),
+        seated("d", 7, 1, "f2"),
+    ]
+    seen = view(engines, [spec()])
+    first = plan(made, seen, now)
+    assert not orders(first)
+    drained = [item.drain for item in first]
+    assert [item.fence for item in drained] == [5]
+    for instance in ENTRIES:
+        made.drain_reply(
+            messages.DrainReply("chat.north.0", 5, 9, instance, 0), now
+        )
+    sent = orders(plan(made, seen, now + STEP))
+    assert [item.upstream for item in sent] == ["a", "b"]
+
+
+def test_group_without_spares_moves_to_another_domain():
+    made, now = planner()
+    engines = [seated("a", 5, 0), engine("c", "f2"), engine("d", "f2")]
+    seen = view(engines, [spec()])
+    plan(made, seen, now)
+    now += datetime.timedelta(seconds=6)
+    sent = orders(plan(made, seen, now))
+    assert [item.upstream for item in sent] == ["c", "d"]
+    assert made.repairs_by_kind["move"] == 1
+
+
 class PlannerMachine(stateful.RuleBasedStateMachine):
     """Engines that take or miss orders; planners that come and go."""
 
--- /dev/null
+++ b/figford/tools/bench_control.py
@@ -0,0 +1,198 @@
+"""Measures how fast a deployment decides, repairs and takes over."""
+
+import pathlib
+import statistics
+import tempfile
+import time
+import typing
+
+import attrs
+
+from figford import operators
+from figford.tools import bench
+from figford.tools import demo
+from figford.tools import deployment
+
+ENTRIES = [
+    deployment.EntryPlan(f"entry-{index}", "medellin", disk=True)
+    for index in (1, 2, 3)
+]
+NAMES = [plan.name for plan in ENTRIES]
+FINE_POLL_SECONDS = 0.005
+CHANGES = 30
+MISSED_CHANGES = 300
+
+
+def control_configuration(weight: float) -> operators.Configuration:
+    """Returns a configuration of one group of two instances."""
+    base = demo.demo_configuration()
+    return attrs.evolve(
+        base,
+        serving_groups=[
+            attrs.evolve(base.serving_groups[0], replicas={"medellin": 1})
+        ],
+        client_accounts=[attrs.evolve(base.client_accounts[0], weight=weight)],
+        data_centres=[operators.DataCentre(name="medellin", entries=NAMES)],
+    )
+
+
+def elapsed(condition: typing.Callable[[], object]) -> float:
+    """Returns the seconds until a condition holds."""
+    began = time.monotonic()
+    while not condition():
+        if time.monotonic() - began > deployment.WAIT_SECONDS:
+            raise deployment.DeploymentError("the bench waits in vain")
+        time.sleep(FINE_POLL_SECONDS)
+    return time.monotonic() - began
+
+
+@attrs.define
+class ControlBench:
+    """Three entries with disks and one group with a spare."""
+
+    running: deployment.Deployment
+    version: int = 0
+
+    def start(self) -> None:
+        """Starts everything and waits until it serves."""
+        running = self.running
+        running.start_entries()
+        running.start_engines("engines", "medellin", "fabric-a", 2)
+        running.start_engines("spare", "medellin", "fabric-a", 1)
+        running.wait("all voters", self._all_vote)
+        self.submit()
+        for name in NAMES:
+            running.wait_ready(name)
+            running.wait_groups(name, 1)
+
+    def _all_vote(self) -> bool:
+        leader = self.leader()
+        if leader is None:
+            return False
+        return len(self.running.status(leader)["voters"]) == len(NAMES)
+
+    def leader(self) -> str | None:
+        """Returns the entry that leads the log."""
+        return self._holder("leader")
+
+    def planner(self) -> str | None:
+        """Returns the entry that plans."""
+        return self._holder("planner")
+
+    def _holder(self, role: str) -> str | None:
+        for name in NAMES:
+            if name in self.running.process_by_name:
+                if self.running.status(name).get(role):
+                    return name
+        return None
+
+    def submit(self, entry: str = "entry-1") -> None:
+        """Submits the next version."""
+        answer = self.running.submit(
+            entry,
+            control_configuration(float(self.version + 1)),
+            self.version,
+            f"bench-{self.version}",
+        )
+        demo.expect("submission", answer.status, 200)
+        self.version += 1
+
+    def in_force(self, names: list[str]) -> bool:
+        """Returns whether the newest version is in force."""
+        return all(
+            self.running.status(name).get("configuration_version")
+            == self.version
+            for name in names
+        )
+
+    # ---- What is measured -----------------------------------------------
+
+    def submissions(self) -> dict:
+        """Measures submission and time until in force everywhere."""
+        accepted = []
+        everywhere = []
+        for _ in range(CHANGES):
+            began = time.monotonic()
+            self.submit("entry-2")
+            accepted.append((time.monotonic() - began) * 1000)
+            elapsed(lambda: self.in_force(NAMES))
+            everywhere.append((time.monotonic() - began) * 1000)
+        return {
+            "accepted_median_ms": round(statistics.median(accepted), 1),
+            "accepted_max_ms": round(max(accepted), 1),
+            "in_force_everywhere_median_ms": round(
+                statistics.median(everywhere), 1
+            ),
+            "in_force_everywhere_max_ms": round(max(everywhere), 1),
+        }
+
+    def member_death(self) -> dict:
+        """Measures from a member's death to no group and to a new one."""
+        groups = self.running.status("entry-1")["groups"]
+        fence = groups[0]["fence"]
+        self.running.kill("engines")
+        self.running.start_engines("engines-2", "medellin", "fabric-a", 1)
+        began = time.monotonic()
+        out = elapsed(
+            lambda: not self.running.status("entry-1").get("groups", [1])
+        )
+        elapsed(
+            lambda: any(
+                group["fence"] != fence
+                for group in self.running.status("entry-1").get("groups", [])
+            )
+        )
+        again = time.monotonic() - began
+        return {
+            "no_new_work_s": round(out, 2),
+            "serving_again_s": round(again, 2),
+        }
+
+    def takeover(self, role: str) -> dict:
+        """Measures the takeover after the holder of a role is killed."""
+        holder = self.running.wait(role, lambda: self._holder(role))
+        self.running.kill(holder)
+        seconds = elapsed(lambda: self._holder(role))
+        self.running.start_entry(holder)
+        self.running.wait_ready(holder)
+        return {f"{role}_takeover_s": round(seconds, 2)}
+
+    def missed_changes(self) -> dict:
+        """Measures a restart that missed hundreds of changes, and commits."""
+        away = next(name for name in NAMES if name != self.leader())
+        others = [name for name in NAMES if name != away]
+        self.running.kill(away)
+        began = time.monotonic()
+        for _ in range(MISSED_CHANGES):
+            self.submit(others[0])
+        rate = MISSED_CHANGES / (time.monotonic() - began)
+        self.running.start_entry(away)
+        seconds = elapsed(
+            lambda: self.running.status(away).get("ready")
+            and self.in_force([away])
+        )
+        return {
+            "missed_changes": MISSED_CHANGES,
+            "submissions_per_second_one_after_another": round(rate, 1),
+            "restart_to_ready_s": round(seconds, 2),
+        }
+
+
+def main() -> None:
+    """Runs the bench."""
+    with tempfile.TemporaryDirectory(prefix="figford-control-") as folder:
+        running = deployment.Deployment(pathlib.Path(folder), ENTRIES)
+        made = ControlBench(running)
+        try:
+            made.start()
+            bench.show("submissions", made.submissions())
+            bench.show("leader killed", made.takeover("leader"))
+            bench.show("planner killed", made.takeover("planner"))
+            bench.show("missed changes", made.missed_changes())
+            bench.show("both members killed, spares", made.member_death())
+        finally:
+            running.kill_all()
+
+
+if __name__ == "__main__":
+    main()
--- a/figford/tools/soaking/world.py
+++ b/figford/tools/soaking/world.py
@@ -275,6 +275,9 @@
         """Brings an order to an engine, if its time has not passed."""
         engine = self.engine_by_name[order.upstream]
         life = engine.life
+        # A member may come back while a repair order is on its way; that
+        # order was no planned change.
+        planned = self._group_is_healthy(engine)
 
         def connected() -> None:
             # The entry checks the time after connecting.
@@ -283,7 +286,7 @@
 
         def arrive() -> None:
             if engine.life == life and not engine.cut:
-                healthy = self._group_is_healthy(engine)
+                healthy = planned and self._group_is_healthy(engine)
                 engine.order(order.order, healthy)
 
         self.clock.after(
