--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 SEED ?= 1
 STEPS ?= 20000
 
-.PHONY: demo check lint test process-test bench soak experiment capacity clean
+.PHONY: demo check lint test process-test bench soak experiment plot \
+	capacity format clean
 
 $(STAMP): pyproject.toml
 	test -d $(VENV) || $(PYTHON) -m venv $(VENV)
@@ -25,6 +26,27 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
+process-test: $(STAMP)
+	$(BIN)/python -m pytest figford/tests/test_processes.py
+
+bench: $(STAMP)
+	$(BIN)/python -m figford.tools.bench
+	$(BIN)/python -m figford.tools.bench_control
+
+soak: $(STAMP)
+	$(BIN)/python -m figford.tools.soak --seed $(SEED) --steps $(STEPS)
+
+experiment: $(STAMP)
+	$(BIN)/python -m figford.tools.experiment
+	$(BIN)/python -m figford.tools.traffic
+
+plot: $(STAMP)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[plot]'
+	$(BIN)/python -m figford.tools.experiment --picture docs/experiments/repair.png
+
+capacity: $(STAMP)
+	$(BIN)/python -m figford.tools.capacity
+
 format: $(STAMP)
 	$(BIN)/black figford
 
--- a/figford/codec.py
+++ b/figford/codec.py
@@ -13,6 +13,8 @@
 from figford import errors
 from figford import messages
 
+# These make up most of the traffic between entries.
+_COMPACT_KINDS = (messages.Beat, messages.Load, messages.PeerState)
 _MICROSECOND = datetime.timedelta(microseconds=1)
 
 
@@ -30,9 +32,13 @@
 
 
 def make_converter(
-    factory: typing.Callable[..., cattrs.Converter] = preconf.make_converter,
+    factory: typing.Callable[..., cattrs.Converter],
+    compact: bool,
 ) -> cattrs.Converter:
-    """Returns a converter that knows every message and refuses extra keys."""
+    """Returns a converter that knows every message and refuses extra keys.
+
+    A compact one leaves out the field names of the most frequent messages.
+    """
     converter = factory(forbid_extra_keys=True, detailed_validation=False)
     converter.register_unstructure_hook(
         datetime.timedelta, lambda value: value // _MICROSECOND
@@ -41,8 +47,7 @@
         datetime.timedelta,
         lambda value, _: datetime.timedelta(microseconds=value),
     )
-    # These make up most of the traffic, so their field names are left out.
-    for kind in (messages.Beat, messages.Load, messages.PeerState):
+    for kind in _COMPACT_KINDS if compact else ():
         converter.register_unstructure_hook(kind, _as_list)
         converter.register_structure_hook(kind, _list_reader(converter))
     for union in _tagged_unions():
@@ -84,8 +89,8 @@
     return kind.__name__
 
 
-_converter = make_converter()
-_plain_converter = make_converter(json_preconf.make_converter)
+_converter = make_converter(preconf.make_converter, compact=True)
+_plain_converter = make_converter(json_preconf.make_converter, compact=False)
 
 
 def to_plain(value: object, kind: object) -> typing.Any:
