Split the planner: seats, drains and a round of planning

Cause: assembly.py had 700 lines, six arguments went through most of its methods, and SendOrder stood there and in effects.

--- a/figford/assembly.py
+++ b/figford/assembly.py
@@ -11,21 +11,18 @@
 
 import attrs
 
+from figford import drains
+from figford import effects
 from figford import leases
 from figford import membership
 from figford import messages
 from figford import operators
 from figford import repair
+from figford import seats
 
 # An order is given up on after this long, and may be sent again.
 ORDER_TIMEOUT = datetime.timedelta(seconds=2)
 RESEND_EVERY = datetime.timedelta(seconds=2)
-DRAIN_REPEAT = datetime.timedelta(milliseconds=500)
-DRAIN_LAPSE = datetime.timedelta(seconds=5)
-# An entry's word that it is idle holds for less than its drain lapses.
-DRAIN_REPLY_LIFE = DRAIN_LAPSE / 2
-# An entry that can't be reached holds a planned change up for this long.
-DRAIN_LIMIT = datetime.timedelta(seconds=120)
 # Time to learn who is there before the first decision of a new planner.
 LEARNING_TIME = membership.UPSTREAM_SILENCE
 JOIN_TIME = datetime.timedelta(seconds=2)
@@ -35,16 +32,6 @@
 STORE_GIGABYTES_PER_SECOND = 2.0
 
 
-@attrs.frozen
-class SendOrder:
-    """Send an order to an upstream, unless `valid_until` has passed."""
-
-    upstream: str
-    address: str
-    order: messages.Order
-    valid_until: datetime.timedelta
-
-
 @attrs.frozen
 class AskDrain:
     """Ask all entries of the data centre to drain a group."""
@@ -52,9 +39,7 @@
     drain: messages.DrainGroup
 
 
-Action = SendOrder | AskDrain
-
-
+Action = effects.SendOrder | AskDrain
 Decide = typing.Callable[
     [repair.Situation, repair.Weights, repair.SilenceHistory], repair.Decision
 ]
@@ -74,17 +59,6 @@
     )
 
 
-@attrs.define
-class Drain:
-    """A group that gets no new work until nothing is in progress."""
-
-    started_at: datetime.timedelta
-    asked_at: datetime.timedelta | None = None
-    idle_at_by_instance: dict[str, datetime.timedelta] = attrs.field(
-        factory=dict
-    )
-
-
 @attrs.frozen
 class View:
     """What the planner decides by.
@@ -103,32 +77,59 @@
 
 
 @attrs.define
-class _Group:
-    """The announced state of one group at one fencing number."""
+class _Round:
+    """One round of planning: what is known and what it led to so far."""
 
-    fence: int
-    present: dict[int, messages.Announcement] = attrs.field(factory=dict)
-    absent: dict[int, messages.Announcement] = attrs.field(factory=dict)
-    size: int = 0
-
-    @property
-    def whole(self) -> bool:
-        """Returns whether a fresh member sits on every rank."""
-        return set(self.present) == set(range(self.size))
-
-    @property
-    def precedence(self) -> tuple[bool, int]:
-        """Returns by what the state that counts is chosen."""
-        return self.whole, self.fence
-
-    @property
-    def healthy(self) -> list[messages.Announcement]:
-        """Returns the members that are there and stay, by rank."""
-        return [
-            self.present[rank]
-            for rank in sorted(self.present)
-            if not self.present[rank].leaving
-        ]
+    view: View
+    now: datetime.timedelta
+    valid_until: datetime.timedelta
+    wanted: dict[str, operators.ServingGroup]
+    seated: dict[tuple[str, int], seats.SeatedGroup]
+    announced: dict[str, seats.SeatedGroup]
+    taken: set[str] = attrs.field(factory=set)
+    actions: list[Action] = attrs.field(factory=list)
+
+    def free_by_domain(self) -> dict[str, list[messages.Announcement]]:
+        """Returns the engines that may be given a seat, by domain."""
+        free = collections.defaultdict(list)
+        for name in sorted(self.view.fresh):
+            announcement = self.view.fresh[name]
+            if self._is_free(announcement):
+                free[announcement.fabric_domain].append(announcement)
+        return free
+
+    def _is_free(self, announcement: messages.Announcement) -> bool:
+        return (
+            announcement.kind is messages.UpstreamKind.ENGINE
+            and announcement.seat is None
+            and announcement.state is messages.UpstreamState.IDLE
+            and announcement.upstream not in self.taken
+        )
+
+    def spares(self, domain: str, model: str) -> list[messages.Announcement]:
+        """Returns the free engines of a domain, those with the model first."""
+        free = self.free_by_domain().get(domain, [])
+        return sorted(free, key=lambda item: model not in item.models)
+
+    def choose_members(
+        self, spec: operators.ServingGroup
+    ) -> list[messages.Announcement]:
+        """Returns members from the domain that leaves the fewest over.
+
+        Returns nothing where no domain has enough free engines.
+        """
+        size = spec.shape.instances
+        best = None
+        for domain in sorted(self.free_by_domain()):
+            free = self.spares(domain, spec.model)
+            if len(free) < size:
+                continue
+            members = free[:size]
+            loads = sum(spec.model not in item.models for item in members)
+            cost = (loads, (len(free) - size) % size, domain)
+            if best is None or cost < best[0]:
+                best = (cost, members)
+        return best[1] if best else []
 
 
 @attrs.define
@@ -138,9 +139,8 @@
     instance: str
     data_centre: str
     number: int = 0
-    valid_until: datetime.timedelta = datetime.timedelta(0)
     forming_by_group: dict[str, Forming] = attrs.field(factory=dict)
-    drains: dict[tuple[str, int], Drain] = attrs.field(factory=dict)
+    drain_table: drains.DrainTable = attrs.field(factory=drains.DrainTable)
     broken_since_by_group: dict[str, datetime.timedelta] = attrs.field(
         factory=dict
     )
@@ -152,8 +152,6 @@
     _sequence: int = 0
     _started_at: datetime.timedelta = datetime.timedelta(0)
     _unchecked_from: datetime.timedelta = datetime.timedelta(0)
-    _taken: set[str] = attrs.field(factory=set)
-    _actions: list[Action] = attrs.field(factory=list)
 
     def start(self, number: int, now: datetime.timedelta) -> None:
         """Begins to plan under a new lease; forgets what an older one did.
@@ -168,7 +166,7 @@
         self._started_at = now
         self._unchecked_from = now + leases.DURATION + ORDER_TIMEOUT
         self.forming_by_group.clear()
-        self.drains.clear()
+        self.drain_table.clear()
         self.broken_since_by_group.clear()
 
     def plan(
@@ -180,32 +178,31 @@
         """Returns the orders and drains that are due now."""
         if now >= valid_until:
             raise AssertionError("a planner without a lease plans")
-        self.valid_until = valid_until
-        self._actions = []
         if now - self._started_at < LEARNING_TIME:
             return []
-        wanted = self._wanted(view)
-        announced = self._announced(view)
-        self._taken = self._members_in_use(wanted, announced)
-        self._retire_unwanted(wanted, announced, view, now)
-        for group in sorted(wanted):
-            self._settle(group, wanted[group], announced, view, now)
-        self._form_absent(wanted, announced, view, now)
-        self._forget_drains(view)
-        self._ask_drains(now)
-        return self._actions
+        seated = seats.seated_groups(view.fresh, view.missing)
+        work = _Round(
+            view=view,
+            now=now,
+            valid_until=valid_until,
+            wanted=self._wanted(view),
+            seated=seated,
+            announced=seats.groups_that_count(seated),
+        )
+        work.taken = self._members_in_use(work)
+        self._retire_unwanted(work)
+        for group in sorted(work.wanted):
+            self._settle(group, work)
+        self._form_absent(work)
+        self._ask_drains(work)
+        return work.actions
 
     def drain_reply(
         self, reply: messages.DrainReply, now: datetime.timedelta
     ) -> None:
         """Notes whether an entry has work left on a draining group."""
-        drain = self.drains.get((reply.group, reply.fence))
-        if drain is None or reply.number != self.number:
-            return
-        if reply.in_progress:
-            drain.idle_at_by_instance.pop(reply.instance, None)
-        else:
-            drain.idle_at_by_instance[reply.instance] = now
+        if reply.number == self.number:
+            self.drain_table.reply(reply, now)
 
     # ---- What is wanted and what is there -------------------------------
 
@@ -216,63 +213,15 @@
                 wanted[f"{spec.name}.{self.data_centre}.{index}"] = spec
         return wanted
 
-    def _announced(self, view: View) -> dict[str, _Group]:
-        """Returns each group at the fencing number that counts.
-
-        That is the highest one; but a group that is whole at a lower one
-        counts before one that is not, as when orders were lost.
-        """
-        found: dict[tuple[str, int], _Group] = {}
-        everyone = [(item, True) for item in view.fresh.values()]
-        everyone += [(item, False) for item in view.missing.values()]
-        for announcement, is_fresh in everyone:
-            seat = announcement.seat
-            if seat is None:
-                continue
-            group = found.setdefault(
-                (seat.group, seat.fence), _Group(seat.fence)
-            )
-            group.size = max(group.size, seat.size)
-            side = group.present if is_fresh else group.absent
-            side[seat.rank] = announcement
-        chosen: dict[str, _Group] = {}
-        for (name, _), group in found.items():
-            best = chosen.get(name)
-            if best is None or group.precedence > best.precedence:
-                chosen[name] = group
-        return chosen
-
-    def _members_in_use(
-        self,
-        wanted: dict[str, operators.ServingGroup],
-        announced: dict[str, _Group],
-    ) -> set[str]:
+    def _members_in_use(self, work: _Round) -> set[str]:
         taken = set()
         for group, forming in self.forming_by_group.items():
-            if group in wanted:
+            if group in work.wanted:
                 taken.update(forming.members)
-        for state in announced.values():
+        for state in work.announced.values():
             taken.update(item.upstream for item in state.present.values())
         return taken
 
-    def _is_free(self, announcement: messages.Announcement) -> bool:
-        return (
-            announcement.kind is messages.UpstreamKind.ENGINE
-            and announcement.seat is None
-            and announcement.state is messages.UpstreamState.IDLE
-            and announcement.upstream not in self._taken
-        )
-
-    def _free_by_domain(
-        self, view: View
-    ) -> dict[str, list[messages.Announcement]]:
-        free = collections.defaultdict(list)
-        for name in sorted(view.fresh):
-            announcement = view.fresh[name]
-            if self._is_free(announcement):
-                free[announcement.fabric_domain].append(announcement)
-        return free
-
     # ---- Orders ---------------------------------------------------------
 
     def _next_fence(self) -> int:
@@ -283,272 +232,205 @@
         self,
         announcement: messages.Announcement,
         order: messages.Order,
-        now: datetime.timedelta,
+        work: _Round,
     ) -> None:
-        if not announcement.checks_fencing and now < self._unchecked_from:
+        if not announcement.checks_fencing and (
+            work.now < self._unchecked_from
+        ):
             return
-        self._actions.append(
-            SendOrder(
+        work.actions.append(
+            effects.SendOrder(
                 announcement.upstream,
                 announcement.address,
                 order,
-                min(self.valid_until, now + ORDER_TIMEOUT),
+                min(work.valid_until, work.now + ORDER_TIMEOUT),
             )
         )
 
-    def _release(
-        self, announcement: messages.Announcement, now: datetime.timedelta
+    def _release_all(
+        self, group: str, state: seats.SeatedGroup, work: _Round
     ) -> None:
-        if announcement.seat is None:
-            return
-        group = announcement.seat.group
-        order = messages.ReleaseSeat(self._next_fence(), group)
-        self._send(announcement, order, now)
+        for rank in sorted(state.present):
+            order = messages.ReleaseSeat(self._next_fence(), group)
+            self._send(state.present[rank], order, work)
 
     def _begin_forming(
-        self,
-        group: str,
-        spec: operators.ServingGroup,
-        members: list[messages.Announcement],
-        now: datetime.timedelta,
+        self, group: str, members: list[messages.Announcement], work: _Round
     ) -> None:
-        loads = any(spec.model not in item.models for item in members)
-        load_time = _load_time(spec, members)
+        spec = work.wanted[group]
         forming = Forming(
             fence=self._next_fence(),
             members=[item.upstream for item in members],
             model=spec.model,
-            deadline=now + load_time * 2 + JOIN_TIME + FORMING_SLACK,
-            loads=loads,
+            deadline=(
+                work.now
+                + load_time(spec, members) * 2
+                + JOIN_TIME
+                + FORMING_SLACK
+            ),
+            loads=_needs_load(spec, members),
         )
         self.forming_by_group[group] = forming
         self.broken_since_by_group.pop(group, None)
-        self._taken.update(forming.members)
-        by_name = {item.upstream: item for item in members}
-        self._send_joins(group, spec, forming, by_name, now)
+        work.taken.update(forming.members)
+        self._send_joins(group, forming, work)
 
-    def _send_joins(
-        self,
-        group: str,
-        spec: operators.ServingGroup,
-        forming: Forming,
-        fresh: dict[str, messages.Announcement],
-        now: datetime.timedelta,
-    ) -> None:
+    def _send_joins(self, group: str, forming: Forming, work: _Round) -> None:
+        fresh = work.view.fresh
+        spec = work.wanted[group]
         peers = [
             fresh[name].address if name in fresh else ""
             for name in forming.members
         ]
         for rank, name in enumerate(forming.members):
             sent_at = forming.sent_at_by_member.get(name)
-            if sent_at is not None and now - sent_at < RESEND_EVERY:
+            if sent_at is not None and work.now - sent_at < RESEND_EVERY:
                 continue
             announcement = fresh.get(name)
-            if announcement is None or _sits(
+            if announcement is None or seats.sits(
                 announcement, group, forming.fence
             ):
                 continue
             seat = messages.Seat(
                 group, spec.name, forming.fence, rank, len(forming.members)
             )
-            order = messages.JoinGroup(
-                forming.fence, seat, forming.model, peers
+            forming.sent_at_by_member[name] = work.now
+            self._send(
+                announcement,
+                messages.JoinGroup(forming.fence, seat, forming.model, peers),
+                work,
             )
-            forming.sent_at_by_member[name] = now
-            self._send(announcement, order, now)
 
     # ---- Groups that are wanted -----------------------------------------
 
-    def _settle(
-        self,
-        group: str,
-        spec: operators.ServingGroup,
-        announced: dict[str, _Group],
-        view: View,
-        now: datetime.timedelta,
-    ) -> None:
+    def _settle(self, group: str, work: _Round) -> None:
         forming = self.forming_by_group.get(group)
-        state = announced.get(group)
+        state = work.announced.get(group)
         if forming is not None:
-            self._settle_forming(group, spec, forming, state, view, now)
+            self._settle_forming(group, forming, state, work)
         elif state is not None:
-            self._settle_announced(group, spec, state, announced, view, now)
+            self._settle_announced(group, state, work)
 
     def _settle_forming(
         self,
         group: str,
-        spec: operators.ServingGroup,
         forming: Forming,
-        state: _Group | None,
-        view: View,
-        now: datetime.timedelta,
+        state: seats.SeatedGroup | None,
+        work: _Round,
     ) -> None:
-        seated = [
-            name
+        fresh = work.view.fresh
+        serving = all(
+            name in fresh
+            and seats.sits(fresh[name], group, forming.fence)
+            and fresh[name].state is messages.UpstreamState.SERVING
             for name in forming.members
-            if name in view.fresh
-            and _sits(view.fresh[name], group, forming.fence)
-            and view.fresh[name].state is messages.UpstreamState.SERVING
-        ]
-        if len(seated) == len(forming.members):
-            del self.forming_by_group[group]
-            return
-        if state is not None and _needs_nothing(state, spec):
-            # What seemed lost came back before the orders took effect.
-            del self.forming_by_group[group]
-            return
+        )
+        # What seemed lost may come back before the orders take effect.
+        back = state is not None and state.needs_nothing(work.wanted[group])
         lost = any(
-            name not in view.fresh or view.fresh[name].leaving
+            name not in fresh or fresh[name].leaving
             for name in forming.members
         )
-        if lost or now >= forming.deadline:
-            # The next round sees a broken group and decides again.
+        if serving or back or lost or work.now >= forming.deadline:
+            # The next round sees what there is and decides again.
             del self.forming_by_group[group]
             return
-        self._send_joins(group, spec, forming, view.fresh, now)
+        self._send_joins(group, forming, work)
 
     def _settle_announced(
-        self,
-        group: str,
-        spec: operators.ServingGroup,
-        state: _Group,
-        announced: dict[str, _Group],
-        view: View,
-        now: datetime.timedelta,
+        self, group: str, state: seats.SeatedGroup, work: _Round
     ) -> None:
-        if _needs_nothing(state, spec):
+        spec = work.wanted[group]
+        if state.needs_nothing(spec):
             self.broken_since_by_group.pop(group, None)
-            self.drains.pop((group, state.fence), None)
+            self.drain_table.end(group, state.fence)
             return
-        if state.whole and not self._drained(group, state.fence, view, now):
+        if state.whole and not self._drained(group, state.fence, work):
             return
-        if not _fits(state, spec):
-            self._release_all(state, now)
+        if not state.fits(spec):
+            self._release_all(group, state, work)
             return
-        self._repair(group, spec, state, announced, view, now)
+        self._repair(group, state, work)
+
+    # ---- Repair ---------------------------------------------------------
 
     def _repair(
-        self,
-        group: str,
-        spec: operators.ServingGroup,
-        state: _Group,
-        announced: dict[str, _Group],
-        view: View,
-        now: datetime.timedelta,
+        self, group: str, state: seats.SeatedGroup, work: _Round
     ) -> None:
-        since = self.broken_since_by_group.setdefault(group, now)
+        spec = work.wanted[group]
+        policy = work.view.policy
+        since = self.broken_since_by_group.setdefault(group, work.now)
         healthy = state.healthy
         leaving = len(state.present) - len(healthy)
-        if not repair.hold_passed(now - since, view.policy.hold, leaving):
+        if not repair.hold_passed(work.now - since, policy.hold, leaving):
             return
-        domain = _domain_of(state)
-        spares = self._spares(domain, spec.model, view)
-        others = self._broken_neighbours(group, spec, domain, announced)
-        elsewhere = self._choose_members(spec, view) or []
-        silent = tuple(
-            (now - view.silent_since[item.upstream]).total_seconds()
-            for item in state.absent.values()
-        )
         missing = spec.shape.instances - len(healthy)
-        situation = repair.Situation(
-            group=group,
-            size=spec.shape.instances,
-            minimum_size=spec.shape.minimum_instances,
-            healthy=len(healthy),
-            silent_seconds=silent,
-            leaving=leaving,
-            spares=len(spares),
-            spare_load_seconds=_load_seconds(spec, spares[:missing]),
-            join_seconds=JOIN_TIME.total_seconds(),
-            mergeable=len(others),
-            elsewhere_load_seconds=(
-                _load_seconds(spec, elsewhere) if elsewhere else None
+        spares = work.spares(state.domain, spec.model)
+        others = self._broken_neighbours(group, state.domain, work)
+        elsewhere = work.choose_members(spec)
+        decision = self.decide(
+            repair.Situation(
+                group=group,
+                size=spec.shape.instances,
+                minimum_size=spec.shape.minimum_instances,
+                healthy=len(healthy),
+                silent_seconds=_silent_seconds(state, work),
+                leaving=leaving,
+                spares=len(spares),
+                spare_load_seconds=_load_seconds(spec, spares[:missing]),
+                join_seconds=JOIN_TIME.total_seconds(),
+                mergeable=len(others),
+                elsewhere_load_seconds=(
+                    _load_seconds(spec, elsewhere) if elsewhere else None
+                ),
             ),
+            repair.Weights(policy.downtime_weight, policy.stranding_weight),
+            self.history,
         )
-        weights = repair.Weights(
-            view.policy.downtime_weight, view.policy.stranding_weight
-        )
-        decision = self.decide(situation, weights, self.history)
-        if isinstance(decision, repair.Wait):
-            return
-        kind = type(decision).__name__.lower()
-        self.repairs_by_kind[kind] += 1
+        if not isinstance(decision, repair.Wait):
+            self.repairs_by_kind[type(decision).__name__.lower()] += 1
         match decision:
             case repair.Replace():
                 members = healthy + spares[:missing]
-                self._begin_forming(group, spec, members, now)
+                self._begin_forming(group, members, work)
             case repair.Merge():
                 members = healthy + others[:missing]
-                self._begin_forming(group, spec, members, now)
+                self._begin_forming(group, members, work)
             case repair.Shrink():
-                self._begin_forming(group, spec, healthy, now)
+                self._begin_forming(group, healthy, work)
             case repair.Move():
-                self._begin_forming(group, spec, elsewhere, now)
+                self._begin_forming(group, elsewhere, work)
             case repair.Release():
-                self._release_all(state, now)
-
-    def _spares(
-        self, domain: str, model: str, view: View
-    ) -> list[messages.Announcement]:
-        """Returns the free engines of a domain, those with the model first."""
-        free = self._free_by_domain(view).get(domain, [])
-        return sorted(free, key=lambda item: model not in item.models)
+                self._release_all(group, state, work)
 
     def _broken_neighbours(
-        self,
-        group: str,
-        spec: operators.ServingGroup,
-        domain: str,
-        announced: dict[str, _Group],
+        self, group: str, domain: str, work: _Round
     ) -> list[messages.Announcement]:
         """Returns healthy members of one later broken group like this."""
         for other in sorted(self.broken_since_by_group):
-            state = announced.get(other)
+            state = work.announced.get(other)
             if other <= group or state is None or state.whole:
                 continue
-            same_kind = other.startswith(f"{spec.name}.")
-            if same_kind and _domain_of(state) == domain and state.healthy:
+            same_kind = work.wanted.get(other) is work.wanted[group]
+            if same_kind and state.domain == domain and state.healthy:
                 return state.healthy
         return []
 
     # ---- Groups that are not there yet ----------------------------------
 
-    def _form_absent(
-        self,
-        wanted: dict[str, operators.ServingGroup],
-        announced: dict[str, _Group],
-        view: View,
-        now: datetime.timedelta,
-    ) -> None:
+    def _form_absent(self, work: _Round) -> None:
         absent = []
-        for group, spec in wanted.items():
-            state = announced.get(group)
+        for group, spec in work.wanted.items():
+            state = work.announced.get(group)
             has_members = state is not None and state.present
             if group not in self.forming_by_group and not has_members:
-                absent.append((spec.weights_gigabytes, group, spec))
+                absent.append((spec.weights_gigabytes, group))
         # Small loads go first: more groups are complete sooner.
-        for _, group, spec in sorted(absent, key=lambda item: item[:2]):
-            members = self._choose_members(spec, view)
-            if members is None or not self._may_load(spec, members):
-                continue
-            self._begin_forming(group, spec, members, now)
-
-    def _choose_members(
-        self, spec: operators.ServingGroup, view: View
-    ) -> list[messages.Announcement] | None:
-        """Returns members from the domain that leaves the fewest over."""
-        size = spec.shape.instances
-        best = None
-        for domain, free in sorted(self._free_by_domain(view).items()):
-            if len(free) < size:
-                continue
-            free = sorted(free, key=lambda item: spec.model not in item.models)
-            members = free[:size]
-            loads = sum(spec.model not in item.models for item in members)
-            cost = (loads, (len(free) - size) % size, domain)
-            if best is None or cost < best[0]:
-                best = (cost, members)
-        return best[1] if best else None
+        for _, group in sorted(absent):
+            spec = work.wanted[group]
+            members = work.choose_members(spec)
+            if members and self._may_load(spec, members):
+                self._begin_forming(group, members, work)
 
     def _may_load(
         self,
@@ -556,7 +438,7 @@
         members: list[messages.Announcement],
     ) -> bool:
         """Returns whether the weight store is free for another group."""
-        if all(spec.model in item.models for item in members):
+        if not _needs_load(spec, members):
             return True
         return not any(
             forming.loads for forming in self.forming_by_group.values()
@@ -564,28 +446,17 @@
 
     # ---- Groups that are not wanted -------------------------------------
 
-    def _retire_unwanted(
-        self,
-        wanted: dict[str, operators.ServingGroup],
-        announced: dict[str, _Group],
-        view: View,
-        now: datetime.timedelta,
-    ) -> None:
-        for group in list(self.forming_by_group):
-            if group not in wanted:
-                del self.forming_by_group[group]
-        for group, state in sorted(announced.items()):
-            if group in wanted:
-                self._release_strays(group, state, view, now)
-            elif self._drained(group, state.fence, view, now):
-                self._release_all(state, now)
+    def _retire_unwanted(self, work: _Round) -> None:
+        for group in set(self.forming_by_group) - set(work.wanted):
+            del self.forming_by_group[group]
+        for group, state in sorted(work.announced.items()):
+            if group in work.wanted:
+                self._release_strays(group, state, work)
+            elif self._drained(group, state.fence, work):
+                self._release_all(group, state, work)
 
     def _release_strays(
-        self,
-        group: str,
-        state: _Group,
-        view: View,
-        now: datetime.timedelta,
+        self, group: str, state: seats.SeatedGroup, work: _Round
     ) -> None:
         """Frees members that sit at another fencing number.
 
@@ -593,107 +464,50 @@
         back after it was replaced, they are drained first.
         """
         forming = self.forming_by_group.get(group)
-        joining = forming.members if forming else []
-        strays: dict[int, _Group] = {}
-        for announcement in view.fresh.values():
-            seat = announcement.seat
-            if seat is None or seat.group != group:
+        joining = set(forming.members) if forming else set()
+        for (name, fence), stray in sorted(work.seated.items()):
+            if name != group or fence == state.fence:
                 continue
-            if seat.fence == state.fence or announcement.upstream in joining:
+            members = {item.upstream for item in stray.present.values()}
+            if members & joining:
                 continue
-            stray = strays.setdefault(seat.fence, _Group(seat.fence))
-            stray.size = max(stray.size, seat.size)
-            stray.present[seat.rank] = announcement
-        for fence, stray in sorted(strays.items()):
-            if not stray.whole or self._drained(group, fence, view, now):
-                self._release_all(stray, now)
-
-    def _release_all(self, state: _Group, now: datetime.timedelta) -> None:
-        for rank in sorted(state.present):
-            self._release(state.present[rank], now)
+            if not stray.whole or self._drained(group, fence, work):
+                self._release_all(group, stray, work)
 
     # ---- Drains ---------------------------------------------------------
 
-    def _drained(
-        self,
-        group: str,
-        fence: int,
-        view: View,
-        now: datetime.timedelta,
-    ) -> bool:
+    def _drained(self, group: str, fence: int, work: _Round) -> bool:
         """Starts a drain or goes on with it; returns whether it is over."""
-        drain = self.drains.get((group, fence))
-        if drain is None:
-            self.drains[group, fence] = Drain(now)
-            return False
-        if now - drain.started_at >= DRAIN_LIMIT:
-            return True
-        return all(
-            instance in drain.idle_at_by_instance
-            and now - drain.idle_at_by_instance[instance] < DRAIN_REPLY_LIFE
-            for instance in view.entries
+        return self.drain_table.is_over(
+            group, fence, work.view.entries, work.now
         )
 
-    def _forget_drains(self, view: View) -> None:
-        """Ends the drains of groups in which nobody sits any more."""
-        seated = {
-            (item.seat.group, item.seat.fence)
-            for item in view.fresh.values()
-            if item.seat is not None
-        }
-        for key in set(self.drains) - seated:
-            del self.drains[key]
-
-    def _ask_drains(self, now: datetime.timedelta) -> None:
-        for (group, fence), drain in sorted(self.drains.items()):
-            if drain.asked_at is not None and (
-                now - drain.asked_at < DRAIN_REPEAT
-            ):
-                continue
-            drain.asked_at = now
-            self._actions.append(
-                AskDrain(
-                    messages.DrainGroup(
-                        group,
-                        fence,
-                        self.number,
-                        self.instance,
-                        DRAIN_LAPSE,
-                    )
-                )
+    def _ask_drains(self, work: _Round) -> None:
+        present = {key for key, state in work.seated.items() if state.present}
+        self.drain_table.keep_only(present)
+        for group, fence in self.drain_table.take_due(work.now):
+            drain = messages.DrainGroup(
+                group, fence, self.number, self.instance, drains.LAPSE
             )
+            work.actions.append(AskDrain(drain))
 
 
-def _sits(announcement: messages.Announcement, group: str, fence: int) -> bool:
-    seat = announcement.seat
-    return seat is not None and (seat.group, seat.fence) == (group, fence)
-
-
-def _needs_nothing(state: _Group, spec: operators.ServingGroup) -> bool:
-    """Returns whether a group is whole, as wanted, and stays."""
-    stays = len(state.healthy) == len(state.present)
-    return state.whole and stays and _fits(state, spec)
-
-
-def _fits(state: _Group, spec: operators.ServingGroup) -> bool:
-    """Returns whether a group has a size and a model that it may have."""
-    smallest = spec.shape.minimum_instances or spec.shape.instances
-    if not smallest <= state.size <= spec.shape.instances:
-        return False
-    return all(
-        spec.model in item.models
-        for item in state.present.values()
-        if item.state is messages.UpstreamState.SERVING
+def _silent_seconds(
+    state: seats.SeatedGroup, work: _Round
+) -> tuple[float, ...]:
+    return tuple(
+        (work.now - work.view.silent_since[item.upstream]).total_seconds()
+        for item in state.absent.values()
     )
 
 
-def _domain_of(state: _Group) -> str:
-    for announcement in (*state.present.values(), *state.absent.values()):
-        return announcement.fabric_domain
-    return ""
+def _needs_load(
+    spec: operators.ServingGroup, members: list[messages.Announcement]
+) -> bool:
+    return any(spec.model not in item.models for item in members)
 
 
-def _load_time(
+def load_time(
     spec: operators.ServingGroup, members: list[messages.Announcement]
 ) -> datetime.timedelta:
     """Returns how long the members need to load what they lack."""
@@ -705,4 +519,4 @@
 def _load_seconds(
     spec: operators.ServingGroup, members: list[messages.Announcement]
 ) -> float:
-    return _load_time(spec, members).total_seconds()
+    return load_time(spec, members).total_seconds()
--- /dev/null
+++ b/figford/drains.py
@@ -0,0 +1,93 @@
+"""Drains of groups before planned changes, as the planner keeps them."""
+
+import datetime
+
+import attrs
+
+from figford import messages
+
+REPEAT_EVERY = datetime.timedelta(milliseconds=500)
+LAPSE = datetime.timedelta(seconds=5)
+# An entry's word that it is idle holds for less than its drain lapses.
+REPLY_LIFE = LAPSE / 2
+# An entry that can't be reached holds a planned change up for this long.
+LIMIT = datetime.timedelta(seconds=120)
+
+
+@attrs.define
+class Drain:
+    """A group that gets no new work until nothing is in progress."""
+
+    started_at: datetime.timedelta
+    asked_at: datetime.timedelta | None = None
+    idle_at_by_instance: dict[str, datetime.timedelta] = attrs.field(
+        factory=dict
+    )
+
+    def is_over(
+        self, entries: frozenset[str], now: datetime.timedelta
+    ) -> bool:
+        """Returns whether all entries are idle, or time ran out."""
+        if now - self.started_at >= LIMIT:
+            return True
+        return all(
+            instance in self.idle_at_by_instance
+            and now - self.idle_at_by_instance[instance] < REPLY_LIFE
+            for instance in entries
+        )
+
+
+@attrs.define
+class DrainTable:
+    """The drains of one planner, by group and fencing number."""
+
+    by_group: dict[tuple[str, int], Drain] = attrs.field(factory=dict)
+
+    def clear(self) -> None:
+        """Forgets all drains."""
+        self.by_group.clear()
+
+    def end(self, group: str, fence: int) -> None:
+        """Ends a drain that is not needed any more."""
+        self.by_group.pop((group, fence), None)
+
+    def is_over(
+        self,
+        group: str,
+        fence: int,
+        entries: frozenset[str],
+        now: datetime.timedelta,
+    ) -> bool:
+        """Starts a drain or goes on with it; returns whether it is over."""
+        drain = self.by_group.get((group, fence))
+        if drain is None:
+            self.by_group[group, fence] = Drain(now)
+            return False
+        return drain.is_over(entries, now)
+
+    def reply(
+        self, reply: messages.DrainReply, now: datetime.timedelta
+    ) -> None:
+        """Notes whether an entry has work left on a draining group."""
+        drain = self.by_group.get((reply.group, reply.fence))
+        if drain is None:
+            return
+        if reply.in_progress:
+            drain.idle_at_by_instance.pop(reply.instance, None)
+        else:
+            drain.idle_at_by_instance[reply.instance] = now
+
+    def keep_only(self, seated: set[tuple[str, int]]) -> None:
+        """Ends the drains of groups in which nobody sits any more."""
+        for key in set(self.by_group) - seated:
+            del self.by_group[key]
+
+    def take_due(self, now: datetime.timedelta) -> list[tuple[str, int]]:
+        """Returns the groups whose drain the entries are to be told."""
+        due = []
+        for key, drain in sorted(self.by_group.items()):
+            told = drain.asked_at
+            if told is None or now - told >= REPEAT_EVERY:
+                drain.asked_at = now
+                due.append(key)
+        return due
--- a/figford/node.py
+++ b/figford/node.py
@@ -570,10 +570,8 @@
         self, action: assembly.Action, now: datetime.timedelta
     ) -> list[effects.Effect]:
         match action:
-            case assembly.SendOrder(upstream, address, order, valid_until):
-                return [
-                    effects.SendOrder(upstream, address, order, valid_until)
-                ]
+            case effects.SendOrder():
+                return [action]
             case assembly.AskDrain(drain):
                 neighbours = self.peers.live_in(self.me.data_centre, now)
                 asked: list[effects.Effect] = [
--- a/figford/tests/test_assembly.py
+++ b/figford/tests/test_assembly.py
@@ -9,6 +9,7 @@
 import pytest
 
 from figford import assembly
+from figford import effects
 from figford import groups
 from figford import leases
 from figford import messages
@@ -64,7 +65,7 @@
 
 
 def orders(actions):
-    return [item for item in actions if isinstance(item, assembly.SendOrder)]
+    return [item for item in actions if isinstance(item, effects.SendOrder)]
 
 
 def test_forms_a_group_in_one_domain():
@@ -261,7 +262,7 @@
                         drain.group, drain.fence, drain.number, instance, 0
                     )
                     self.planner.drain_reply(reply, self.now)
-            case assembly.SendOrder(upstream, _, order):
+            case effects.SendOrder(upstream, _, order):
                 self.obey(upstream, order)
 
     def obey(self, name, order):
--- a/figford/tools/experiment.py
+++ b/figford/tools/experiment.py
@@ -17,6 +17,7 @@
 import typer
 
 from figford import assembly
+from figford import effects
 from figford import leases
 from figford import membership
 from figford import messages
@@ -270,7 +271,7 @@
                         drain.group, drain.fence, drain.number, "entry", 0
                     )
                     self.planner.drain_reply(reply, moment)
-                case assembly.SendOrder(upstream, _, order):
+                case effects.SendOrder(upstream, _, order):
                     self._obey(self.engines[upstream], order, now)
 
     def _view(self, now: float) -> assembly.View:
