--- a/figford/daemon.py
+++ b/figford/daemon.py
@@ -34,6 +34,7 @@
 from figford import node as nodes
 from figford import routing
 from figford import settings
+from figford import status
 from figford import store
 from figford import upstreams
 
@@ -453,81 +454,18 @@
 
     def render_metrics(self, accepts: list[str]) -> tuple[bytes, dict]:
         """Returns the text of the metrics and its headers."""
-        for name, value in self._gauges().items():
+        gauges = status.gauges(
+            self.node, self.gateway, self.hub, self.clock.now()
+        )
+        for name, value in gauges.items():
             self.metrics.set_state(name, value)
         return self.metrics.render(accepts)
 
-    def _gauges(self) -> dict[str, float]:
-        now = self.clock.now()
-        dispatcher = self.gateway.dispatcher
-        return {
-            "ready": self.node.is_ready(now),
-            "planner": self.node.planning.holds(now),
-            "leader": self._leads(),
-            "configuration_version": self.node.follower.version,
-            "complete_groups": len(self.node.group_table.by_group(now)),
-            "fresh_upstreams": len(self.node.upstreams.fresh(now)),
-            "live_entries": self.node.live_entries(now),
-            "in_progress": self.gateway.in_progress,
-            "waiting": dispatcher.waiting,
-            "open_breakers": len(dispatcher.breakers.opened()),
-            "pauses": self.node.pauses,
-            "link_bytes_sent": self.hub.bytes_sent,
-            "link_bytes_received": self.hub.bytes_received,
-        }
-
-    def _leads(self) -> bool:
-        disk = self.node.control
-        return disk is not None and disk.agreement.leading
-
     def status(self) -> dict:
         """Returns the state of this entry and what it knows."""
-        now = self.clock.now()
-        disk = self.node.control
-        return {
-            "instance": self.config.instance,
-            "data_centre": self.config.data_centre,
-            "incarnation": self.node.me.incarnation,
-            **self._gauges(),
-            "voters": disk.agreement.voters if disk else [],
-            "entries": [
-                {
-                    "instance": known.peer.instance,
-                    "data_centre": known.peer.data_centre,
-                    "live": self.node.peers.is_live(name, now),
-                    "version": known.peer.version,
-                    "voter": known.peer.voter,
-                }
-                for name, known in sorted(self.node.peers.by_instance.items())
-            ],
-            "groups": [
-                {
-                    "group": view.group,
-                    "fence": view.fence,
-                    "state": view.state.value,
-                    "members": list(view.member_names),
-                    "address": view.address,
-                }
-                for _, view in sorted(
-                    self.node.group_table.by_group(now).items()
-                )
-            ],
-            "upstreams": [
-                {
-                    "upstream": name,
-                    "fabric_domain": known.announcement.fabric_domain,
-                    "kind": known.announcement.kind.value,
-                    "state": known.announcement.state.value,
-                    "group": (
-                        known.announcement.seat.group
-                        if known.announcement.seat
-                        else None
-                    ),
-                    "fresh": self.node.upstreams.is_fresh(name, now),
-                }
-                for name, known in sorted(self.node.upstreams.by_name.items())
-            ],
-        }
+        return status.describe(
+            self.node, self.gateway, self.hub, self.clock.now()
+        )
 
     def block_links(self, instances: set[str]) -> None:
         """Cuts links, where the settings allow faults."""
--- a/figford/node.py
+++ b/figford/node.py
@@ -89,6 +89,11 @@
         """Returns what this entry says of itself."""
         return self.peers.me
 
+    @property
+    def leads(self) -> bool:
+        """Returns whether this entry's disk leads the replicated log."""
+        return self.control is not None and self.control.agreement.leading
+
     @property
     def electorate(self) -> list[str]:
         """Returns the entries that vote on this data centre's planner."""
@@ -460,16 +465,13 @@
         now: datetime.timedelta,
     ) -> list[effects.Effect]:
         onward = self.desk.relay(proposal, instance, now)
-        if self._leads():
+        if self.leads:
             return self._pass_on(proposal, instance, now)
         if onward is None:
             failed = _undecided(proposal)
             return self.desk.result(failed)
         return self._pass_on(onward, instance, now)
 
-    def _leads(self) -> bool:
-        return self.control is not None and self.control.agreement.leading
-
     def _pass_on(
         self,
         proposal: messages.Proposal,
--- a/figford/tests/test_processes.py
+++ b/figford/tests/test_processes.py
@@ -92,6 +92,11 @@
     return running
 
 
+def stream(running, entry):
+    """Asks for the answer that every engine gives, as a stream."""
+    return running.chat(entry, demo.KEY, demo.MODEL, PROMPT, stream=True)
+
+
 def followers(running):
     leader = running.wait("a leader", lambda: leader_of(running))
     return leader, [name for name in NAMES if name != leader]
@@ -202,15 +207,7 @@
     """The answer goes on at the other group from the position reached."""
     with concurrent.futures.ThreadPoolExecutor(4) as pool:
         answers = [
-            pool.submit(
-                serving.chat,
-                NAMES[i % 3],
-                demo.KEY,
-                demo.MODEL,
-                PROMPT,
-                stream=True,
-            )
-            for i in range(4)
+            pool.submit(stream, serving, NAMES[i % 3]) for i in range(4)
         ]
         serving.wait(
             "requests in progress",
@@ -241,15 +238,7 @@
 def test_planned_shrink_cuts_no_request(serving):
     with concurrent.futures.ThreadPoolExecutor(6) as pool:
         answers = [
-            pool.submit(
-                serving.chat,
-                NAMES[i % 3],
-                demo.KEY,
-                demo.MODEL,
-                PROMPT,
-                stream=True,
-            )
-            for i in range(6)
+            pool.submit(stream, serving, NAMES[i % 3]) for i in range(6)
         ]
         accepted = serving.submit("entry-2", configuration(1), 1, "shrink")
         assert accepted.status == 200
@@ -262,14 +251,7 @@
 
 def test_entry_stops_gracefully_with_work_in_progress(serving):
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
-        answer = pool.submit(
-            serving.chat,
-            "entry-3",
-            demo.KEY,
-            demo.MODEL,
-            PROMPT,
-            stream=True,
-        )
+        answer = pool.submit(stream, serving, "entry-3")
         serving.wait(
             "the request in progress",
             lambda: serving.status("entry-3").get("in_progress") == 1,
--- a/figford/tools/soaking/fakes.py
+++ b/figford/tools/soaking/fakes.py
@@ -110,67 +110,111 @@
     receiver: upstream_client.StreamReceiver | None
 
 
+Announce = typing.Callable[["FakeUpstream", messages.Announcement], None]
+
+
 @attrs.define(eq=False)
-class FakeEngine:
-    """An engine in virtual time; its seat is the truth."""
+class FakeUpstream:
+    """What the fakes of engines and services have in common."""
 
     clock: schedule.Schedule
     checks: oracle.Checks
     name: str
     data_centre: str
-    domain: str
-    checks_fencing: bool
-    announce: typing.Callable[["FakeEngine", messages.Announcement], None]
+    announce: Announce
     alive: bool = True
     paused: bool = False
     cut: bool = False
     leaving_since: datetime.timedelta | None = None
     incarnation: int = 1
     sequence: int = 0
-    state: messages.UpstreamState = messages.UpstreamState.IDLE
-    seat: messages.Seat | None = None
-    highest_fence: int = 0
-    models: list[str] = attrs.field(factory=list)
-    streams: list[FakeStream] = attrs.field(factory=list)
-    last_seated: dict[tuple[str, int], datetime.timedelta] = attrs.field(
-        factory=dict
-    )
     life: int = 0
 
     @property
     def working(self) -> bool:
-        """Returns whether the engine runs and is not frozen."""
+        """Returns whether the process runs and is not frozen."""
         return self.alive and not self.paused
 
     def start(self) -> None:
-        """Starts heartbeats and steps of the present life."""
+        """Starts the heartbeat of the present life."""
         self.life += 1
-        life = self.life
+        self._repeat(HEARTBEAT, self.send_announcement)
 
-        def beat() -> None:
-            if life != self.life:
-                return
-            self.clock.after(HEARTBEAT, beat)
-            self.send_announcement()
+    def _repeat(
+        self, every: datetime.timedelta, action: typing.Callable[[], None]
+    ) -> None:
+        """Repeats an action while the present life lasts."""
+        life = self.life
 
-        def step() -> None:
-            if life != self.life:
-                return
-            self.clock.after(TOKEN_EVERY, step)
-            self._step()
+        def again() -> None:
+            if life == self.life:
+                self.clock.after(every, again)
+                action()
 
-        self.clock.after(self.clock.jitter(0, 1), beat)
-        self.clock.after(self.clock.jitter(0, 0.1), step)
+        self.clock.after(every * self.clock.rng.random(), again)
 
     def send_announcement(self) -> None:
         """Announces the present state."""
         if not self.working:
             return
-        self._note_seated()
         self.sequence += 1
-        self.announce(self, self._announcement())
+        self.announce(self, self.announcement())
+
+    def announcement(self) -> messages.Announcement:
+        """Returns what the upstream says of itself."""
+        raise NotImplementedError
+
+    def clock_ms(self) -> int:
+        """Returns the upstream's own clock, which differs from others'."""
+        offset = sum(self.name.encode()) * 1000
+        return self.clock.now() // schedule.seconds(0.001) + offset
+
+    def kill(self) -> None:
+        """Ends the process."""
+        self.life += 1
+        self.alive = False
 
-    def _announcement(self) -> messages.Announcement:
+    def restart(self) -> None:
+        """Starts anew with another incarnation."""
+        self.alive = True
+        self.paused = False
+        self.leaving_since = None
+        self.incarnation += 1
+        self.sequence = 0
+        self.start()
+
+    def pause(self) -> None:
+        """Freezes the process."""
+        self.paused = True
+
+    def resume(self) -> None:
+        """Wakes the process."""
+        self.paused = False
+
+
+@attrs.define(eq=False)
+class FakeEngine(FakeUpstream):
+    """An engine in virtual time; its seat is the truth."""
+
+    domain: str = attrs.field(kw_only=True)
+    checks_fencing: bool = attrs.field(kw_only=True)
+    state: messages.UpstreamState = messages.UpstreamState.IDLE
+    seat: messages.Seat | None = None
+    highest_fence: int = 0
+    models: list[str] = attrs.field(factory=list)
+    streams: list[FakeStream] = attrs.field(factory=list)
+    last_seated: dict[tuple[str, int], datetime.timedelta] = attrs.field(
+        factory=dict
+    )
+
+    def start(self) -> None:
+        """Starts heartbeats and steps of the present life."""
+        super().start()
+        self._repeat(TOKEN_EVERY, self._step)
+
+    def announcement(self) -> messages.Announcement:
+        """Returns what the engine says of itself."""
+        self._note_seated()
         state = self.state
         if self.leaving_since is not None:
             state = messages.UpstreamState.LEAVING
@@ -188,7 +232,7 @@
             seat=self.seat,
             highest_fence=self.highest_fence,
             load=messages.Load(running=len(self.streams)),
-            clock_ms=self.clock.now() // schedule.seconds(0.001) + 12_345,
+            clock_ms=self.clock_ms(),
         )
 
     def _note_seated(self) -> None:
@@ -209,31 +253,21 @@
         """Ends the engine; its seat, models and streams are gone."""
         if self.working:
             self._note_seated()
-        self.life += 1
-        self.alive = False
+        super().kill()
         self._cut_streams()
         self.seat = None
 
     def restart(self) -> None:
-        """Starts anew with another incarnation."""
-        self.alive = True
-        self.paused = False
-        self.leaving_since = None
-        self.incarnation += 1
-        self.sequence = 0
+        """Starts anew with nothing loaded."""
         self.state = messages.UpstreamState.IDLE
         self.models = []
         self.highest_fence = 0
-        self.start()
+        super().restart()
 
     def pause(self) -> None:
         """Freezes the engine."""
         self._note_seated()
-        self.paused = True
-
-    def resume(self) -> None:
-        """Wakes the engine."""
-        self.paused = False
+        super().pause()
 
     # ---- Orders ---------------------------------------------------------
 
@@ -360,84 +394,23 @@
 
 
 @attrs.define(eq=False)
-class FakeService:
+class FakeService(FakeUpstream):
     """A plain service that counts what it ran."""
 
-    clock: schedule.Schedule
-    checks: oracle.Checks
-    name: str
-    data_centre: str
-    announce: typing.Callable[["FakeService", messages.Announcement], None]
-    alive: bool = True
-    paused: bool = False
-    cut: bool = False
-    leaving_since: datetime.timedelta | None = None
-    incarnation: int = 1
-    sequence: int = 0
-    life: int = 0
-
-    @property
-    def working(self) -> bool:
-        """Returns whether the service runs and is not frozen."""
-        return self.alive and not self.paused
-
-    def start(self) -> None:
-        """Starts the heartbeat of the present life."""
-        self.life += 1
-        life = self.life
-
-        def beat() -> None:
-            if life != self.life:
-                return
-            self.clock.after(HEARTBEAT, beat)
-            self.send_announcement()
-
-        self.clock.after(self.clock.jitter(0, 1), beat)
-
-    def send_announcement(self) -> None:
-        """Announces the present state."""
-        if not self.working:
-            return
-        self.sequence += 1
-        leaving = self.leaving_since is not None
-        self.announce(
-            self,
-            messages.Announcement(
-                upstream=self.name,
-                incarnation=self.incarnation,
-                sequence=self.sequence,
-                data_centre=self.data_centre,
-                fabric_domain="none",
-                address=self.name,
-                kind=messages.UpstreamKind.SERVICE,
-                state=(
-                    messages.UpstreamState.LEAVING
-                    if leaving
-                    else messages.UpstreamState.SERVING
-                ),
-                service="bookings",
-                clock_ms=self.clock.now() // schedule.seconds(0.001) + 999,
-            ),
+    def announcement(self) -> messages.Announcement:
+        """Returns what the service says of itself."""
+        state = messages.UpstreamState.SERVING
+        if self.leaving_since is not None:
+            state = messages.UpstreamState.LEAVING
+        return messages.Announcement(
+            upstream=self.name,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            data_centre=self.data_centre,
+            fabric_domain="none",
+            address=self.name,
+            kind=messages.UpstreamKind.SERVICE,
+            state=state,
+            service="bookings",
+            clock_ms=self.clock_ms(),
         )
-
-    def kill(self) -> None:
-        """Ends the service."""
-        self.life += 1
-        self.alive = False
-
-    def restart(self) -> None:
-        """Starts anew with another incarnation."""
-        self.alive = True
-        self.paused = False
-        self.leaving_since = None
-        self.incarnation += 1
-        self.sequence = 0
-        self.start()
-
-    def pause(self) -> None:
-        """Freezes the service."""
-        self.paused = True
-
-    def resume(self) -> None:
-        """Wakes the service."""
-        self.paused = False
--- a/figford/tools/soaking/faults.py
+++ b/figford/tools/soaking/faults.py
@@ -10,7 +10,6 @@
 from figford.tools.soaking import schedule
 from figford.tools.soaking import world
 
-Upstream = fakes.FakeEngine | fakes.FakeService
 STOP_BOUND = schedule.seconds(65)
 STOP_POLL = schedule.seconds(0.2)
 
@@ -215,7 +214,7 @@
 
     # ---- Upstreams ------------------------------------------------------
 
-    def _upstream(self) -> Upstream | None:
+    def _upstream(self) -> fakes.FakeUpstream | None:
         found = [
             upstream
             for upstream in self.soak.all_upstreams
@@ -231,7 +230,7 @@
         return True
 
     def _end_upstream(
-        self, upstream: Upstream, low: float, high: float
+        self, upstream: fakes.FakeUpstream, low: float, high: float
     ) -> None:
         upstream.kill()
         life = upstream.life
--- a/figford/tools/soaking/world.py
+++ b/figford/tools/soaking/world.py
@@ -107,9 +107,9 @@
                         self.checks,
                         name,
                         data_centre,
-                        f"{data_centre}-{domain}",
-                        self.rng.random() < 0.7,
                         self._announce,
+                        domain=f"{data_centre}-{domain}",
+                        checks_fencing=self.rng.random() < 0.7,
                     )
             for index in range(2):
                 name = f"{data_centre}-service-{index}"
@@ -120,7 +120,7 @@
             upstream.start()
 
     @property
-    def all_upstreams(self) -> list[fakes.FakeEngine | fakes.FakeService]:
+    def all_upstreams(self) -> list[fakes.FakeUpstream]:
         """Returns all engines and services."""
         return [*self.engine_by_name.values(), *self.service_by_name.values()]
 
@@ -244,7 +244,7 @@
 
     def _announce(
         self,
-        upstream: fakes.FakeEngine | fakes.FakeService,
+        upstream: fakes.FakeUpstream,
         announcement: messages.Announcement,
     ) -> None:
         """Brings an announcement to some entry of the data centre."""
