Freeze long-lived objects after start

Cause: added between tokens p99 was 1.29 ms at an entry's average share (5 requests/s of 333 tokens), over the budget of 1 ms; full collections of the heap stop the process for a moment. Ruled out: the load, which took 0.10 of a core. Change: gc.freeze once the ports are open.

--- a/figford/daemon.py
+++ b/figford/daemon.py
@@ -1,6 +1,7 @@
 """The composition root: wires and runs one entry."""
 
 import datetime
+import gc
 import os
 import pathlib
 import random
@@ -209,6 +210,10 @@
         )
         self._loop(self._tick, TICK_SECONDS)
         self._loop(self.gateway.tick, GATEWAY_TICK_SECONDS)
+        # What lives as long as the process need not be looked at again; a
+        # full collection would hold tokens up for tens of milliseconds.
+        gc.collect()
+        gc.freeze()
         _log.info(
             "entry started: instance={} data_centre={} voter={}",
             self.config.instance,
--- a/figford/tools/bench.py
+++ b/figford/tools/bench.py
@@ -200,6 +200,8 @@
             },
         )
         compare(bench, "2 requests/s of 100 tokens", 2.0, 100, 10.0)
+        # An entry's average share of the target's peak, and three times it.
+        compare(bench, "5 requests/s and 1,667 tokens/s", 5.0, 333, 20.0)
         compare(bench, "15 requests/s and 5,000 tokens/s", 15.0, 333, 20.0)
         show("60 requests/s of 4 tokens", bench.measure(60.0, 4, 10.0))
     finally:
