--- a/figford/administration.py
+++ b/figford/administration.py
@@ -30,15 +30,6 @@
     request.finish()
 
 
-def write_refusal(request: server.Request, refusal: errors.Refusal) -> None:
-    """Answers a request with a problem document."""
-    request.setResponseCode(refusal.status)
-    for name, value in problems.headers(refusal).items():
-        request.responseHeaders.setRawHeaders(name, [value])
-    request.write(problems.body(refusal))
-    request.finish()
-
-
 def read_json(request: server.Request) -> typing.Any:
     """Returns the JSON body of a request; raises BadRequest or TooLarge."""
     body = request.content.read(BODY_LIMIT_BYTES + 1)
@@ -68,9 +59,9 @@
                 raise errors.BadRequest("the method is not allowed here")
             handler(request)
         except errors.Refusal as refusal:
-            write_refusal(request, refusal)
+            problems.write(request, refusal)
         except errors.MessageError as error:
-            write_refusal(request, errors.BadRequest(str(error)))
+            problems.write(request, errors.BadRequest(str(error)))
         return server.NOT_DONE_YET
 
 
@@ -243,9 +234,9 @@
                 refusal = errors.ConfigurationConflict(
                     f"version {version} is in force, submitted by {winner}"
                 )
-                write_refusal(request, refusal)
+                problems.write(request, refusal)
             case _:
-                write_refusal(
+                problems.write(
                     request,
                     errors.NoQuorum(
                         "the replicated log is out of reach; send the same"
--- a/figford/callers.py
+++ b/figford/callers.py
@@ -213,7 +213,7 @@
         if self._over:
             return
         self._over = True
-        _write_refusal(self._request, refusal)
+        problems.write(self._request, refusal)
 
     def abort(self) -> None:
         """Drops the connection."""
@@ -232,18 +232,6 @@
         """Does nothing; the end of the connection is reported."""
 
 
-def _write_refusal(request: server.Request, refusal: errors.Refusal) -> None:
-    body = problems.body(refusal)
-    request.setResponseCode(refusal.status)
-    for name, value in problems.headers(refusal).items():
-        request.responseHeaders.setRawHeaders(name, [value])
-    request.responseHeaders.setRawHeaders(
-        b"content-length", [str(len(body)).encode()]
-    )
-    request.write(body)
-    request.finish()
-
-
 @attrs.frozen
 class ChatBody:
     """What figford reads of the body of a model request."""
@@ -296,7 +284,7 @@
             self._handle(request)
         except errors.Refusal as refusal:
             self._gateway.metrics.outcome("", "", refusal.kind)
-            _write_refusal(request, refusal)
+            problems.write(request, refusal)
         return server.NOT_DONE_YET
 
     def _handle(self, request: server.Request) -> None:
@@ -441,7 +429,7 @@
     try:
         gateway.check_ready()
     except errors.Refusal as refusal:
-        _write_refusal(request, refusal)
+        problems.write(request, refusal)
         return
     request.setHeader(b"content-type", b"text/plain")
     request.write(b"ready\n")
--- a/figford/problems.py
+++ b/figford/problems.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import typing
 
 from figford import errors
 
@@ -45,6 +46,18 @@
     return result
 
 
+def write(request: typing.Any, refusal: errors.Refusal) -> None:
+    """Answers an HTTP request with a refusal."""
+    content = body(refusal)
+    request.setResponseCode(refusal.status)
+    for name, value in headers(refusal).items():
+        request.responseHeaders.setRawHeaders(name, [value])
+    length = str(len(content)).encode()
+    request.responseHeaders.setRawHeaders(b"content-length", [length])
+    request.write(content)
+    request.finish()
+
+
 def error_event(refusal: errors.Refusal) -> bytes:
     """Returns the event that ends a stream which is not whole."""
     return b"event: error\ndata: " + body(refusal) + b"\n\n"
