--- a/figford/tools/soak.py
+++ b/figford/tools/soak.py
@@ -11,6 +11,8 @@
 from figford.tools.soaking import world
 
 RECOVERY = schedule.seconds(90)
+# A healthy deployment needs about a fifth of these events to recover.
+RECOVERY_STEPS = 300_000
 
 
 @attrs.frozen
@@ -50,8 +52,11 @@
         injected.heal_all()
         until = soak.clock.now() + RECOVERY
         soak.quiet_from = soak.clock.now()
+        last_step = soak.clock.steps + RECOVERY_STEPS
         while soak.clock.now() < until:
             soak.step()
+            if soak.clock.steps > last_step:
+                soak.checks.fail("messages multiply after all faults ended")
         check_recovered(soak)
     except Exception as error:
         # Any exception is a violation: none may reach the event loop.
