--- a/figford/control.py
+++ b/figford/control.py
@@ -2,6 +2,7 @@
 
 import datetime
 import random
+import typing
 
 import attrs
 
@@ -13,6 +14,12 @@
 
 VOTERS_LIMIT = 7
 SNAPSHOT_EVERY_ENTRIES = 500
+# A voter that is silent this long gives its place to a disk that is there;
+# freezes and cuts of a few seconds pass before that.
+VOTER_SILENCE = datetime.timedelta(seconds=8)
+# Below this number a silent voter keeps its vote, so that a cut never
+# shrinks the quorum.
+FEWEST_VOTERS = 3
 VOTER_REVIEW_EVERY = datetime.timedelta(seconds=1)
 # A claim on the answer of a proposal lapses with the proposal's retries.
 WAITING_LIMIT = 10_000
@@ -28,10 +35,16 @@
     term: int
 
 
-def founding_records(voter: str) -> list[messages.Record]:
-    """Returns the records of the first voter of a new deployment."""
+def founding_records(
+    voter: str, others: typing.Iterable[str] = ()
+) -> list[messages.Record]:
+    """Returns the records of a first voter of a new deployment.
+
+    Voters that are founded together write the same first entry.
+    """
+    voters = sorted({voter, *others})
     first = messages.Entry(
-        1, 1, datetime.timedelta(0), messages.VoterChange([voter])
+        1, 1, datetime.timedelta(0), messages.VoterChange(voters)
     )
     return [
         messages.Identity(voter),
@@ -94,6 +107,7 @@
     ledger: ledgers.Ledger = attrs.field(factory=ledgers.Ledger)
     _awaited_by_index: dict[int, _Awaited] = attrs.field(factory=dict)
     _review_due: datetime.timedelta = datetime.timedelta(0)
+    _led_since: datetime.timedelta = datetime.timedelta(0)
     _results: list[messages.ProposalResult] = attrs.field(factory=list)
 
     def restore(
@@ -121,6 +135,8 @@
     def tick(self, now: datetime.timedelta) -> list[effects.Effect]:
         """Runs elections, heartbeats and the review of the voters."""
         result = self._convert(self.agreement.tick(now))
+        if not self.agreement.leading:
+            self._led_since = now
         if self.agreement.leading and now >= self._review_due:
             self._review_due = now + VOTER_REVIEW_EVERY
             result += self._review_voters(now)
@@ -184,7 +200,9 @@
         for entry in output.committed:
             self._apply(entry)
         for read in output.confirmed_reads:
-            outcome = messages.VersionInForce(self.ledger.state.version)
+            outcome = messages.VersionInForce(
+                self.ledger.state.version, self.ledger.state.routes_version
+            )
             self._results.append(messages.ProposalResult(read, outcome))
         if output.committed:
             result += self._compact()
@@ -216,6 +234,8 @@
         """Drops voters whose disk was replaced; votes live disks in."""
         voters = self.agreement.voters
         lost = [voter for voter in voters if self._disk_is_lost(voter, now)]
+        if not lost and len(voters) > FEWEST_VOTERS:
+            lost = [voter for voter in voters if self._is_gone(voter, now)]
         if lost:
             kept = [voter for voter in voters if voter != lost[0]]
             return self._change_voters(kept, now)
@@ -244,6 +264,16 @@
             return False
         return known.peer.voter != voter
 
+    def _is_gone(self, voter: str, now: datetime.timedelta) -> bool:
+        """Returns whether a voter was not heard for too long."""
+        if voter == self.agreement.voter:
+            return False
+        instance = self.peers.instance_of_voter(voter)
+        known = self.peers.by_instance.get(instance or "")
+        if known is None or known.heard_at is None:
+            return now - self._led_since > VOTER_SILENCE
+        return now - known.heard_at > VOTER_SILENCE
+
     def _next_learner(self, now: datetime.timedelta) -> str | None:
         """Returns the disk to vote in next: fewest voters in its place."""
         voters = set(self.agreement.voters)
--- /dev/null
+++ b/figford/controller.py
@@ -0,0 +1,484 @@
+"""The decisions of one controller: log, route table, fleet and groups.
+
+A controller has a disk and a vote. It takes reports of upstreams and
+submissions of operators, passes them on to the other controllers and to
+the entries, and plans groups while its disk leads the replicated log.
+"""
+
+import datetime
+import random
+
+import attrs
+
+from figford import control as controls
+from figford import effects
+from figford import fleet as fleets
+from figford import fleetmessages
+from figford import formations
+from figford import membership
+from figford import messages
+from figford import proposals
+from figford import routes
+
+HEARTBEAT_EVERY = datetime.timedelta(milliseconds=400)
+# Beats of upstreams are gathered this long for the other controllers.
+BEATS_EVERY = datetime.timedelta(milliseconds=400)
+PLAN_EVERY = datetime.timedelta(milliseconds=100)
+# A process that was held up this long distrusts what it knew of silence.
+PAUSE = datetime.timedelta(seconds=1)
+# How long after a pause, or after the start, silence means nothing.
+SETTLE = fleets.SILENCE
+
+
+@attrs.frozen
+class SendGroupOrder:
+    """Effect: send an order to an engine and report its result."""
+
+    order: formations.GroupOrder
+
+
+@attrs.frozen
+class AskOrdersBegun:
+    """Effect: ask an engine how many orders it has begun."""
+
+    upstream: str
+    incarnation: int
+    address: str
+
+
+Effect = effects.Effect | SendGroupOrder | AskOrdersBegun
+
+
+@attrs.define
+class Controller:
+    """One controller; `decode` reads a stored route table."""
+
+    peers: membership.PeerTable
+    control: controls.Control
+    rng: random.Random
+    started_at: datetime.timedelta
+    fleet: fleets.FleetTable = attrs.field(factory=fleets.FleetTable)
+    planner: formations.Planner = attrs.field(factory=formations.Planner)
+    desk: proposals.ProposalDesk = attrs.field(factory=proposals.ProposalDesk)
+    table: routes.RouteTable = attrs.field(factory=routes.RouteTable)
+    stopping: bool = False
+    links: set[str] = attrs.field(factory=set)
+    _asked_at_by_name: dict[str, datetime.timedelta] = attrs.field(
+        factory=dict
+    )
+    _beats: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    _beats_due: datetime.timedelta = datetime.timedelta(0)
+    _heartbeat_due: datetime.timedelta = datetime.timedelta(0)
+    _plan_due: datetime.timedelta = datetime.timedelta(0)
+    _settled_at: datetime.timedelta = attrs.field(init=False)
+    _last_event: datetime.timedelta = attrs.field(init=False)
+    _told_status: fleetmessages.FleetStatus | None = None
+    _proposals_made: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Starts the clocks of silence."""
+        self._settled_at = self.started_at + SETTLE
+        self._last_event = self.started_at
+
+    # ---- Reading --------------------------------------------------------
+
+    @property
+    def me(self) -> messages.Peer:
+        """Returns what this controller says of itself."""
+        return self.peers.me
+
+    @property
+    def leads(self) -> bool:
+        """Returns whether this disk leads and knows all commits."""
+        return self.control.agreement.settled
+
+    @property
+    def view(self) -> fleetmessages.RoutesView:
+        """Returns the route table that the log holds here."""
+        state = self.control.ledger.state
+        return fleetmessages.RoutesView(
+            state.routes_version, state.routes_document
+        )
+
+    def entries(self, now: datetime.timedelta) -> list[messages.Peer]:
+        """Returns the live entries, which have no vote."""
+        return [peer for peer in self.peers.live(now) if peer.voter is None]
+
+    def controllers(self) -> list[messages.Peer]:
+        """Returns all controllers that are known, this one first."""
+        return [
+            peer for peer in self.peers.everyone() if peer.voter is not None
+        ]
+
+    # ---- Events ---------------------------------------------------------
+
+    def start(
+        self, records: list[messages.Record], now: datetime.timedelta
+    ) -> list[Effect]:
+        """Loads the journal."""
+        return self._settle(self.control.restore(records, now), now)
+
+    def tick(self, now: datetime.timedelta) -> list[Effect]:
+        """Does what time makes due; called several times a second."""
+        self._note_event(now)
+        result = self._settle(self.control.tick(now), now)
+        result += self._heartbeat(now)
+        result += self._send_beats(now)
+        result += self._send_proposals(now)
+        result += self._decided(self.desk.expire(now))
+        return result + self._plan(now)
+
+    def synced(
+        self, index: int, term: int, now: datetime.timedelta
+    ) -> list[Effect]:
+        """Notes that a durable batch is on disk."""
+        return self._settle(self.control.synced(index, term, now), now)
+
+    def link_up(
+        self, peer: messages.Peer, now: datetime.timedelta
+    ) -> list[Effect]:
+        """Notes a link; tells the peer who and what is known."""
+        self._note_event(now)
+        self.links.add(peer.instance)
+        self.peers.heard(peer, now)
+        result: list[Effect] = [
+            effects.SendPeer(
+                peer.instance, messages.Peers(self.controllers())
+            ),
+            effects.SendPeer(
+                peer.instance,
+                fleetmessages.FleetUpdate(self.fleet.everything()),
+            ),
+        ]
+        if peer.voter is not None:
+            result += self._tell_all(messages.Peers([peer]), peer.instance)
+        elif self._told_status is not None and self.leads:
+            result.append(effects.SendPeer(peer.instance, self._told_status))
+        return result + self._pulse_to(peer.instance)
+
+    def link_down(self, instance: str) -> None:
+        """Notes that a link broke."""
+        self.links.discard(instance)
+
+    def report(
+        self,
+        registration: fleetmessages.Registration,
+        now: datetime.timedelta,
+    ) -> list[Effect]:
+        """Takes an upstream's own report."""
+        self._note_event(now)
+        if self.fleet.report(registration, now):
+            return self._tell_all(
+                fleetmessages.FleetUpdate([registration]), None
+            )
+        self._beats[registration.upstream] = (
+            registration.incarnation,
+            registration.sequence,
+        )
+        return []
+
+    def end(self, upstream: str, now: datetime.timedelta) -> list[Effect]:
+        """Takes an upstream's word that it leaves for good."""
+        self._note_event(now)
+        if not self.fleet.end(upstream, now):
+            return []
+        ended = self.fleet.by_name[upstream].registration
+        return self._tell_all(fleetmessages.FleetUpdate([ended]), None)
+
+    def propose(
+        self,
+        command: messages.Command,
+        deadline: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> tuple[str, list[Effect]]:
+        """Starts a command; its outcome comes as a `Decided` effect."""
+        self._proposals_made += 1
+        me = self.me
+        proposal = f"{me.instance}@{me.incarnation}/{self._proposals_made}"
+        self.desk.start(proposal, command, deadline, now)
+        return proposal, self._send_proposals(now)
+
+    def receive(
+        self,
+        instance: str,
+        message: messages.PeerMessage,
+        now: datetime.timedelta,
+    ) -> list[Effect]:
+        """Handles a message from a linked peer."""
+        self._note_event(now)
+        match message:
+            case messages.Peers():
+                return self._on_peers(instance, message, now)
+            case messages.Pulse(state):
+                self.peers.pulse(instance, state, now)
+                return []
+            case messages.Addressed():
+                return self._settle(self.control.receive(message, now), now)
+            case messages.Proposal():
+                return self._on_proposal(instance, message, now)
+            case messages.ProposalResult():
+                return self._decided(self.desk.result(message))
+            case fleetmessages.RoutesPull(version):
+                if self.view.version <= version:
+                    return []
+                return [effects.SendPeer(instance, self.view)]
+            case fleetmessages.FleetUpdate(registrations):
+                self._on_fleet_update(registrations, now)
+                return []
+            case fleetmessages.FleetBeats():
+                self._on_beats(message, now)
+                return []
+        # Messages of other kinds of processes say nothing to a controller.
+        return []
+
+    def ordered(
+        self,
+        order: formations.GroupOrder,
+        result: formations.Result,
+        now: datetime.timedelta,
+    ) -> None:
+        """Notes what came of an order."""
+        self.planner.result(order, result, now)
+
+    def begin_stop(self, now: datetime.timedelta) -> list[Effect]:
+        """Starts a graceful stop; the disk goes on voting until the end."""
+        self.stopping = True
+        return self._heartbeat_now(now)
+
+    # ---- Peers ----------------------------------------------------------
+
+    def _note_event(self, now: datetime.timedelta) -> None:
+        if now - self._last_event > PAUSE:
+            self._settled_at = now + SETTLE
+        self._last_event = now
+
+    def _heartbeat(self, now: datetime.timedelta) -> list[Effect]:
+        if now < self._heartbeat_due:
+            return []
+        self.fleet.forget_ended(now)
+        self.peers.forget_lost(now)
+        return self._heartbeat_now(now) + self._send_status(now)
+
+    def _heartbeat_now(self, now: datetime.timedelta) -> list[Effect]:
+        self._heartbeat_due = now + HEARTBEAT_EVERY
+        self.peers.me = attrs.evolve(
+            self.me,
+            sequence=self.me.sequence + 1,
+            version=self.view.version,
+            draining=self.stopping,
+            hears_quorum=self.control.hears_quorum(now),
+        )
+        result: list[Effect] = []
+        for instance in sorted(self.links):
+            result += self._pulse_to(instance)
+        return result
+
+    def _pulse_to(self, instance: str) -> list[Effect]:
+        me = self.me
+        state = messages.PeerState(
+            me.sequence, self.view.version, me.draining, me.hears_quorum
+        )
+        return [effects.SendPeer(instance, messages.Pulse(state))]
+
+    def _tell_all(
+        self, message: messages.PeerMessage, but: str | None
+    ) -> list[Effect]:
+        return [
+            effects.SendPeer(instance, message)
+            for instance in sorted(self.links)
+            if instance != but
+        ]
+
+    def _on_peers(
+        self, instance: str, message: messages.Peers, now: datetime.timedelta
+    ) -> list[Effect]:
+        for peer in message.peers:
+            if peer.instance == instance:
+                self.peers.heard(peer, now)
+            elif peer.voter is not None:
+                self.peers.update(peer)
+        return []
+
+    # ---- Fleet ----------------------------------------------------------
+
+    def _on_fleet_update(
+        self,
+        registrations: list[fleetmessages.Registration],
+        now: datetime.timedelta,
+    ) -> None:
+        for registration in registrations:
+            if registration.gone:
+                self.fleet.report(registration, now)
+                self.fleet.end(registration.upstream, now)
+            else:
+                self.fleet.report(registration, now)
+
+    def _on_beats(
+        self, beats: fleetmessages.FleetBeats, now: datetime.timedelta
+    ) -> None:
+        for name, incarnation, sequence in zip(
+            beats.upstreams, beats.incarnations, beats.sequences
+        ):
+            self.fleet.beat(name, incarnation, sequence, now)
+
+    def _send_beats(self, now: datetime.timedelta) -> list[Effect]:
+        if now < self._beats_due or not self._beats:
+            return []
+        self._beats_due = now + BEATS_EVERY
+        names = sorted(self._beats)
+        beats = fleetmessages.FleetBeats(
+            names,
+            [self._beats[name][0] for name in names],
+            [self._beats[name][1] for name in names],
+        )
+        self._beats.clear()
+        return [
+            effects.SendPeer(peer.instance, beats)
+            for peer in self.peers.live(now)
+            if peer.voter is not None and peer.instance in self.links
+        ]
+
+    def silent(self, now: datetime.timedelta) -> frozenset[str]:
+        """Returns the upstreams that no controller in reach hears."""
+        if now < self._settled_at:
+            return frozenset()
+        return frozenset(
+            item.upstream
+            for item in self.fleet.present()
+            if self.fleet.is_silent(item.upstream, now)
+        )
+
+    def _send_status(self, now: datetime.timedelta) -> list[Effect]:
+        """Tells entries what only a leader can judge, when it changes."""
+        if not self.leads:
+            self._told_status = None
+            return []
+        entries = self.entries(now)
+        status = fleetmessages.FleetStatus(
+            sorted(self.silent(now)), max(1, len(entries))
+        )
+        if status == self._told_status:
+            return []
+        self._told_status = status
+        return [
+            effects.SendPeer(peer.instance, status)
+            for peer in entries
+            if peer.instance in self.links
+        ]
+
+    # ---- The log --------------------------------------------------------
+
+    def _settle(
+        self, result: list[effects.Effect], now: datetime.timedelta
+    ) -> list[Effect]:
+        """Adds what follows from results and commits of the log."""
+        settled: list[Effect] = list(result)
+        for answer in self.control.take_results():
+            settled += self._decided(self.desk.result(answer))
+        if self.view.version != self.me.version:
+            settled.append(effects.Configured(self.view.version))
+            settled += self._heartbeat_now(now)
+        return settled
+
+    def _decided(self, decided: list[effects.Effect]) -> list[Effect]:
+        return list(decided)
+
+    def _send_proposals(self, now: datetime.timedelta) -> list[Effect]:
+        result: list[Effect] = []
+        for proposal in self.desk.due(now):
+            result += self._pass_on(proposal, now)
+        return result
+
+    def _on_proposal(
+        self,
+        instance: str,
+        proposal: messages.Proposal,
+        now: datetime.timedelta,
+    ) -> list[Effect]:
+        onward = self.desk.relay(proposal, instance, now)
+        if self.control.agreement.leading:
+            return self._pass_on(proposal, now)
+        if onward is None:
+            return self._decided(self.desk.result(_undecided(proposal)))
+        return self._pass_on(onward, now)
+
+    def _pass_on(
+        self, proposal: messages.Proposal, now: datetime.timedelta
+    ) -> list[Effect]:
+        if self.control.agreement.leading:
+            return self._settle(self.control.propose(proposal, now), now)
+        leader = self.control.leader_instance()
+        if leader is None or leader not in self.links:
+            return self._decided(self.desk.result(_undecided(proposal)))
+        return [effects.SendPeer(leader, proposal)]
+
+    # ---- Groups ---------------------------------------------------------
+
+    def _plan(self, now: datetime.timedelta) -> list[Effect]:
+        if not self.leads or now < self._plan_due or self.stopping:
+            return []
+        self._plan_due = now + PLAN_EVERY
+        if self.planner.term != self.control.agreement.term:
+            self.planner.start(self.control.agreement.term, now)
+        view = self._planning_view(now)
+        if not view.engines:
+            return []
+        result: list[Effect] = [
+            SendGroupOrder(order) for order in self.planner.plan(view, now)
+        ]
+        return result + self._ask_orders_begun(view, now) + self._notes()
+
+    def _planning_view(self, now: datetime.timedelta) -> formations.View:
+        engines = {
+            service.name: service.engine
+            for service in self.table.services
+            if service.engine is not None and service.engine.models
+        }
+        present = {
+            item.upstream: item
+            for item in self.fleet.present()
+            if item.service in engines
+        }
+        settled = now >= self._settled_at
+        heard_at = {
+            name: self.fleet.by_name[name].heard_at if settled else now
+            for name in present
+        }
+        return formations.View(present, heard_at, self.silent(now), engines)
+
+    def _ask_orders_begun(
+        self, view: formations.View, now: datetime.timedelta
+    ) -> list[Effect]:
+        result: list[Effect] = []
+        for name in self.planner.questions(now):
+            registration = view.fleet.get(name)
+            asked = self._asked_at_by_name.get(name)
+            if registration is None or name in view.silent:
+                continue
+            if asked is not None and now - asked < formations.ORDER_REPEAT:
+                continue
+            self._asked_at_by_name[name] = now
+            result.append(
+                AskOrdersBegun(
+                    name, registration.incarnation, registration.address
+                )
+            )
+        return result
+
+    def _notes(self) -> list[Effect]:
+        notes, self.planner.notes = self.planner.notes, []
+        return [
+            effects.StateChanged(
+                f"group {note.event}",
+                (
+                    ("group", note.group),
+                    ("epoch", note.epoch),
+                    ("cause", note.detail),
+                ),
+            )
+            for note in notes
+        ]
+
+
+def _undecided(proposal: messages.Proposal) -> messages.ProposalResult:
+    return messages.ProposalResult(proposal.proposal, messages.Undecided())
--- /dev/null
+++ b/figford/entrydaemon.py
@@ -0,0 +1,137 @@
+"""The composition root of an entry: callers in front, upstreams behind."""
+
+import datetime
+import random
+import typing
+
+import attrs
+import logbook
+from twisted.internet import defer
+
+from figford import effects
+from figford import entry as entries
+from figford import exchanges
+from figford import forwarder as forwarders
+from figford import ingress as ingresses
+from figford import membership
+from figford import nodes
+from figford import placement
+from figford import routes
+from figford import wire
+
+_log = logbook.Logger(__name__)
+
+FORWARD_TICK_SECONDS = 0.03
+SWEEP_SECONDS = 0.5
+# The balancer asks once a second and takes an entry out after two misses;
+# until then new connections still come.
+BALANCER_NOTICE = datetime.timedelta(milliseconds=2600)
+# What is left of the time to stop when the last requests are cut.
+STOP_MARGIN = datetime.timedelta(milliseconds=400)
+
+ReadTable = typing.Callable[[bytes], routes.RouteTable]
+
+
+@attrs.define(eq=False)
+class EntryDaemon(nodes.NodeDaemon):
+    """One entry process."""
+
+    dialect: wire.Dialect = attrs.field(kw_only=True)
+    read_table: ReadTable = attrs.field(kw_only=True)
+    ready_factory: typing.Callable[..., typing.Any] = attrs.field(kw_only=True)
+    forwarder: forwarders.Forwarder = attrs.field(init=False)
+    ingress: ingresses.Ingress = attrs.field(init=False)
+    _stopping_since: datetime.timedelta | None = None
+
+    def __attrs_post_init__(self) -> None:
+        """Makes the parts; opens no socket yet."""
+        rng = random.SystemRandom()
+        peers = membership.PeerTable(self.me(None))
+        self.state = entries.EntryState(peers)
+        pool = exchanges.Pool(self.reactor, self.clock, self.dialect)
+        self.forwarder = forwarders.Forwarder(
+            self.clock,
+            pool,
+            self.dialect,
+            placement.Placement(self.config.data_centre, rng),
+            self.metrics,
+            self.config.budget,
+            rng,
+        )
+        self.ingress = ingresses.Ingress(self.forwarder)
+        self.make_hub()
+
+    @defer.inlineCallbacks
+    def start(self) -> typing.Iterator[typing.Any]:
+        """Opens the ports and starts to work."""
+        yield self.hub.start()
+        yield self.listen(
+            self.config.ready_address,
+            self.ready_factory(lambda: self.state.ready, self.reactor),
+        )
+        yield self.listen(
+            self.config.callers_address,
+            ingresses.CallerFactory(self.ingress, self.reactor),
+        )
+        self.loop(self.forwarder.tick, FORWARD_TICK_SECONDS)
+        self.loop(self.forwarder.pool.sweep, SWEEP_SECONDS)
+        self.start_common()
+
+    def carry_out(self, todo: list) -> None:
+        """Carries out effects."""
+        for effect in todo:
+            match effect:
+                case effects.SendPeer(instance, message):
+                    self.hub.send(instance, message)
+                case entries.FleetChanged():
+                    self.forwarder.fleet_changed(self.state.fleet)
+                case entries.StatusTold(status):
+                    _log.info(
+                        "status told",
+                        silent=",".join(status.silent),
+                        entries=status.entries,
+                    )
+                    self.forwarder.status(status)
+                case effects.Configured():
+                    self.forwarder.configured(
+                        self.read_table(self.state.view.document)
+                    )
+                case effects.StateChanged():
+                    self.state_changed(effect)
+
+    def tick(self) -> None:
+        """Does what time makes due."""
+        now = self.clock.now()
+        self.carry_out(self.state.tick(now))
+        self._check_stopped(now)
+
+    # ---- Stopping -------------------------------------------------------
+
+    def stop(self) -> None:
+        """Begins a graceful stop: what is there finishes."""
+        if self._stopping_since is not None:
+            return
+        self._stopping_since = self.clock.now()
+        self.state.stopping = True
+        self.ingress.stopping = True
+        _log.info(
+            "process stopping", in_progress=len(self.forwarder.calls)
+        )
+
+    def _check_stopped(self, now: datetime.timedelta) -> None:
+        since = self._stopping_since
+        if since is None or now - since < BALANCER_NOTICE:
+            return
+        late = now - since >= self.config.stop_timeout - STOP_MARGIN
+        if self.forwarder.calls and not late:
+            return
+        self._stopping_since = None
+        self._close(late).addErrback(self.fatal)
+
+    @defer.inlineCallbacks
+    def _close(self, late: bool) -> typing.Iterator[typing.Any]:
+        _log.info("process stopped", cut=len(self.forwarder.calls))
+        self.ingress.close_idle()
+        yield self.close_ports()
+        self.forwarder.pool.close()
+        self.stopped.callback(not late)
--- /dev/null
+++ b/figford/eventstream.py
@@ -0,0 +1,88 @@
+"""Splits a stream of events into whole events with their ids."""
+
+import attrs
+
+from figford import errors
+
+# An event is a few hundred bytes; one that never ends is not an event.
+EVENT_LIMIT_BYTES = 1 << 20
+
+
+class EventOrderError(errors.FigfordError):
+    """An upstream's event does not follow the one before it."""
+
+
+@attrs.define
+class EventSplitter:
+    """Keeps what is not whole yet.
+
+    `last_id` is the id of the last event that was passed on; after a
+    resumption, events up to it are dropped.
+
+    >>> splitter = EventSplitter()
+    >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
+    [b'id: 1\\ndata: a\\n\\n']
+    >>> splitter.last_id, splitter.pending
+    ('1', True)
+    """
+
+    last_id: str | None = None
+    _buffer: bytes = b""
+
+    @property
+    def pending(self) -> bool:
+        """Returns whether a part of an event is held."""
+        return bool(self._buffer)
+
+    def restart(self) -> None:
+        """Drops the part of an event that another upstream began."""
+        self._buffer = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Returns the whole events that follow the last one.
+
+        Raises EventOrderError where an event is missing or too long.
+        """
+        self._buffer += data
+        events = []
+        while True:
+            end = _end_of_event(self._buffer)
+            if end < 0:
+                break
+            event, self._buffer = self._buffer[:end], self._buffer[end:]
+            if self._is_next(event):
+                events.append(event)
+        if len(self._buffer) > EVENT_LIMIT_BYTES:
+            raise EventOrderError("an event does not end")
+        return events
+
+    def _is_next(self, event: bytes) -> bool:
+        found = _id_of(event)
+        if found is None:
+            return True
+        if found.isdigit() and self.last_id and self.last_id.isdigit():
+            step = int(found) - int(self.last_id)
+            if step <= 0:
+                return False
+            if step != 1:
+                raise EventOrderError(
+                    f"event {found} follows event {self.last_id}"
+                )
+        self.last_id = found
+        return True
+
+
+def _end_of_event(buffer: bytes) -> int:
+    ends = [
+        position + len(blank)
+        for blank in (b"\n\n", b"\r\n\r\n")
+        if (position := buffer.find(blank)) >= 0
+    ]
+    return min(ends, default=-1)
+
+
+def _id_of(event: bytes) -> str | None:
+    for line in event.splitlines():
+        if line.startswith(b"id:"):
+            return line[3:].strip().decode("latin-1")
+    return None
--- /dev/null
+++ b/figford/exchanges.py
@@ -0,0 +1,369 @@
+"""Requests to upstreams over kept connections, one at a time on each.
+
+`h11` reads and writes the protocol. A connection with bytes that belong to
+no request, or whose answer names another request, is closed. Nothing is
+retried here.
+"""
+
+import collections
+import datetime
+import enum
+import socket
+import typing
+
+import attrs
+import h11
+from twisted.internet import endpoints
+from twisted.internet import error as internet_errors
+from twisted.internet import protocol
+
+from figford import settings
+from figford import wire
+
+# A handshake within a region takes milliseconds; a lost first packet is
+# sent again only after a second, when another upstream is the better try.
+CONNECT_TIMEOUT_SECONDS = 0.6
+# Kept connections are dropped this long before the upstream would.
+KEEP_MARGIN = datetime.timedelta(milliseconds=700)
+DEFAULT_KEEP = datetime.timedelta(seconds=4)
+KEPT_PER_UPSTREAM = 24
+# Probes that find connections which went silent without a reset.
+KEEPALIVE_IDLE_SECONDS = 2
+KEEPALIVE_INTERVAL_SECONDS = 1
+KEEPALIVE_PROBES = 2
+UNACKED_LIMIT_MS = 2500
+
+
+class Failure(enum.Enum):
+    """How an exchange failed, by what the upstream may have seen."""
+
+    NOT_SENT = "not sent"
+    BROKEN = "broken"
+    INVALID = "invalid"
+
+
+class Receiver(typing.Protocol):
+    """Gets the answer of one exchange; nothing comes after its end."""
+
+    def answer_began(self, head: wire.AnswerHead) -> None:
+        """Takes status and headers."""
+
+    def answer_data(self, data: bytes) -> None:
+        """Takes a part of the body."""
+
+    def answer_ended(self) -> None:
+        """Notes that the answer is whole."""
+
+    def answer_failed(self, failure: Failure) -> None:
+        """Notes that there will be no whole answer."""
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """One request to one upstream."""
+
+    method: bytes
+    target: bytes
+    headers: wire.HeaderList
+    body: bytes
+    receiver: Receiver | None
+    attempt: str = ""
+    sent: bool = False
+    _connection: "Connection | None" = None
+    _connecting: typing.Any = None
+
+    def cancel(self) -> None:
+        """Ends the exchange; the upstream sees its connection close."""
+        self.receiver = None
+        if self._connection is not None:
+            self._connection.transport.abortConnection()
+        elif self._connecting is not None:
+            self._connecting.cancel()
+
+    def fail(self, failure: Failure) -> None:
+        """Reports a failure, once."""
+        receiver, self.receiver = self.receiver, None
+        if receiver is not None:
+            receiver.answer_failed(failure)
+
+
+class Connection(protocol.Protocol):
+    """One connection to an upstream."""
+
+    def __init__(self, pool: "Pool", address: str) -> None:
+        """Makes the protocol of a connection that is being opened."""
+        self._pool = pool
+        self.address = address
+        self._http = h11.Connection(h11.CLIENT)
+        self._exchange: Exchange | None = None
+        self._head: wire.AnswerHead | None = None
+        self.kept_until = datetime.timedelta(0)
+        self.idle_since = datetime.timedelta(0)
+        self._open = False
+
+    def connectionMade(self) -> None:
+        """Sets the options that find dead connections."""
+        self._open = True
+        self.transport.setTcpNoDelay(True)
+        handle = self.transport.getHandle()
+        options = (
+            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+            (
+                socket.IPPROTO_TCP,
+                socket.TCP_KEEPINTVL,
+                KEEPALIVE_INTERVAL_SECONDS,
+            ),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_LIMIT_MS),
+        )
+        for level, option, value in options:
+            handle.setsockopt(level, option, value)
+
+    @property
+    def usable(self) -> bool:
+        """Returns whether a request may be sent on this connection."""
+        return self._open and self._exchange is None
+
+    def begin(self, exchange: Exchange) -> None:
+        """Sends a request."""
+        self._exchange = exchange
+        self._head = None
+        exchange._connection = self
+        headers = list(exchange.headers)
+        if exchange.body or exchange.method not in (b"GET", b"HEAD"):
+            headers.append(
+                (b"Content-Length", str(len(exchange.body)).encode())
+            )
+        request = h11.Request(
+            method=exchange.method, target=exchange.target, headers=headers
+        )
+        data = self._http.send(request) or b""
+        if exchange.body:
+            data += self._http.send(h11.Data(data=exchange.body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        exchange.sent = True
+        self.transport.write(data)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Feeds the parser and reports what came out."""
+        if self._exchange is None:
+            # Bytes that belong to no request.
+            self._pool.strays += 1
+            self.transport.abortConnection()
+            return
+        try:
+            self._http.receive_data(data)
+            self._report_events()
+        except h11.RemoteProtocolError:
+            self._fail(Failure.INVALID)
+
+    def _report_events(self) -> None:
+        while self._exchange is not None:
+            event = self._http.next_event()
+            match event:
+                case h11.Response():
+                    self._on_head(event)
+                case h11.Data():
+                    self._exchange_data(bytes(event.data))
+                case h11.EndOfMessage():
+                    self._on_end()
+                case h11.InformationalResponse():
+                    continue
+                case _:
+                    return
+
+    def _on_head(self, event: h11.Response) -> None:
+        exchange = self._exchange
+        if exchange is None:
+            return
+        headers = list(event.headers.raw_items())
+        head = self._pool.dialect.read_answer(event.status_code, headers)
+        self._head = head
+        if exchange.attempt and head.attempt != exchange.attempt:
+            # An answer to another request; the next one may be ours, but
+            # nothing on this connection can be trusted any more.
+            self._pool.strays += 1
+            self._fail(Failure.INVALID)
+            return
+        if exchange.receiver is not None:
+            exchange.receiver.answer_began(head)
+
+    def _exchange_data(self, data: bytes) -> None:
+        exchange = self._exchange
+        if exchange is not None and exchange.receiver is not None:
+            exchange.receiver.answer_data(data)
+
+    def _on_end(self) -> None:
+        exchange, self._exchange = self._exchange, None
+        self._keep_or_close()
+        if exchange is None:
+            return
+        exchange._connection = None
+        receiver, exchange.receiver = exchange.receiver, None
+        if receiver is not None:
+            receiver.answer_ended()
+
+    def _keep_or_close(self) -> None:
+        trailing, _ = self._http.trailing_data
+        reusable = (
+            self._open
+            and not trailing
+            and self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+        )
+        if not reusable:
+            self._pool.strays += bool(trailing)
+            self._open = False
+            self.transport.abortConnection()
+            return
+        self._http.start_next_cycle()
+        kept_for = self._head.kept_for if self._head else None
+        now = self._pool.clock.now()
+        self.idle_since = now
+        self.kept_until = now + (kept_for or DEFAULT_KEEP) - KEEP_MARGIN
+        self._pool.keep(self)
+
+    def connectionLost(
+        self, reason: typing.Any = protocol.connectionDone
+    ) -> None:
+        """Ends what was in progress; a clean end may complete an answer."""
+        self._open = False
+        self._pool.closed(self)
+        if self._exchange is None:
+            return
+        if reason.check(internet_errors.ConnectionDone):
+            try:
+                self._http.receive_data(b"")
+                self._report_events()
+            except h11.RemoteProtocolError:
+                self._fail(Failure.BROKEN)
+                return
+        self._fail(Failure.BROKEN)
+
+    def _fail(self, failure: Failure) -> None:
+        exchange, self._exchange = self._exchange, None
+        if self._open:
+            self._open = False
+            self.transport.abortConnection()
+        if exchange is not None:
+            exchange._connection = None
+            exchange.fail(failure)
+
+
+class _Factory(protocol.Factory):
+    """Makes one connection."""
+
+    noisy = False
+
+    def __init__(self, pool: "Pool", address: str) -> None:
+        self._pool = pool
+        self._address = address
+
+    def buildProtocol(self, addr: object) -> Connection:
+        """Returns the protocol of the new connection."""
+        return Connection(self._pool, self._address)
+
+
+@attrs.define(eq=False)
+class Pool:
+    """Connections to upstreams by address."""
+
+    reactor: typing.Any
+    clock: typing.Any
+    dialect: wire.Dialect
+    strays: int = 0
+    opened: int = 0
+    _kept_by_address: dict[str, collections.deque[Connection]] = attrs.field(
+        factory=dict
+    )
+    _open: set[Connection] = attrs.field(factory=set)
+
+    def send(
+        self,
+        address: str,
+        exchange: Exchange,
+        fresh_within: datetime.timedelta | None = None,
+    ) -> None:
+        """Sends a request on a kept or a new connection.
+
+        With `fresh_within`, only a connection used that lately is taken.
+        """
+        connection = self._take(address, fresh_within)
+        if connection is not None:
+            connection.begin(exchange)
+            return
+        host, port = settings.split_address(address)
+        endpoint = endpoints.TCP4ClientEndpoint(
+            self.reactor, host, port, timeout=CONNECT_TIMEOUT_SECONDS
+        )
+        connecting = endpoint.connect(_Factory(self, address))
+        exchange._connecting = connecting
+
+        def connected(opened: Connection) -> None:
+            exchange._connecting = None
+            self.opened += 1
+            self._open.add(opened)
+            if exchange.receiver is None:
+                opened.transport.abortConnection()
+                return
+            opened.begin(exchange)
+
+        def failed(_: object) -> None:
+            # The owner is told by the type; it logs what it decides.
+            exchange._connecting = None
+            exchange.fail(Failure.NOT_SENT)
+
+        connecting.addCallbacks(connected, failed)
+
+    def _take(
+        self, address: str, fresh_within: datetime.timedelta | None
+    ) -> Connection | None:
+        kept = self._kept_by_address.get(address)
+        now = self.clock.now()
+        while kept:
+            connection = kept.pop()
+            too_old = (
+                fresh_within is not None
+                and now - connection.idle_since > fresh_within
+            )
+            if connection.usable and now < connection.kept_until:
+                if not too_old:
+                    return connection
+                kept.append(connection)
+                return None
+            connection.transport.loseConnection()
+        return None
+
+    def keep(self, connection: Connection) -> None:
+        """Keeps an idle connection for the next request."""
+        kept = self._kept_by_address.setdefault(
+            connection.address, collections.deque()
+        )
+        kept.append(connection)
+        if len(kept) > KEPT_PER_UPSTREAM:
+            kept.popleft().transport.loseConnection()
+
+    def closed(self, connection: Connection) -> None:
+        """Forgets a connection that ended."""
+        self._open.discard(connection)
+        kept = self._kept_by_address.get(connection.address)
+        if kept and connection in kept:
+            kept.remove(connection)
+
+    def drop(self, address: str) -> None:
+        """Closes the idle connections to an upstream that is gone."""
+        for connection in self._kept_by_address.pop(address, ()):
+            connection.transport.loseConnection()
+
+    def sweep(self) -> None:
+        """Closes idle connections that are kept no longer."""
+        now = self.clock.now()
+        for kept in self._kept_by_address.values():
+            while kept and now >= kept[0].kept_until:
+                kept.popleft().transport.loseConnection()
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for connection in list(self._open):
+            connection.transport.abortConnection()
--- /dev/null
+++ b/figford/fleet.py
@@ -0,0 +1,167 @@
+"""The table of upstreams that controllers keep and entries receive.
+
+Upstreams report to any controller. What is new travels at once, what only
+shows that an upstream lives travels in batches among controllers. The
+newest report by incarnation and sequence wins, wherever it came from.
+"""
+
+import datetime
+
+import attrs
+
+from figford import fleetmessages
+
+# Reports come every 1.2 s; one may be lost and the next one late.
+SILENCE = datetime.timedelta(seconds=3.2)
+# How long the end of an upstream is remembered, so that a report that was
+# held up in the network does not bring it back.
+END_KEPT = datetime.timedelta(minutes=10)
+
+
+@attrs.define
+class Known:
+    """An upstream and when a report of it last reached this process."""
+
+    registration: fleetmessages.Registration
+    heard_at: datetime.timedelta
+    first_heard_at: datetime.timedelta
+
+
+def _order(item: fleetmessages.Registration) -> tuple[int, int]:
+    return item.incarnation, item.sequence
+
+
+def _lasting(
+    item: fleetmessages.Registration,
+) -> fleetmessages.Registration:
+    return attrs.evolve(item, sequence=0)
+
+
+@attrs.define
+class FleetTable:
+    """Upstreams by name; `revision` rises with every change."""
+
+    by_name: dict[str, Known] = attrs.field(factory=dict)
+    revision: int = 0
+    stale_reports: int = 0
+    _name_by_address: dict[str, str] = attrs.field(factory=dict)
+
+    def report(
+        self,
+        registration: fleetmessages.Registration,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Takes a report in; returns whether it says anything new."""
+        known = self.by_name.get(registration.upstream)
+        if known and _order(registration) <= _order(known.registration):
+            self.stale_reports += 1
+            return False
+        if self._address_was_taken_over(registration):
+            self.stale_reports += 1
+            return False
+        if known is None or (
+            known.registration.incarnation != registration.incarnation
+        ):
+            self.by_name[registration.upstream] = Known(registration, now, now)
+            self._take_address(registration, now)
+            self.revision += 1
+            return True
+        changed = _lasting(known.registration) != _lasting(registration)
+        if known.registration.gone:
+            # Its end is final for this incarnation.
+            self.stale_reports += 1
+            return False
+        known.registration = registration
+        known.heard_at = now
+        if changed:
+            self.revision += 1
+            self._take_address(registration, now)
+        return changed
+
+    def _address_was_taken_over(
+        self, registration: fleetmessages.Registration
+    ) -> bool:
+        other = self.by_name.get(
+            self._name_by_address.get(registration.address, "")
+        )
+        return (
+            other is not None
+            and other.registration.upstream != registration.upstream
+            and other.registration.incarnation > registration.incarnation
+        )
+
+    def _take_address(
+        self,
+        registration: fleetmessages.Registration,
+        now: datetime.timedelta,
+    ) -> None:
+        """Ends an older upstream at the address of a newer one."""
+        previous = self._name_by_address.get(registration.address)
+        self._name_by_address[registration.address] = registration.upstream
+        if previous is None or previous == registration.upstream:
+            return
+        known = self.by_name[previous]
+        if not known.registration.gone:
+            known.registration = attrs.evolve(
+                known.registration, gone=True, seat=None
+            )
+            known.heard_at = now
+
+    def beat(
+        self,
+        upstream: str,
+        incarnation: int,
+        sequence: int,
+        now: datetime.timedelta,
+    ) -> None:
+        """Notes that another controller heard an upstream."""
+        known = self.by_name.get(upstream)
+        if known is None or known.registration.gone:
+            return
+        held = known.registration
+        if held.incarnation != incarnation or held.sequence >= sequence:
+            return
+        known.registration = attrs.evolve(held, sequence=sequence)
+        known.heard_at = now
+
+    def end(self, upstream: str, now: datetime.timedelta) -> bool:
+        """Notes that an upstream signed off; returns whether it is news."""
+        known = self.by_name.get(upstream)
+        if known is None or known.registration.gone:
+            return False
+        known.registration = attrs.evolve(
+            known.registration,
+            sequence=known.registration.sequence + 1,
+            gone=True,
+            leaving=True,
+            seat=None,
+        )
+        known.heard_at = now
+        self.revision += 1
+        return True
+
+    def is_silent(self, upstream: str, now: datetime.timedelta) -> bool:
+        """Returns whether an upstream was not heard for too long."""
+        known = self.by_name.get(upstream)
+        return known is None or now - known.heard_at > SILENCE
+
+    def present(self) -> list[fleetmessages.Registration]:
+        """Returns all upstreams that have not ended, by name."""
+        return [
+            self.by_name[name].registration
+            for name in sorted(self.by_name)
+            if not self.by_name[name].registration.gone
+        ]
+
+    def everything(self) -> list[fleetmessages.Registration]:
+        """Returns all upstreams, ended ones too."""
+        return [known.registration for known in self.by_name.values()]
+
+    def forget_ended(self, now: datetime.timedelta) -> None:
+        """Drops upstreams that ended or fell silent long ago."""
+        for name, known in list(self.by_name.items()):
+            if now - known.heard_at > END_KEPT:
+                del self.by_name[name]
+                address = known.registration.address
+                if self._name_by_address.get(address) == name:
+                    del self._name_by_address[address]
--- /dev/null
+++ b/figford/formations.py
@@ -0,0 +1,806 @@
+"""The planner of groups whose upstreams take joins by epoch.
+
+The leader of the replicated log plans; its term is the fencing number and
+the high part of every epoch, so that a name and an epoch never stand for
+two lists of members. Reports of the upstreams are the truth, memory only
+says what was ordered. A head is opened after all members reported ready. A
+member is taken away only after its head has left, broken or ended.
+"""
+
+import collections
+import datetime
+import enum
+import typing
+
+import attrs
+
+from figford import fleetmessages
+from figford import routes
+
+SeatState = fleetmessages.SeatState
+
+# Reports settle this long after a change of leader before anything is
+# planned, so that what the previous leader ordered is seen.
+TAKEOVER_WAIT = datetime.timedelta(milliseconds=600)
+# An order that shows no effect is given again after this long.
+ORDER_REPEAT = datetime.timedelta(milliseconds=1200)
+# A head that is silent this long may be dead; one that was only cut off
+# from the controllers is usually back by then.
+HEAD_SILENCE = datetime.timedelta(seconds=5)
+# A head stands still this long after a member left, then it is broken.
+STALL = datetime.timedelta(milliseconds=5000)
+# Members of a group that does not come up are given to others after this
+# long beyond the time that loads need.
+FORMING_SLACK = datetime.timedelta(seconds=6)
+# Members wait this long for a neighbour in their fabric domain before they
+# make a slower group with members of other domains.
+FAR_PATIENCE = datetime.timedelta(seconds=1)
+# Loads are counted over this window against the weight store's rate.
+LOAD_WINDOW = datetime.timedelta(seconds=5)
+EPOCHS_PER_TERM = 1 << 20
+# What an upstream says of its orders is at most this old.
+COUNT_LAG = datetime.timedelta(milliseconds=400)
+HEAD_IS_SILENT = "head silent"
+
+
+class Action(enum.Enum):
+    """What an order asks of an upstream."""
+
+    JOIN = "join"
+    OPEN = "open"
+    CLOSE = "close"
+    LEAVE = "leave"
+    STAGE = "stage"
+
+
+@attrs.frozen
+class GroupOrder:
+    """One order; `expected` is the count of orders the upstream began."""
+
+    upstream: str
+    incarnation: int
+    address: str
+    action: Action
+    fence: int
+    expected: int | None
+    group: str = ""
+    epoch: int = 0
+    model: str = ""
+    members: tuple[str, ...] = ()
+    abort: bool = False
+
+
+class Result(enum.Enum):
+    """What came of an order."""
+
+    BEGUN = "begun"
+    HELD = "held"
+    REFUSED = "refused"
+    FENCED = "fenced"
+    ANOTHER = "another"
+    UNKNOWN = "unknown"
+    UNSENT = "unsent"
+
+
+@attrs.define
+class Member:
+    """What the planner knows of the orders to one upstream's life."""
+
+    incarnation: int
+    begun: int | None = 0
+    pending: GroupOrder | None = None
+    ask_due: bool = False
+    barred: bool = False
+    last: GroupOrder | None = None
+    last_at: datetime.timedelta = datetime.timedelta(0)
+    free_since: datetime.timedelta | None = None
+
+
+class Phase(enum.Enum):
+    """How far a group is, as the planner sees it."""
+
+    FORMING = "forming"
+    OPENING = "opening"
+    SERVING = "serving"
+    DISSOLVING = "dissolving"
+    FREED = "freed"
+
+
+@attrs.define
+class Formation:
+    """A group under one name and epoch; `members` starts with the head."""
+
+    group: str
+    epoch: int
+    service: str
+    model: str
+    members: dict[int, str]
+    incarnations: dict[int, int]
+    phase: Phase
+    since: datetime.timedelta
+    deadline: datetime.timedelta
+    why: str = ""
+    orphaned_at: datetime.timedelta | None = None
+
+    @property
+    def head(self) -> str:
+        """Returns the upstream that serves for the group."""
+        return self.members.get(0, "")
+
+
+@attrs.frozen
+class View:
+    """What a round of planning sees."""
+
+    fleet: dict[str, fleetmessages.Registration]
+    heard_at: dict[str, datetime.timedelta]
+    silent: frozenset[str]
+    engines: dict[str, routes.Engine]
+
+
+@attrs.frozen
+class Note:
+    """A change of a group that is worth a log line."""
+
+    event: str
+    group: str
+    epoch: int
+    detail: str
+
+
+@attrs.define
+class Planner:
+    """Decides orders for all engines; acts only in the leader's term."""
+
+    term: int = 0
+    by_key: dict[tuple[str, int], Formation] = attrs.field(factory=dict)
+    member_by_name: dict[str, Member] = attrs.field(factory=dict)
+    notes: list[Note] = attrs.field(factory=list)
+    _epochs: int = 0
+    _plan_from: datetime.timedelta = datetime.timedelta(0)
+    _loads: collections.deque[datetime.timedelta] = attrs.field(
+        factory=collections.deque
+    )
+
+    def start(self, term: int, now: datetime.timedelta) -> None:
+        """Begins a term of planning with nothing known of orders."""
+        if term <= self.term:
+            raise AssertionError("terms of planning only rise")
+        self.term = term
+        self._epochs = 0
+        self._plan_from = now + TAKEOVER_WAIT
+        self.by_key.clear()
+        self.member_by_name.clear()
+        self._loads.clear()
+
+    # ---- Results of orders ----------------------------------------------
+
+    def result(
+        self, order: GroupOrder, result: Result, now: datetime.timedelta
+    ) -> None:
+        """Notes what came of an order of this term."""
+        member = self.member_by_name.get(order.upstream)
+        if member is None or member.pending is not order:
+            return
+        member.pending = None
+        match result:
+            case Result.BEGUN:
+                member.begun = (order.expected or 0) + 1
+            case Result.REFUSED | Result.UNKNOWN:
+                member.ask_due = True
+            case Result.FENCED:
+                # Another planner ordered with a higher number: this one
+                # has nothing to say to the upstream any more.
+                member.barred = True
+            case _:
+                pass
+        if order.action is Action.LEAVE and result in (
+            Result.BEGUN,
+            Result.HELD,
+        ):
+            self._left(order)
+
+    def _left(self, order: GroupOrder) -> None:
+        formation = self.by_key.get((order.group, order.epoch))
+        if formation is not None and formation.head == order.upstream:
+            formation.phase = Phase.FREED
+
+    def orders_begun(self, upstream: str, incarnation: int, begun: int) -> None:
+        """Takes in an upstream's count of the orders that it began."""
+        member = self.member_by_name.get(upstream)
+        if member is None or member.incarnation != incarnation:
+            return
+        member.ask_due = False
+        member.begun = begun
+
+    def questions(self, now: datetime.timedelta) -> list[str]:
+        """Returns the upstreams whose count of orders is in doubt.
+
+        Counts lag behind, so none is asked right after an order.
+        """
+        return [
+            name
+            for name, member in sorted(self.member_by_name.items())
+            if member.ask_due
+            and member.pending is None
+            and now - member.last_at >= COUNT_LAG
+        ]
+
+    # ---- A round --------------------------------------------------------
+
+    def plan(
+        self, view: View, now: datetime.timedelta
+    ) -> list[GroupOrder]:
+        """Returns the orders that are due now."""
+        if now < self._plan_from:
+            return []
+        round_ = _Round(self, view, now)
+        self._meet(view)
+        self._adopt(round_)
+        for formation in list(self.by_key.values()):
+            self._advance(formation, round_)
+        self._forget(round_)
+        _form(round_)
+        _stage(round_)
+        return round_.orders
+
+    def _meet(self, view: View) -> None:
+        for name, registration in view.fleet.items():
+            member = self.member_by_name.get(name)
+            if member is None or (
+                member.incarnation != registration.incarnation
+            ):
+                known = registration.seat is None and not registration.staged
+                self.member_by_name[name] = Member(
+                    registration.incarnation, 0 if known else None
+                )
+                self.member_by_name[name].ask_due = not known
+        for name in set(self.member_by_name) - set(view.fleet):
+            del self.member_by_name[name]
+
+    def _adopt(self, round_: "_Round") -> None:
+        """Takes groups that others formed from the reports of members."""
+        for key, seats in round_.seats_by_key.items():
+            formation = self.by_key.get(key)
+            if formation is None:
+                formation = self._adopted(key, seats, round_)
+                self.by_key[key] = formation
+            for rank, registration in seats.items():
+                if rank not in formation.members:
+                    formation.members[rank] = registration.upstream
+                    formation.incarnations[rank] = registration.incarnation
+
+    def _adopted(
+        self,
+        key: tuple[str, int],
+        seats: dict[int, fleetmessages.Registration],
+        round_: "_Round",
+    ) -> Formation:
+        some = next(iter(seats.values()))
+        models = some.models or some.staged
+        name = models[0] if models else ""
+        engine = round_.engine(some.service)
+        model = engine.model(name) if engine else None
+        load = model.load if model else datetime.timedelta(0)
+        # A group of this term that is not held was freed before; a late
+        # order brought its member back.
+        own = key[1] // EPOCHS_PER_TERM == self.term
+        return Formation(
+            group=key[0],
+            epoch=key[1],
+            service=some.service,
+            model=name,
+            members={},
+            incarnations={},
+            phase=Phase.FREED if own else Phase.FORMING,
+            since=round_.now,
+            deadline=round_.now + load + FORMING_SLACK,
+        )
+
+    # ---- One group ------------------------------------------------------
+
+    def _advance(self, formation: Formation, round_: "_Round") -> None:
+        match formation.phase:
+            case Phase.FORMING | Phase.OPENING:
+                self._bring_up(formation, round_)
+            case Phase.SERVING:
+                self._watch(formation, round_)
+            case Phase.DISSOLVING:
+                self._dissolve(formation, round_)
+            case Phase.FREED:
+                pass
+
+    def _bring_up(self, formation: Formation, round_: "_Round") -> None:
+        head = round_.seat(formation, 0)
+        if head is SeatState.OPEN:
+            self._set(formation, Phase.SERVING, "open", round_)
+            return
+        if head in (SeatState.BROKEN, SeatState.CLOSING):
+            self._give_up(formation, f"head {head.value}", round_)
+            return
+        lost = round_.lost_members(formation)
+        if lost or round_.now >= formation.deadline:
+            why = f"lost {','.join(lost)}" if lost else "not up in time"
+            self._give_up(formation, why, round_)
+            return
+        size = round_.size(formation)
+        if size and len(formation.members) == size:
+            self._order_missing(formation, size, round_)
+
+    def _order_missing(
+        self, formation: Formation, size: int, round_: "_Round"
+    ) -> None:
+        waiting = [
+            rank
+            for rank in range(size)
+            if round_.seat(formation, rank)
+            not in (SeatState.READY, SeatState.OPEN)
+        ]
+        if not waiting:
+            formation.phase = Phase.OPENING
+            round_.order(formation, 0, Action.OPEN)
+            return
+        for rank in waiting:
+            if round_.seat(formation, rank) is None:
+                round_.order(formation, rank, Action.JOIN)
+
+    def _watch(self, formation: Formation, round_: "_Round") -> None:
+        head = round_.seat(formation, 0)
+        name = formation.head
+        registration = round_.view.fleet.get(name)
+        if registration is None or (
+            registration.incarnation != formation.incarnations[0]
+        ):
+            self._set(formation, Phase.FREED, "head ended", round_)
+        elif round_.silent_for(name) >= HEAD_SILENCE:
+            self._give_up(formation, HEAD_IS_SILENT, round_)
+        elif head is SeatState.BROKEN:
+            self._set(formation, Phase.FREED, "broken", round_)
+        elif head is not SeatState.OPEN:
+            self._give_up(formation, "head not open", round_)
+        elif round_.leaving_members(formation):
+            self._give_up(formation, "member leaving", round_)
+
+    def _give_up(
+        self, formation: Formation, why: str, round_: "_Round"
+    ) -> None:
+        self._set(formation, Phase.DISSOLVING, why, round_)
+        self._dissolve(formation, round_)
+
+    def _dissolve(self, formation: Formation, round_: "_Round") -> None:
+        """Brings the head to where its members may be taken away."""
+        name = formation.head
+        registration = round_.view.fleet.get(name)
+        if not name:
+            self._orphan(formation, round_)
+            return
+        if registration is None or (
+            registration.incarnation != formation.incarnations.get(0)
+        ):
+            self._set(formation, Phase.FREED, "head ended", round_)
+            return
+        if round_.silent_for(name) >= HEAD_SILENCE:
+            self._orphan(formation, round_)
+            return
+        if formation.why == HEAD_IS_SILENT:
+            # It was cut off from the controllers and is back.
+            self._set(formation, Phase.SERVING, "head back", round_)
+            return
+        match round_.seat(formation, 0):
+            case SeatState.BROKEN:
+                self._set(formation, Phase.FREED, "broken", round_)
+            case SeatState.OPEN:
+                round_.order(formation, 0, Action.CLOSE)
+            case SeatState.CLOSING:
+                pass
+            case _:
+                round_.order(formation, 0, Action.LEAVE)
+
+    def _orphan(self, formation: Formation, round_: "_Round") -> None:
+        """Frees members whose head can't be asked.
+
+        Their leaving makes a head that still serves stand still, and it is
+        broken before they are given to another group.
+        """
+        if formation.orphaned_at is None:
+            heard = [
+                rank
+                for rank, name in sorted(formation.members.items())
+                if rank and name not in round_.view.silent
+            ]
+            seated = [
+                rank
+                for rank in heard
+                if round_.seat(formation, rank) is not None
+            ]
+            for rank in seated:
+                round_.order(formation, rank, Action.LEAVE)
+            if heard and not seated:
+                formation.orphaned_at = round_.now
+        elif round_.now - formation.orphaned_at >= STALL:
+            self._set(formation, Phase.FREED, "head lost", round_)
+
+    def _set(
+        self, formation: Formation, phase: Phase, why: str, round_: "_Round"
+    ) -> None:
+        formation.phase = phase
+        formation.since = round_.now
+        formation.why = why
+        self.notes.append(
+            Note(phase.value, formation.group, formation.epoch, why)
+        )
+
+    def _forget(self, round_: "_Round") -> None:
+        for key, formation in list(self.by_key.items()):
+            if formation.phase is Phase.FREED and not any(
+                registration.seat is not None
+                and (registration.seat.group, registration.seat.epoch) == key
+                for registration in round_.view.fleet.values()
+            ):
+                del self.by_key[key]
+
+    def next_epoch(self) -> int:
+        """Returns an epoch that no group has had."""
+        self._epochs += 1
+        return self.term * EPOCHS_PER_TERM + self._epochs
+
+    # ---- Loads ----------------------------------------------------------
+
+    def may_load(
+        self, engine: routes.Engine, count: int, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether the weight store takes `count` more loads.
+
+        Few at a time finish soonest, since the store shares its bandwidth.
+        """
+        while self._loads and now - self._loads[0] > LOAD_WINDOW:
+            self._loads.popleft()
+        second = datetime.timedelta(seconds=1)
+        recent = sum(now - began <= second for began in self._loads)
+        limit = engine.loads_per_second * LOAD_WINDOW.total_seconds()
+        at_once = engine.loads_per_second + engine.loads_at_once
+        return len(self._loads) + count <= limit and recent + count <= at_once
+
+    def loaded(self, count: int, now: datetime.timedelta) -> None:
+        """Notes loads that begin now."""
+        self._loads.extend([now] * count)
+
+
+@attrs.define
+class _Round:
+    """One round of planning: the reports, and the orders so far."""
+
+    planner: Planner
+    view: View
+    now: datetime.timedelta
+    orders: list[GroupOrder] = attrs.field(factory=list)
+    seats_by_key: dict[
+        tuple[str, int], dict[int, fleetmessages.Registration]
+    ] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Sorts the reports by group."""
+        for registration in self.view.fleet.values():
+            seat = registration.seat
+            if seat is not None:
+                seats = self.seats_by_key.setdefault(
+                    (seat.group, seat.epoch), {}
+                )
+                seats[seat.rank] = registration
+
+    def engine(self, service: str) -> routes.Engine | None:
+        """Returns how the engines of a service work."""
+        return self.view.engines.get(service)
+
+    def size(self, formation: Formation) -> int:
+        """Returns the size that a group must have; 0 if unknown."""
+        engine = self.engine(formation.service)
+        model = engine.model(formation.model) if engine else None
+        return model.size if model else 0
+
+    def silent_for(self, name: str) -> datetime.timedelta:
+        """Returns how long ago an upstream was heard."""
+        return self.now - self.view.heard_at.get(name, self.now)
+
+    def seat(self, formation: Formation, rank: int) -> SeatState | None:
+        """Returns the state that a member reports under this epoch."""
+        seats = self.seats_by_key.get((formation.group, formation.epoch), {})
+        registration = seats.get(rank)
+        if registration is None or registration.seat is None:
+            return None
+        if registration.upstream != formation.members.get(rank):
+            return None
+        return registration.seat.state
+
+    def lost_members(self, formation: Formation) -> list[str]:
+        """Returns members that ended, leave or fell silent."""
+        return [
+            name
+            for rank, name in sorted(formation.members.items())
+            if name not in self.view.fleet
+            or self.view.fleet[name].incarnation
+            != formation.incarnations[rank]
+            or self.view.fleet[name].leaving
+            or name in self.view.silent
+        ]
+
+    def leaving_members(self, formation: Formation) -> list[str]:
+        """Returns members that announced that they leave."""
+        return [
+            name
+            for name in formation.members.values()
+            if name in self.view.fleet and self.view.fleet[name].leaving
+        ]
+
+    def order(self, formation: Formation, rank: int, action: Action) -> None:
+        """Orders a member to do something for its group, once a while."""
+        name = formation.members[rank]
+        members = tuple(
+            formation.members[index] for index in sorted(formation.members)
+        )
+        self.send(
+            name,
+            GroupOrder(
+                upstream=name,
+                incarnation=formation.incarnations[rank],
+                address="",
+                action=action,
+                fence=self.planner.term,
+                expected=None,
+                group=formation.group,
+                epoch=formation.epoch,
+                model=formation.model if action is Action.JOIN else "",
+                members=members if action is Action.JOIN else (),
+            ),
+        )
+
+    def send(self, name: str, order: GroupOrder) -> bool:
+        """Sends an order unless one is open or was just given."""
+        member = self.planner.member_by_name.get(name)
+        registration = self.view.fleet.get(name)
+        if member is None or registration is None:
+            return False
+        if member.pending or member.ask_due or member.begun is None:
+            return False
+        if member.barred:
+            return False
+        last = member.last
+        same = last is not None and (
+            (last.action, last.group, last.epoch, last.model)
+            == (order.action, order.group, order.epoch, order.model)
+        )
+        if same and self.now - member.last_at < ORDER_REPEAT:
+            return False
+        order = attrs.evolve(
+            order, address=registration.address, expected=member.begun
+        )
+        member.pending = member.last = order
+        member.last_at = self.now
+        self.orders.append(order)
+        return True
+
+    def busy(self) -> set[str]:
+        """Returns the members of all groups that are not freed."""
+        return {
+            name
+            for formation in self.planner.by_key.values()
+            if formation.phase is not Phase.FREED
+            for name in formation.members.values()
+        }
+
+    def free(self, service: str) -> list[fleetmessages.Registration]:
+        """Returns the engines of a service that may be given a group."""
+        busy = self.busy()
+        result = []
+        for name in sorted(self.view.fleet):
+            registration = self.view.fleet[name]
+            member = self.planner.member_by_name[name]
+            usable = (
+                registration.service == service
+                and name not in busy
+                and name not in self.view.silent
+                and not registration.leaving
+                and not member.barred
+                and member.pending is None
+                and not member.ask_due
+                and member.begun is not None
+            )
+            if not usable:
+                member.free_since = None
+                continue
+            if member.free_since is None:
+                member.free_since = self.now
+            result.append(registration)
+        return result
+
+
+# ---- Forming groups -----------------------------------------------------
+
+
+def capacity_by_model(
+    formations: typing.Iterable[Formation], engine: routes.Engine
+) -> dict[str, float]:
+    """Returns what live groups carry, in groups of pace 1."""
+    carried = {model.name: 0.0 for model in engine.models}
+    for formation in formations:
+        model = engine.model(formation.model)
+        if model is not None and formation.phase in (
+            Phase.FORMING,
+            Phase.OPENING,
+            Phase.SERVING,
+        ):
+            carried[model.name] += 1.0 / model.pace
+    return carried
+
+
+def by_need(
+    carried: dict[str, float], engine: routes.Engine
+) -> list[routes.Model]:
+    """Returns the models, the one that lacks most capacity first."""
+    return sorted(
+        engine.models,
+        key=lambda model: (
+            carried[model.name] / max(model.share, 1e-6),
+            model.name,
+        ),
+    )
+
+
+def _form(round_: _Round) -> None:
+    for service in sorted(round_.view.engines):
+        engine = round_.view.engines[service]
+        while _form_one(service, engine, round_):
+            pass
+
+
+def _form_one(service: str, engine: routes.Engine, round_: _Round) -> bool:
+    formations = [
+        formation
+        for formation in round_.planner.by_key.values()
+        if formation.service == service
+    ]
+    carried = capacity_by_model(formations, engine)
+    free = round_.free(service)
+    for model in by_need(carried, engine):
+        members = choose_members(model, free, engine, round_)
+        if members:
+            _begin(service, model, members, round_)
+            return True
+    return False
+
+
+def choose_members(
+    model: routes.Model,
+    free: list[fleetmessages.Registration],
+    engine: routes.Engine,
+    round_: _Round,
+) -> list[fleetmessages.Registration]:
+    """Returns members for a group, or none where there are too few.
+
+    Hosts that have the weights, in one domain, come first; then such hosts
+    of several domains that waited long enough; then bare hosts that fill
+    a group in one domain.
+    """
+    staged = [item for item in free if model.name in item.staged]
+    found = _in_one_domain(staged, model.size)
+    if found:
+        return found
+    patient = [
+        item
+        for item in staged
+        if round_.now
+        - (
+            round_.planner.member_by_name[item.upstream].free_since
+            or round_.now
+        )
+        >= FAR_PATIENCE
+    ]
+    if len(patient) >= model.size:
+        patient.sort(key=lambda item: (item.data_centre, item.domain))
+        return patient[: model.size]
+    bare = [item for item in free if not item.staged and item.seat is None]
+    if not round_.planner.may_load(engine, model.size, round_.now):
+        return []
+    return _in_one_domain(bare, model.size)
+
+
+def _in_one_domain(
+    free: list[fleetmessages.Registration], size: int
+) -> list[fleetmessages.Registration]:
+    """Returns members of the domain that has the fewest to spare."""
+    by_domain: dict[str, list[fleetmessages.Registration]] = {}
+    for item in free:
+        by_domain.setdefault(item.domain, []).append(item)
+    fitting = [
+        (len(items) - size, domain)
+        for domain, items in by_domain.items()
+        if len(items) >= size
+    ]
+    if not fitting:
+        return []
+    return by_domain[min(fitting)[1]][:size]
+
+
+def _begin(
+    service: str,
+    model: routes.Model,
+    members: list[fleetmessages.Registration],
+    round_: _Round,
+) -> None:
+    epoch = round_.planner.next_epoch()
+    loads = sum(model.name not in item.staged for item in members)
+    formation = Formation(
+        group=f"g{epoch:x}",
+        epoch=epoch,
+        service=service,
+        model=model.name,
+        members=dict(enumerate(item.upstream for item in members)),
+        incarnations=dict(enumerate(item.incarnation for item in members)),
+        phase=Phase.FORMING,
+        since=round_.now,
+        deadline=round_.now
+        + (model.load * 2 if loads else model.warm * 2)
+        + FORMING_SLACK,
+    )
+    round_.planner.by_key[(formation.group, epoch)] = formation
+    round_.planner.loaded(loads, round_.now)
+    round_.planner.notes.append(
+        Note(
+            "forming",
+            formation.group,
+            epoch,
+            f"model={model.name} members={','.join(formation.members.values())}"
+            f" loads={loads}",
+        )
+    )
+    for rank in formation.members:
+        round_.order(formation, rank, Action.JOIN)
+
+
+# ---- Staging weights on spare hosts -------------------------------------
+
+
+def _stage(round_: _Round) -> None:
+    """Loads weights onto spare hosts, so that a repair needs no load."""
+    for service in sorted(round_.view.engines):
+        engine = round_.view.engines[service]
+        free = round_.free(service)
+        for item in free:
+            model = _model_to_stage(item, free, engine)
+            if model is None:
+                continue
+            if not round_.planner.may_load(engine, 1, round_.now):
+                return
+            sent = round_.send(
+                item.upstream,
+                GroupOrder(
+                    upstream=item.upstream,
+                    incarnation=item.incarnation,
+                    address="",
+                    action=Action.STAGE,
+                    fence=round_.planner.term,
+                    expected=None,
+                    model=model.name,
+                ),
+            )
+            if sent:
+                round_.planner.loaded(1, round_.now)
+
+
+def _model_to_stage(
+    item: fleetmessages.Registration,
+    free: list[fleetmessages.Registration],
+    engine: routes.Engine,
+) -> routes.Model | None:
+    """Returns the model whose group a bare host would complete soonest."""
+    if item.staged:
+        return None
+
+    def missing(model: routes.Model) -> tuple[int, str]:
+        beside = sum(
+            other.domain == item.domain and model.name in other.staged
+            for other in free
+        )
+        return (model.size - beside, model.name)
+
+    return min(engine.models, key=missing, default=None)
--- /dev/null
+++ b/figford/ingress.py
@@ -0,0 +1,215 @@
+"""The callers' side of an entry: HTTP by `twisted.web`, one call a request.
+
+Bodies are read whole before anything is decided, so that what is sent to
+an upstream is never cut short by a slow caller.
+"""
+
+import datetime
+import typing
+
+import logbook
+from twisted.python import failure as failures
+from twisted.web import http
+
+from figford import errors
+from figford import forwarder as forwarders
+from figford import forwarding
+from figford import problems
+from figford import routes
+from figford import wire
+
+_log = logbook.Logger(__name__)
+
+# Kept connections are closed this long after the callers' limit, so that
+# a request and the close do not cross.
+IDLE_SLACK_SECONDS = 2.0
+DEFAULT_BUDGET = datetime.timedelta(seconds=30)
+
+
+class CallerRequest(http.Request):
+    """One request of a caller and the responder of its call."""
+
+    call: forwarding.ForwardedCall | None = None
+    gone = False
+
+    def requestReceived(
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Handles a whole request; its body is not parsed as a form."""
+        self.content.seek(0, 0)
+        self.method, self.uri = command, path
+        self.clientproto = version
+        self.notifyFinish().addErrback(self._caller_left)
+        try:
+            self._begin()
+        except errors.Refusal as refusal:
+            self.channel.factory.ingress.refused(refusal, self)
+            self.refuse(refusal)
+
+    def _begin(self) -> None:
+        ingress: Ingress = self.channel.factory.ingress
+        headers = [
+            (name, value)
+            for name, values in self.requestHeaders.getAllRawHeaders()
+            for value in values
+        ]
+        ingress.check_ready()
+        head = ingress.forwarder.dialect.read_call(headers)
+        now = ingress.forwarder.clock.now()
+        host = self.requestHeaders.getRawHeaders(b"host", [b""])[0]
+        path = self.uri.partition(b"?")[0].decode("latin-1")
+        route, account = ingress.forwarder.admit(
+            host.decode("latin-1").lower(), path, head
+        )
+        body = self.content.read()
+        if len(body) > ingress.limits.body_bytes:
+            raise errors.TooLarge("the body is over the limit")
+        remaining = head.remaining if head.remaining else DEFAULT_BUDGET
+        self.call = forwarding.ForwardedCall(
+            owner=ingress.forwarder,
+            route=route,
+            account=account,
+            head=head,
+            method=self.method,
+            target=self.uri,
+            headers=headers,
+            body=body,
+            responder=self,
+            arrived_at=now,
+            deadline=now + min(remaining, route.timeout),
+        )
+        ingress.forwarder.begin(self.call)
+
+    def _caller_left(self, _: failures.Failure) -> None:
+        self.gone = True
+        if self.call is not None:
+            self.call.caller_left()
+
+    # ---- Responder ------------------------------------------------------
+
+    def begin(self, status: int, headers: wire.HeaderList) -> None:
+        """Sends status and headers."""
+        if self.gone:
+            return
+        self.setResponseCode(status, http.RESPONSES.get(status, b"-"))
+        for name, value in headers:
+            self.responseHeaders.addRawHeader(name, value)
+        self._close_if_stopping()
+
+    def _close_if_stopping(self) -> None:
+        if self.channel.factory.ingress.stopping:
+            self.responseHeaders.setRawHeaders(b"connection", [b"close"])
+            self.channel.persistent = False
+
+    def finish(self) -> None:
+        """Ends the answer."""
+        if not self.gone:
+            super().finish()
+
+    def write(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        if not self.gone:
+            super().write(data)
+
+    def refuse(self, refusal: errors.Refusal) -> None:
+        """Sends a refusal as the whole answer."""
+        if self.gone:
+            return
+        content = problems.body(refusal)
+        headers = problems.headers(refusal)
+        if refusal.retry_after is not None:
+            dialect = self.channel.factory.ingress.forwarder.dialect
+            headers[b"retry-after"] = dialect.retry_after(refusal.retry_after)
+        headers[b"content-length"] = str(len(content)).encode()
+        self.begin(refusal.status, list(headers.items()))
+        self.write(content)
+        self.finish()
+
+    def abort(self) -> None:
+        """Cuts the connection, so that the answer does not look whole."""
+        if not self.gone:
+            self.channel.transport.abortConnection()
+
+
+class CallerChannel(http.HTTPChannel):
+    """One connection of a caller."""
+
+    requestFactory = CallerRequest
+
+    def connectionMade(self) -> None:
+        """Counts the connection."""
+        super().connectionMade()
+        self.factory.ingress.channels.add(self)
+
+    def connectionLost(self, reason: typing.Any) -> None:
+        """Forgets the connection."""
+        self.factory.ingress.channels.discard(self)
+        super().connectionLost(reason)
+
+
+class CallerFactory(http.HTTPFactory):
+    """Makes the callers' connections."""
+
+    protocol = CallerChannel
+    noisy = False
+
+    def __init__(self, ingress: "Ingress", reactor: typing.Any) -> None:
+        """Makes a factory without a log file of its own."""
+        super().__init__(reactor=reactor)
+        self.ingress = ingress
+
+    def buildProtocol(self, addr: object) -> CallerChannel:
+        """Returns the protocol of a new connection."""
+        channel = CallerChannel()
+        channel.factory = self
+        channel.callLater = self.reactor.callLater
+        limits = self.ingress.limits
+        channel.timeOut = (
+            limits.idle_timeout.total_seconds() + IDLE_SLACK_SECONDS
+        )
+        channel.totalHeadersSize = limits.header_bytes * 2
+        return channel
+
+    def log(self, request: object) -> None:
+        """Writes nothing; calls log their own ends."""
+
+
+class Ingress:
+    """Admits callers while the entry knows a route table."""
+
+    def __init__(self, forwarder: forwarders.Forwarder) -> None:
+        """Starts with no connections."""
+        self.forwarder = forwarder
+        self.channels: set[CallerChannel] = set()
+        self.stopping = False
+
+    @property
+    def limits(self) -> routes.CallerLimits:
+        """Returns the limits of the route table in force."""
+        return self.forwarder.table.limits
+
+    def check_ready(self) -> None:
+        """Raises Draining while no route table is known."""
+        if not self.forwarder.table.version:
+            raise errors.Draining(
+                "this entry holds no route table yet",
+                retry_after=forwarders.RETRY_AFTER,
+            )
+
+    def refused(self, refusal: errors.Refusal, request: http.Request) -> None:
+        """Logs and counts a request that named no place to go."""
+        self.forwarder.metrics.outcome("", "", refusal.kind)
+        _log.info(
+            "request refused",
+            kind=refusal.kind,
+            detail=refusal.detail,
+            host=(request.getHeader(b"host") or b"").decode("latin-1"),
+            path=request.uri[:120].decode("latin-1"),
+            table_version=self.forwarder.table.version,
+        )
+
+    def close_idle(self) -> None:
+        """Closes the connections on which no request is in progress."""
+        for channel in list(self.channels):
+            if not channel.requests:
+                channel.loseConnection()
--- a/figford/ledger.py
+++ b/figford/ledger.py
@@ -9,6 +9,7 @@
 import attrs
 
 from figford import codec
+from figford import fleetmessages
 from figford import messages
 
 # Outcomes of this many submissions are kept, to answer a resend.
@@ -48,6 +49,8 @@
     )
     claims_by_account: dict[str, dict[str, Claim]] = attrs.field(factory=dict)
     witness_by_data_centre: dict[str, Witness] = attrs.field(factory=dict)
+    routes_version: int = 0
+    routes_document: bytes = b""
 
 
 @attrs.define
@@ -72,6 +75,8 @@
                 return self._record_outcome(entry.command)
             case messages.GrantWitness():
                 return self._grant_witness(entry.command, entry.at)
+            case fleetmessages.StoreRoutes():
+                return self._store_routes(entry.command)
             case messages.RaiseVersion(version):
                 self.state.version = max(self.state.version, version)
         return messages.Done()
@@ -86,11 +91,22 @@
             raise AssertionError("a snapshot would turn the state back")
         if snapshot.state:
             loaded = codec.decode(snapshot.state, LedgerState)
-            if loaded.version < self.state.version:
+            if loaded.version < self.state.version or (
+                loaded.routes_version < self.state.routes_version
+            ):
                 raise AssertionError("the configuration would revert")
             self.state = loaded
         self.applied_index = snapshot.index
 
+    def _store_routes(
+        self, command: fleetmessages.StoreRoutes
+    ) -> messages.Outcome:
+        """Keeps the highest version; an older or equal one changes nothing."""
+        if command.version > self.state.routes_version:
+            self.state.routes_version = command.version
+            self.state.routes_document = command.document
+        return fleetmessages.RoutesStored(self.state.routes_version)
+
     def _submit(self, command: messages.Submit) -> messages.Outcome:
         outcomes = self.state.outcome_by_submission
         first = outcomes.get(command.submission)
--- a/figford/links.py
+++ b/figford/links.py
@@ -320,6 +320,15 @@
     return wanted
 
 
+def voter_links(me: messages.Peer, peers: list[messages.Peer]) -> set[str]:
+    """Returns the instances that have a vote: every process links them."""
+    return {
+        peer.instance
+        for peer in peers
+        if peer.voter is not None and peer.instance != me.instance
+    }
+
+
 def hash_position(name: str) -> int:
     """Returns a number that spreads names evenly, the same everywhere."""
     return int.from_bytes(hashlib.sha256(name.encode()).digest()[:8], "big")
@@ -342,6 +351,10 @@
     listen_address: str
     events: LinkEvents
     me: typing.Callable[[], messages.Peer]
+    wanted: typing.Callable[
+        [messages.Peer, list[messages.Peer]], set[str]
+    ] = attrs.field(default=wanted_links)
+    silence_limit: datetime.timedelta = SILENCE_LIMIT
     blocked: set[str] = attrs.field(factory=set)
     bytes_sent: int = 0
     bytes_received: int = 0
@@ -410,13 +423,13 @@
     def _drop_silent(self) -> None:
         now = self.clock.now()
         for link in list(self._link_by_instance.values()):
-            if now - link.heard_at > SILENCE_LIMIT:
+            if now - link.heard_at > self.silence_limit:
                 link.abort()
 
     def _addresses_to_dial(self) -> list[str]:
         me = self.me()
         peers = self.events.known_peers()
-        wanted = wanted_links(me, peers)
+        wanted = self.wanted(me, peers)
         addresses = {
             peer.address
             for peer in peers
--- /dev/null
+++ b/figford/logs.py
@@ -0,0 +1,84 @@
+"""Structured log lines on standard output, bounded and never blocking."""
+
+import collections
+import datetime
+import json
+import os
+import time
+import typing
+
+import attrs
+import logbook
+
+# Lines of one event a second; the rest is counted and told with the next.
+LINES_PER_EVENT = 60
+STDOUT = 1
+
+
+@attrs.define
+class _Quota:
+    second: int = 0
+    lines: int = 0
+    left_out: int = 0
+
+
+class JsonHandler(logbook.Handler):
+    """Writes one JSON object a line; drops lines rather than wait."""
+
+    def __init__(self, instance: str, level: str = "INFO") -> None:
+        """Makes standard output non-blocking."""
+        super().__init__(level=logbook.lookup_level(level))
+        self._instance = instance
+        self._quota_by_event: dict[str, _Quota] = collections.defaultdict(
+            _Quota
+        )
+        self._unwritten = 0
+        self._rest = b""
+        os.set_blocking(STDOUT, False)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Writes a record if its event has lines left this second."""
+        quota = self._quota_by_event[record.msg]
+        second = int(time.monotonic())
+        if quota.second != second:
+            quota.second = second
+            quota.lines = 0
+        quota.lines += 1
+        if quota.lines > LINES_PER_EVENT:
+            quota.left_out += 1
+            return
+        line: dict[str, typing.Any] = {
+            "at": round(time.time(), 3),
+            "instance": self._instance,
+            "level": record.level_name.lower(),
+            "module": record.channel,
+            "event": record.msg,
+        }
+        line.update(record.kwargs or {})
+        if record.exc_info:
+            line["error"] = record.formatted_exception
+        if quota.left_out:
+            line["left_out"], quota.left_out = quota.left_out, 0
+        if self._unwritten:
+            line["unwritten"], self._unwritten = self._unwritten, 0
+        self._write(json.dumps(line, default=_plain).encode() + b"\n")
+
+    def _write(self, data: bytes) -> None:
+        data = self._rest + data
+        try:
+            written = os.write(STDOUT, data)
+            self._rest = data[written:]
+        except BlockingIOError:
+            # The reader is slow; whole lines are left out and counted.
+            self._unwritten += 1
+
+
+def _plain(value: object) -> object:
+    if isinstance(value, datetime.timedelta):
+        return round(value.total_seconds(), 4)
+    return str(value)
+
+
+def milliseconds(duration: datetime.timedelta) -> float:
+    """Returns a duration in milliseconds, for a log line."""
+    return round(duration.total_seconds() * 1000, 1)
--- a/figford/messages.py
+++ b/figford/messages.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from figford import fleetmessages
+
 # ---- Upstreams ----------------------------------------------------------
 
 
@@ -221,6 +223,7 @@
     | GrantWitness
     | RaiseVersion
     | ReadVersion
+    | fleetmessages.StoreRoutes
 )
 
 
@@ -424,6 +427,7 @@
     """The version of the configuration that a quorum confirmed."""
 
     version: int
+    routes_version: int = 0
 
 
 @attrs.frozen
@@ -442,6 +446,7 @@
     | Done
     | WitnessReply
     | VersionInForce
+    | fleetmessages.RoutesStored
     | Undecided
 )
 
@@ -624,6 +629,11 @@
     | LeaseVote
     | DrainGroup
     | DrainReply
+    | fleetmessages.FleetUpdate
+    | fleetmessages.FleetBeats
+    | fleetmessages.FleetStatus
+    | fleetmessages.RoutesView
+    | fleetmessages.RoutesPull
 )
 
 
--- /dev/null
+++ b/figford/nodesettings.py
@@ -0,0 +1,36 @@
+"""Settings of a controller or an entry that finds its peers by seeds."""
+
+import datetime
+
+import attrs
+
+from figford import forwarder
+
+
+@attrs.frozen
+class NodeSettings:
+    """What one process is told at its start.
+
+    `instance` is the IP number, which names the process to its peers;
+    `seeds` are addresses where controllers listened for links when the
+    settings were written. `founders` are the instances whose disks found
+    the deployment, and empty but at its first start.
+    """
+
+    instance: str
+    name: str
+    data_centre: str
+    links_address: str
+    seeds: tuple[str, ...]
+    links_port: int
+    founders: tuple[str, ...] = ()
+    data_folder: str | None = None
+    callers_address: str | None = None
+    ready_address: str | None = None
+    control_address: str | None = None
+    metrics_address: str | None = None
+    stop_timeout: datetime.timedelta = datetime.timedelta(seconds=8)
+    checks_fencing: bool = True
+    budget: forwarder.BudgetTerms = forwarder.BudgetTerms(
+        0.2, 10.0, datetime.timedelta(seconds=10)
+    )
--- /dev/null
+++ b/figford/platform/__main__.py
@@ -0,0 +1,80 @@
+"""Starts an entry or a controller on the platform."""
+
+import sys
+import typing
+
+from twisted.internet import reactor
+
+from figford import logs
+from figford import nodes
+from figford.platform import boot
+from figford.platform import controlpages
+from figford.platform import dialect
+from figford.platform import manifest
+from figford.platform import ordering
+
+
+def read_table(packed: bytes) -> typing.Any:
+    """Returns the route table of a stored manifest."""
+    return manifest.read(manifest.unpack(packed))
+
+
+def make_entry() -> nodes.NodeDaemon:
+    """Returns an entry that speaks as the platform does."""
+    from figford import entrydaemon
+
+    return entrydaemon.EntryDaemon(
+        boot.read(boot.path()),
+        boot.path(),
+        boot.read,
+        reactor,
+        dialect=dialect.PlatformDialect(),
+        read_table=read_table,
+        ready_factory=lambda is_ready, reactor: controlpages.PagesFactory(
+            controlpages.ReadyRequest, is_ready, reactor
+        ),
+    )
+
+
+def make_controller() -> nodes.NodeDaemon:
+    """Returns a controller that speaks as the platform does."""
+    from figford import controllerdaemon
+
+    return controllerdaemon.ControllerDaemon(
+        boot.read(boot.path()),
+        boot.path(),
+        boot.read,
+        reactor,
+        dialect=dialect.PlatformDialect(),
+        orders=ordering,
+        read_table=read_table,
+        pages_factory=lambda port, reactor: controlpages.PagesFactory(
+            controlpages.ControlRequest, port, reactor
+        ),
+    )
+
+
+def main(arguments: list[str]) -> int:
+    """Runs one process until it is stopped; returns its exit status."""
+    make = {"entry": make_entry, "controller": make_controller}
+    if len(arguments) != 1 or arguments[0] not in make:
+        print("usage: python3 -m figford.platform entry|controller")
+        return 2
+    settings = boot.read(boot.path())
+    handler = logs.JsonHandler(settings.name)
+    handler.push_application()
+    daemon = make[arguments[0]]()
+    ended: list[bool] = []
+
+    def stopped(clean: bool) -> None:
+        ended.append(clean)
+        reactor.stop()
+
+    daemon.stopped.addCallback(stopped)
+    daemon.start().addErrback(daemon.fatal)
+    reactor.run(installSignalHandlers=False)
+    return 0 if ended and ended[0] else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/figford/platform/announcing.py
@@ -0,0 +1,80 @@
+"""What upstreams say of themselves on the platform."""
+
+import json
+import typing
+
+from figford import errors
+from figford import fleetmessages
+
+
+def read(upstream: str, body: bytes) -> fleetmessages.Registration:
+    """Returns the registration that a heartbeat carries.
+
+    Raises MessageError where a field is missing or of another type.
+    """
+    try:
+        return _registration(upstream, json.loads(body))
+    except (ValueError, TypeError, KeyError) as error:
+        raise errors.MessageError(
+            f"heartbeat of {upstream[:80]!r} can't be read:"
+            f" {type(error).__name__}: {error}"[:200]
+        ) from error
+
+
+def _typed(item: typing.Any, name: str, kind: type) -> typing.Any:
+    value = item[name]
+    if isinstance(value, bool) or not isinstance(value, kind):
+        raise ValueError(f"{name} is not {kind.__name__}")
+    return value
+
+
+def _registration(
+    upstream: str, item: typing.Any
+) -> fleetmessages.Registration:
+    if not isinstance(item, dict) or not upstream:
+        raise ValueError("not an object with a name")
+    state = item["state"]
+    if state not in ("ready", "draining"):
+        raise ValueError("unknown state")
+    address = _typed(item, "address", str)
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError("address has no port")
+    born = item.get("born", 0)
+    if isinstance(born, bool) or not isinstance(born, int):
+        raise ValueError("born is not a whole number")
+    models = item.get("models") or []
+    staged = item.get("staged") or []
+    return fleetmessages.Registration(
+        upstream=upstream,
+        # Unix milliseconds of the start of this life.
+        incarnation=born,
+        sequence=_typed(item, "sequence", int),
+        service=_typed(item, "service", str),
+        address=address,
+        data_centre=_typed(item, "zone", str),
+        slots=_typed(item, "slots", int),
+        leaving=state == "draining",
+        domain=str(item.get("domain") or ""),
+        models=[_typed(model, "name", str) for model in models],
+        staged=[_name_of(model) for model in staged],
+        seat=_seat(item.get("group")),
+    )
+
+
+def _name_of(model: typing.Any) -> str:
+    """Returns the name of a model, given alone or in an object."""
+    if isinstance(model, str):
+        return model
+    return _typed(model, "name", str)
+
+
+def _seat(item: typing.Any) -> fleetmessages.FleetSeat | None:
+    if not item:
+        return None
+    return fleetmessages.FleetSeat(
+        group=_typed(item, "name", str),
+        epoch=_typed(item, "epoch", int),
+        rank=_typed(item, "rank", int),
+        state=fleetmessages.SeatState(item["state"]),
+    )
--- /dev/null
+++ b/figford/platform/boot.py
@@ -0,0 +1,81 @@
+"""The settings file that the platform writes for a process."""
+
+import datetime
+import json
+import os
+import pathlib
+import typing
+
+from figford import errors
+from figford import forwarder
+from figford import nodesettings
+
+PATH_VARIABLE = "FIGFORD_NODE_FILE"
+
+# Places in the range of ports for links between machines; two roles of one
+# machine share the range.
+_CONTROLLER_LINKS = 0
+_CONTROLLER_METRICS = 1
+_ENTRY_LINKS = 2
+_ENTRY_METRICS = 3
+
+
+def path() -> pathlib.Path:
+    """Returns where the settings file lies; raises SettingsError."""
+    value = os.environ.get(PATH_VARIABLE)
+    if not value:
+        raise errors.SettingsError("is not set", PATH_VARIABLE)
+    return pathlib.Path(value)
+
+
+def read(file: pathlib.Path) -> nodesettings.NodeSettings:
+    """Returns the settings of this process.
+
+    Raises SettingsError where the file can't be read.
+    """
+    try:
+        return _settings(json.loads(file.read_text()))
+    except (OSError, ValueError, TypeError, KeyError) as error:
+        raise errors.SettingsError(
+            f"can't be read: {type(error).__name__}: {error}", str(file)
+        ) from error
+
+
+def _settings(item: dict[str, typing.Any]) -> nodesettings.NodeSettings:
+    ip = item["ip"]
+    first_port = item["internal_port_range"][0]
+    listen = item.get("listen") or {}
+    bounds = item.get("bounds") or {}
+    seed_ips = [_host(seed) for seed in item.get("seeds") or []]
+    is_controller = "control" in listen
+    links = _CONTROLLER_LINKS if is_controller else _ENTRY_LINKS
+    metrics = _CONTROLLER_METRICS if is_controller else _ENTRY_METRICS
+    controllers_port = first_port + _CONTROLLER_LINKS
+    return nodesettings.NodeSettings(
+        instance=ip,
+        name=item["node_name"],
+        data_centre=item["zone"],
+        links_address=f"{ip}:{first_port + links}",
+        links_port=controllers_port,
+        seeds=tuple(f"{seed}:{controllers_port}" for seed in seed_ips),
+        # True only at the first start of the whole deployment.
+        founders=tuple(seed_ips) if item.get("bootstrap") is True else (),
+        data_folder=item.get("data_dir") or None,
+        callers_address=listen.get("front"),
+        ready_address=listen.get("ready"),
+        control_address=listen.get("control"),
+        metrics_address=f"{ip}:{first_port + metrics}",
+        stop_timeout=datetime.timedelta(seconds=bounds.get("grace_s", 8)),
+        checks_fencing=bounds.get("fencing") is True,
+        budget=forwarder.BudgetTerms(
+            ratio=bounds.get("retry_budget_ratio", 0.2),
+            reserve=bounds.get("retry_budget_slack", 10),
+            window=datetime.timedelta(
+                seconds=bounds.get("budget_window_s", 10)
+            ),
+        ),
+    )
+
+
+def _host(address: str) -> str:
+    return address.rpartition(":")[0]
--- /dev/null
+++ b/figford/platform/controlpages.py
@@ -0,0 +1,151 @@
+"""The pages that upstreams and operators call on a controller."""
+
+import json
+import typing
+
+import logbook
+from twisted.web import http
+
+from figford import errors
+from figford import fleetmessages
+from figford.platform import announcing
+from figford.platform import manifest
+
+_log = logbook.Logger(__name__)
+
+_INSTANCES = "/figford/instances/"
+_HEARTBEAT = "/heartbeat"
+_DEREGISTER = "/deregister"
+_REPLACE = "/figford/config/replace"
+_GET = "/figford/config/get"
+# Operators close a call on this status at once.
+_INVALID = 400
+
+Reply = typing.Callable[[errors.Refusal | None, bytes], None]
+
+
+class ControlPort(typing.Protocol):
+    """What the pages need of a controller."""
+
+    def report(self, registration: fleetmessages.Registration) -> None:
+        """Takes an upstream's report."""
+
+    def end(self, upstream: str) -> None:
+        """Takes an upstream's word that it leaves for good."""
+
+    def store(self, version: int, packed: bytes, reply: Reply) -> None:
+        """Takes a route table into force, then replies."""
+
+    def read(self, reply: Reply) -> None:
+        """Replies with the newest route table, packed."""
+
+
+class ControlRequest(http.Request):
+    """One call of an upstream or an operator."""
+
+    gone = False
+
+    def requestReceived(
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Handles a whole call."""
+        self.content.seek(0, 0)
+        self.method, self.uri = command, path
+        self.clientproto = version
+        self.notifyFinish().addErrback(self._gone)
+        port: ControlPort = self.channel.factory.port
+        try:
+            self._route(port, path.partition(b"?")[0].decode("latin-1"))
+        except errors.ConfigurationInvalid as error:
+            _log.warning("route table refused", detail=error.detail)
+            self._answer(_INVALID, {"error": error.detail})
+        except errors.FigfordError as error:
+            _log.warning("call refused", detail=error.detail)
+            self._answer(_INVALID, {"error": error.detail})
+
+    def _gone(self, _: object) -> None:
+        self.gone = True
+
+    def _route(self, port: ControlPort, path: str) -> None:
+        body = self.content.read()
+        if path.startswith(_INSTANCES) and path.endswith(_HEARTBEAT):
+            name = path[len(_INSTANCES) : -len(_HEARTBEAT)]
+            port.report(announcing.read(name, body))
+            self._answer(200, {})
+        elif path.startswith(_INSTANCES) and path.endswith(_DEREGISTER):
+            port.end(path[len(_INSTANCES) : -len(_DEREGISTER)])
+            self._answer(200, {})
+        elif path == _REPLACE and self.method == b"POST":
+            table = manifest.read(body)
+            port.store(table.version, manifest.pack(body), self._stored)
+        elif path == _GET and self.method == b"GET":
+            port.read(self._read)
+        else:
+            self._answer(404, {"error": "no such call"})
+
+    def _stored(self, refusal: errors.Refusal | None, _: bytes) -> None:
+        if refusal is None:
+            self._answer(200, {})
+        else:
+            self._answer(refusal.status, {"error": refusal.detail})
+
+    def _read(self, refusal: errors.Refusal | None, packed: bytes) -> None:
+        if refusal is None:
+            self._send(200, manifest.unpack(packed))
+        else:
+            self._answer(refusal.status, {"error": refusal.detail})
+
+    def _answer(self, status: int, item: dict[str, typing.Any]) -> None:
+        self._send(status, json.dumps(item).encode())
+
+    def _send(self, status: int, body: bytes) -> None:
+        if self.gone:
+            return
+        self.setResponseCode(status, http.RESPONSES.get(status, b"-"))
+        headers = self.responseHeaders
+        headers.setRawHeaders(b"content-type", [b"application/json"])
+        headers.setRawHeaders(b"content-length", [str(len(body)).encode()])
+        self.write(body)
+        self.finish()
+
+
+class ReadyRequest(http.Request):
+    """The platform's question whether new callers should come here."""
+
+    def requestReceived(
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Answers at once."""
+        self.method, self.uri = command, path
+        self.clientproto = version
+        ready = self.channel.factory.port()
+        self.setResponseCode(200 if ready else 503)
+        self.responseHeaders.setRawHeaders(b"content-length", [b"0"])
+        self.write(b"")
+        self.finish()
+
+
+class PagesFactory(http.HTTPFactory):
+    """Serves one kind of request; `port` is what its pages call."""
+
+    noisy = False
+
+    def __init__(
+        self, request: type[http.Request], port: typing.Any, reactor: typing.Any
+    ) -> None:
+        """Makes a factory without a log file of its own."""
+        super().__init__(reactor=reactor, timeout=60)
+        self._request = request
+        self.port = port
+
+    def buildProtocol(self, addr: object) -> http.HTTPChannel:
+        """Returns the protocol of a new connection."""
+        channel = http.HTTPChannel()
+        channel.factory = self
+        channel.requestFactory = self._request
+        channel.callLater = self.reactor.callLater
+        channel.timeOut = self.timeOut
+        return channel
+
+    def log(self, request: object) -> None:
+        """Writes nothing."""
--- /dev/null
+++ b/figford/platform/dialect.py
@@ -0,0 +1,158 @@
+"""Headers of callers and upstreams on the platform."""
+
+import datetime
+
+import attrs
+
+from figford import errors
+from figford import wire
+
+_ATTEMPT = b"figford-attempt-id"
+_REMAINING = b"figford-deadline-remaining"
+_KEY = b"x-api-key"
+_MODEL = b"figford-model"
+# Tokens of the prompt and at most of the output, not usage so far.
+_TOKENS = b"figford-token-usage"
+_RESUME = b"last-event-id"
+_UPSTREAM = b"figford-expect-instance"
+_ACCOUNT = b"figford-tenant"
+_URGENCY = b"figford-request-urgency"
+_SIGNATURE = b"figford-response-signature"
+_NOT_RUN = b"figford-not-executed"
+_LOAD = b"figford-server-load"
+# The upstream that made a group fail, by its id.
+_AT_FAULT = b"at-server"
+
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+_MISDIRECTED = 421
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+_CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    }
+)
+_REPLACED = frozenset({_REMAINING, _KEY, _UPSTREAM, _ACCOUNT, _URGENCY})
+
+
+def _number(text: bytes | None) -> int | None:
+    if text is None:
+        return None
+    text = text.strip()
+    return int(text) if text.isdigit() and len(text) < 16 else None
+
+
+def _numbers(text: bytes | None, count: int) -> tuple[int, ...] | None:
+    if text is None:
+        return None
+    parts = [_number(part) for part in text.split(b",")]
+    if len(parts) != count or None in parts:
+        return None
+    return tuple(part for part in parts if part is not None)
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("latin-1").strip()
+
+
+def _kept_for(value: bytes | None) -> datetime.timedelta | None:
+    """Returns the timeout of a Keep-Alive header, in whole seconds."""
+    for part in (value or b"").split(b","):
+        name, _, number = part.partition(b"=")
+        seconds = _number(number)
+        if name.strip().lower() == b"timeout" and seconds is not None:
+            return datetime.timedelta(seconds=seconds)
+    return None
+
+
+@attrs.frozen
+class PlatformDialect:
+    """Reads and writes the platform's headers."""
+
+    def read_call(self, headers: wire.HeaderList) -> wire.CallHead:
+        """Returns what a caller says; raises BadRequest without an id."""
+        by_name = {name.lower(): value for name, value in headers}
+        attempt = _text(by_name.get(_ATTEMPT))
+        if not attempt:
+            raise errors.BadRequest("the request names no attempt")
+        remaining = _number(by_name.get(_REMAINING))
+        tokens = _numbers(by_name.get(_TOKENS), 2) or (0, 0)
+        return wire.CallHead(
+            attempt=attempt,
+            remaining=(
+                None if remaining is None else remaining * _MILLISECOND
+            ),
+            key=_text(by_name.get(_KEY)),
+            model=_text(by_name.get(_MODEL)),
+            prompt_tokens=tokens[0],
+            output_tokens=tokens[1],
+            resume_after=_text(by_name.get(_RESUME)),
+        )
+
+    def request_headers(
+        self, headers: wire.HeaderList, outgoing: wire.Outgoing
+    ) -> wire.HeaderList:
+        """Returns the headers of the request to an upstream."""
+        named = b",".join(
+            value for name, value in headers if name.lower() == b"connection"
+        )
+        dropped = {item.strip().lower() for item in named.split(b",")}
+        dropped |= _CONNECTION_HEADERS | _REPLACED
+        if outgoing.resume_after is not None:
+            dropped.add(_RESUME)
+        result = [
+            (name, value)
+            for name, value in headers
+            if name.lower() not in dropped
+        ]
+        remaining = max(1, outgoing.remaining // _MILLISECOND)
+        result.append((_REMAINING, str(remaining).encode()))
+        result.append((_UPSTREAM, outgoing.upstream.encode()))
+        optional = (
+            (_ACCOUNT, outgoing.account),
+            (_URGENCY, outgoing.urgency),
+            (_RESUME, outgoing.resume_after),
+        )
+        for name, value in optional:
+            if value is not None:
+                result.append((name, str(value).encode("latin-1")))
+        return result
+
+    def read_answer(
+        self, status: int, headers: wire.HeaderList
+    ) -> wire.AnswerHead:
+        """Returns what an upstream says."""
+        by_name = {name.lower(): value for name, value in headers}
+        load = _numbers(by_name.get(_LOAD), 3)
+        kind = by_name.get(b"content-type", b"").partition(b";")[0]
+        return wire.AnswerHead(
+            status=status,
+            headers=[
+                (name, value)
+                for name, value in headers
+                if name.lower() not in _CONNECTION_HEADERS
+                and name.lower() not in (_LOAD, _NOT_RUN)
+            ],
+            attempt=_text(by_name.get(_ATTEMPT)),
+            signed=bool(by_name.get(_SIGNATURE)),
+            not_run=_NOT_RUN in by_name or status == _MISDIRECTED,
+            encoded=b"content-encoding" in by_name,
+            streamed=kind.strip().lower() == b"text/event-stream",
+            load=wire.UpstreamLoad(*load) if load else None,
+            at_fault=_text(by_name.get(_AT_FAULT)),
+            kept_for=_kept_for(by_name.get(b"keep-alive")),
+        )
+
+    def retry_after(self, duration: datetime.timedelta) -> bytes:
+        """Returns seconds with a fraction, which callers here understand."""
+        return f"{duration.total_seconds():.3f}".encode()
--- /dev/null
+++ b/figford/platform/manifest.py
@@ -0,0 +1,195 @@
+"""The platform's manifest, read into a route table."""
+
+import datetime
+import json
+import typing
+import zlib
+
+from figford import errors
+from figford import routes
+
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+_SECOND = datetime.timedelta(seconds=1)
+_REPEAT_BY_KIND = {
+    "streaming": routes.Repeat.STREAM,
+    "idempotent": routes.Repeat.IDEMPOTENT,
+    "non_idempotent": routes.Repeat.ONCE,
+}
+
+
+def read(document: bytes) -> routes.RouteTable:
+    """Returns the route table of a manifest.
+
+    Raises ConfigurationInvalid where it can't be read in full.
+    """
+    try:
+        return _table(_mapping(json.loads(document), "manifest"))
+    except (ValueError, TypeError, KeyError, OverflowError) as error:
+        raise errors.ConfigurationInvalid(
+            f"the manifest can't be read: {type(error).__name__}: {error}"
+        ) from error
+
+
+def pack(document: bytes) -> bytes:
+    """Returns a manifest compressed, as it is stored and sent on."""
+    return zlib.compress(document, 6)
+
+
+def unpack(packed: bytes) -> bytes:
+    """Returns the bytes of a manifest as they were submitted."""
+    return zlib.decompress(packed)
+
+
+def _mapping(value: object, what: str) -> dict[str, typing.Any]:
+    if not isinstance(value, dict):
+        raise ValueError(f"{what} is not an object")
+    return value
+
+
+def _items(value: object, what: str) -> list[dict[str, typing.Any]]:
+    if not isinstance(value, list):
+        raise ValueError(f"{what} is not a list")
+    return [_mapping(item, what) for item in value]
+
+
+def _text(item: dict[str, typing.Any], name: str) -> str:
+    value = item[name]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{name} is not a text")
+    return value
+
+
+def _number(value: object, what: str) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise ValueError(f"{what} is not a number")
+    return value
+
+
+def _whole(value: object, what: str) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"{what} is not a whole number")
+    return value
+
+
+def _ms(item: dict[str, typing.Any], name: str) -> datetime.timedelta:
+    return _number(item[name], name) * _MILLISECOND
+
+
+def _table(manifest: dict[str, typing.Any]) -> routes.RouteTable:
+    tenants = manifest.get("tenants")
+    return routes.RouteTable(
+        version=_whole(manifest["version"], "version"),
+        routes=tuple(
+            _route(item) for item in _items(manifest["routes"], "routes")
+        ),
+        services=tuple(
+            _service(item) for item in _items(manifest["services"], "services")
+        ),
+        accounts=tuple(
+            _account(item) for item in _items(tenants or [], "tenants")
+        ),
+        limits=_limits(_mapping(manifest.get("limits") or {}, "limits")),
+        has_accounts=tenants is not None,
+    )
+
+
+def _route(item: dict[str, typing.Any]) -> routes.Route:
+    if item.get("traffic_split"):
+        shares = tuple(
+            routes.Share(
+                _text(part, "service"), _number(part["weight"], "weight")
+            )
+            for part in _items(item["traffic_split"], "traffic_split")
+        )
+    else:
+        shares = (routes.Share(_text(item, "service"), 1),)
+    pause = item.get("gap_target_ms")
+    return routes.Route(
+        name=_text(item, "name"),
+        host=_text(item, "host"),
+        prefix=_text(item, "path_prefix"),
+        repeat=_REPEAT_BY_KIND[item["kind"]],
+        timeout=_ms(item, "timeout_ms"),
+        objective=_ms(item, "target_latency_ms"),
+        shares=shares,
+        priority=_whole(item.get("priority", 1), "priority"),
+        attempts=max(1, _whole(item.get("max_attempts", 1), "max_attempts")),
+        public=item.get("public") is True,
+        resumable=item.get("resumable") is True,
+        longest_pause=(
+            None
+            if pause is None
+            else _number(pause, "gap_target_ms") * _MILLISECOND
+        ),
+    )
+
+
+def _service(item: dict[str, typing.Any]) -> routes.Service:
+    engine = item.get("engine")
+    return routes.Service(
+        name=_text(item, "name"),
+        connections=_whole(item.get("max_conns", 100), "max_conns"),
+        engine=_engine(_mapping(engine, "engine")) if engine else None,
+    )
+
+
+def _engine(item: dict[str, typing.Any]) -> routes.Engine:
+    return routes.Engine(
+        slots=_whole(item["slots"], "slots"),
+        models=tuple(
+            _model(part) for part in _items(item.get("models", []), "models")
+        ),
+        step_ms=_number(item.get("step_ms", 0), "step_ms"),
+        step_ms_per_sequence=_number(
+            item.get("per_seq_ms", 0), "per_seq_ms"
+        ),
+        prefill_tokens_per_second=_number(
+            item.get("read_per_s", 0), "read_per_s"
+        ),
+        loads_per_second=_number(item.get("loads_per_s", 1), "loads_per_s"),
+        loads_at_once=_whole(item.get("loads_at_once", 1), "loads_at_once"),
+        form=_number(item.get("form_ms", 0), "form_ms") * _MILLISECOND,
+        far_factor=_number(item.get("far_x", 1), "far_x"),
+    )
+
+
+def _model(item: dict[str, typing.Any]) -> routes.Model:
+    return routes.Model(
+        name=_text(item, "name"),
+        size=_whole(item.get("size", 1), "size"),
+        share=_number(item.get("share", 1), "share"),
+        pace=_number(item.get("pace", 1), "pace"),
+        load=_number(item.get("load_s", 0), "load_s") * _SECOND,
+        warm=_number(item.get("warm_s", 0), "warm_s") * _SECOND,
+    )
+
+
+def _account(item: dict[str, typing.Any]) -> routes.Account:
+    keys = item.get("api_keys", [])
+    if not isinstance(keys, list) or not all(
+        isinstance(key, str) for key in keys
+    ):
+        raise ValueError("api_keys is not a list of texts")
+    priority = item.get("priority")
+    return routes.Account(
+        name=_text(item, "name"),
+        keys=tuple(keys),
+        priority=None if priority is None else _whole(priority, "priority"),
+    )
+
+
+def _limits(item: dict[str, typing.Any]) -> routes.CallerLimits:
+    default = routes.CallerLimits()
+
+    def whole(name: str, otherwise: int) -> int:
+        return _whole(item[name], name) if name in item else otherwise
+
+    def ms(name: str, otherwise: datetime.timedelta) -> datetime.timedelta:
+        return _ms(item, name) if name in item else otherwise
+
+    return routes.CallerLimits(
+        header_bytes=whole("max_header_bytes", default.header_bytes),
+        body_bytes=whole("max_body_bytes", default.body_bytes),
+        header_timeout=ms("header_timeout_ms", default.header_timeout),
+        idle_timeout=ms("idle_timeout_ms", default.idle_timeout),
+    )
--- /dev/null
+++ b/figford/platform/ordering.py
@@ -0,0 +1,59 @@
+"""Orders to upstreams on the platform, and what they answer."""
+
+import json
+
+from figford import errors
+from figford import formations
+
+REPORT_TARGET = b"/figford/report"
+ORDER_TARGET = b"/figford/order"
+
+_RESULT_BY_STATUS = {
+    200: formations.Result.HELD,
+    202: formations.Result.BEGUN,
+    409: formations.Result.REFUSED,
+    # Lower than a fence number or an epoch that the upstream has seen.
+    412: formations.Result.FENCED,
+    421: formations.Result.ANOTHER,
+}
+
+
+def body(order: formations.GroupOrder, fencing: bool) -> bytes:
+    """Returns the body of an order."""
+    item: dict[str, object] = {"op": order.action.value}
+    if fencing:
+        item["fence"] = order.fence
+    if order.expected is not None:
+        item["expected"] = order.expected
+    match order.action:
+        case formations.Action.STAGE:
+            item["model"] = order.model
+        case formations.Action.JOIN:
+            item["model"] = order.model
+            item["members"] = list(order.members)
+    if order.action is not formations.Action.STAGE:
+        item["group"] = order.group
+        item["epoch"] = order.epoch
+    if order.action is formations.Action.CLOSE:
+        item["close_mode"] = "abort" if order.abort else "wait"
+    return json.dumps(item, separators=(",", ":")).encode()
+
+
+def result(status: int) -> formations.Result:
+    """Returns what a status says of an order."""
+    return _RESULT_BY_STATUS.get(status, formations.Result.UNKNOWN)
+
+
+def orders_begun(report: bytes) -> int:
+    """Returns the count of orders that a report tells.
+
+    Raises MessageError where it can't be read.
+    """
+    try:
+        # Orders that began something since the start of this life.
+        count = json.loads(report)["sequence"]
+    except (ValueError, TypeError, KeyError) as error:
+        raise errors.MessageError("report can't be read") from error
+    if isinstance(count, bool) or not isinstance(count, int):
+        raise errors.MessageError("count of orders is not a number")
+    return count
--- /dev/null
+++ b/figford/routes.py
@@ -0,0 +1,236 @@
+"""The route table: which request goes to which service, and for whom.
+
+A table is one version of the configuration that entries serve by. Routes
+are found by host and longest path prefix; each names the services that
+share its requests, how often an attempt may be made, and its objectives.
+"""
+
+import datetime
+import enum
+import typing
+
+import attrs
+
+from figford import errors
+
+
+class Repeat(enum.Enum):
+    """What may be run more than once for one attempt of a caller."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+@attrs.frozen
+class Share:
+    """A service and its weight among those of one route."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class Route:
+    """One route; durations are counted from the arrival of a request."""
+
+    name: str
+    host: str
+    prefix: str
+    repeat: Repeat
+    timeout: datetime.timedelta
+    objective: datetime.timedelta
+    shares: tuple[Share, ...]
+    priority: int = 1
+    attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    longest_pause: datetime.timedelta | None = None
+
+    @property
+    def repeatable(self) -> bool:
+        """Returns whether a request may run again elsewhere."""
+        match self.repeat:
+            case Repeat.IDEMPOTENT:
+                return True
+            case Repeat.STREAM:
+                return self.resumable
+        return False
+
+
+@attrs.frozen
+class Model:
+    """A model and the group of instances that one replica needs.
+
+    `pace` multiplies all times of a group; `load` is how long the weight
+    store takes, `warm` how long a host that has the weights takes.
+    """
+
+    name: str
+    size: int
+    share: float
+    pace: float
+    load: datetime.timedelta
+    warm: datetime.timedelta
+
+
+@attrs.frozen
+class Engine:
+    """How the engines of a service batch, load and form groups."""
+
+    slots: int
+    models: tuple[Model, ...]
+    step_ms: float = 0.0
+    step_ms_per_sequence: float = 0.0
+    prefill_tokens_per_second: float = 0.0
+    loads_per_second: float = 1.0
+    loads_at_once: int = 1
+    form: datetime.timedelta = datetime.timedelta(0)
+    far_factor: float = 1.0
+
+    def model(self, name: str) -> Model | None:
+        """Returns a model by its name."""
+        for model in self.models:
+            if model.name == name:
+                return model
+        return None
+
+
+@attrs.frozen
+class Service:
+    """A set of upstreams that run the same program."""
+
+    name: str
+    connections: int
+    engine: Engine | None = None
+
+
+@attrs.frozen
+class CallerLimits:
+    """What a caller may send, and how long it may take."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_timeout: datetime.timedelta = datetime.timedelta(seconds=3)
+    idle_timeout: datetime.timedelta = datetime.timedelta(seconds=15)
+
+
+@attrs.frozen
+class Account:
+    """A client account, its keys and its priority over that of routes."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+
+
+@attrs.frozen
+class RouteTable:
+    """One version of the configuration, checked and indexed."""
+
+    version: int = 0
+    routes: tuple[Route, ...] = ()
+    services: tuple[Service, ...] = ()
+    accounts: tuple[Account, ...] = ()
+    limits: CallerLimits = CallerLimits()
+    has_accounts: bool = False
+    service_by_name: dict[str, Service] = attrs.field(init=False)
+    _account_by_key: dict[str, Account] = attrs.field(init=False)
+    _routes_by_host: dict[str, dict[str, Route]] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Builds the indexes; raises ConfigurationInvalid."""
+        by_name = {service.name: service for service in self.services}
+        object.__setattr__(self, "service_by_name", by_name)
+        object.__setattr__(self, "_account_by_key", self._index_keys())
+        object.__setattr__(self, "_routes_by_host", self._index_routes())
+
+    def _index_keys(self) -> dict[str, Account]:
+        by_key: dict[str, Account] = {}
+        for account in self.accounts:
+            for key in account.keys:
+                owner = by_key.setdefault(key, account)
+                if owner.name != account.name:
+                    raise _invalid(
+                        f"accounts {owner.name} and {account.name} share"
+                        " a key"
+                    )
+        return by_key
+
+    def _index_routes(self) -> dict[str, dict[str, Route]]:
+        by_host: dict[str, dict[str, Route]] = {}
+        for route in self.routes:
+            self._check_route(route)
+            by_prefix = by_host.setdefault(route.host, {})
+            if route.prefix in by_prefix:
+                raise _invalid(
+                    f"routes {by_prefix[route.prefix].name} and"
+                    f" {route.name} have one host and prefix"
+                )
+            by_prefix[route.prefix] = route
+        return by_host
+
+    def _check_route(self, route: Route) -> None:
+        if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+            raise _invalid(f"prefix of route {route.name} lacks a slash")
+        if route.timeout <= datetime.timedelta(0):
+            raise _invalid(f"route {route.name} has no timeout")
+        if any(share.weight < 0 for share in route.shares):
+            raise _invalid(f"route {route.name} has a negative weight")
+        if sum(share.weight for share in route.shares) <= 0:
+            raise _invalid(f"weights of route {route.name} add up to 0")
+        for share in route.shares:
+            if share.service not in self.service_by_name:
+                raise _invalid(
+                    f"route {route.name} names the unknown service"
+                    f" {share.service}"
+                )
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix of a path.
+
+        `host` may carry a port; `path` is without its query.
+        """
+        by_prefix = self._routes_by_host.get(host)
+        if by_prefix is None:
+            by_prefix = self._routes_by_host.get(host.partition(":")[0], {})
+        end = path.rfind("/")
+        while end >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def account(self, key: str) -> Account | None:
+        """Returns the client account that holds a key."""
+        return self._account_by_key.get(key)
+
+
+def choose_share(
+    route: Route, position: float, allowed: typing.Container[str]
+) -> str | None:
+    """Returns the service at a position from 0 to 1 of the weights.
+
+    Only services in `allowed` count; None where there are none.
+
+    >>> route = Route("r", "h", "/", Repeat.ONCE, datetime.timedelta(1),
+    ...     datetime.timedelta(1), (Share("a", 3), Share("b", 1)))
+    >>> choose_share(route, 0.7, "ab"), choose_share(route, 0.8, "ab")
+    ('a', 'b')
+    """
+    shares = [
+        share
+        for share in route.shares
+        if share.weight > 0 and share.service in allowed
+    ]
+    remaining = position * sum(share.weight for share in shares)
+    for share in shares:
+        remaining -= share.weight
+        if remaining < 0:
+            return share.service
+    return shares[-1].service if shares else None
+
+
+def _invalid(detail: str) -> errors.ConfigurationInvalid:
+    return errors.ConfigurationInvalid(detail)
--- /dev/null
+++ b/figford/wire.py
@@ -0,0 +1,83 @@
+"""What requests and answers say beside their bodies, as typed values.
+
+An adapter reads and writes the headers; decisions see only these types.
+"""
+
+import datetime
+import typing
+
+import attrs
+
+HeaderList = list[tuple[bytes, bytes]]
+
+
+@attrs.frozen
+class CallHead:
+    """What a caller's headers say; sizes are in tokens."""
+
+    attempt: str
+    remaining: datetime.timedelta | None
+    key: str | None
+    model: str | None = None
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    resume_after: str | None = None
+
+
+@attrs.frozen
+class UpstreamLoad:
+    """The load that an upstream reported with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@attrs.frozen
+class AnswerHead:
+    """What the head of an upstream's answer says.
+
+    `headers` are those that are passed on. `not_run` is the upstream's
+    word that it did not run the request. `at_fault` names the member that
+    made a group fail.
+    """
+
+    status: int
+    headers: HeaderList
+    attempt: str | None = None
+    signed: bool = False
+    not_run: bool = False
+    encoded: bool = False
+    streamed: bool = False
+    load: UpstreamLoad | None = None
+    at_fault: str | None = None
+    kept_for: datetime.timedelta | None = None
+
+
+@attrs.frozen
+class Outgoing:
+    """What the entry adds to a request that it sends to an upstream."""
+
+    remaining: datetime.timedelta
+    upstream: str
+    account: str | None
+    urgency: int | None = None
+    resume_after: str | None = None
+
+
+class Dialect(typing.Protocol):
+    """Reads and writes the headers of callers and upstreams."""
+
+    def read_call(self, headers: HeaderList) -> CallHead:
+        """Returns what a caller says; raises BadRequest."""
+
+    def request_headers(
+        self, headers: HeaderList, outgoing: Outgoing
+    ) -> HeaderList:
+        """Returns the headers of the request to an upstream."""
+
+    def read_answer(self, status: int, headers: HeaderList) -> AnswerHead:
+        """Returns what an upstream says."""
+
+    def retry_after(self, duration: datetime.timedelta) -> bytes:
+        """Returns the value that tells a caller when to come back."""
