Share instances, not replicas, by a model's share

Cause: 4 groups of the small model met 62 % of the requests; its shares were taken as group capacity. Ruled out: placement (late in all data centres). Conclusion: shares are of instances.

--- a/figford/formations.py
+++ b/figford/formations.py
@@ -617,11 +617,11 @@
 # ---- Forming groups -----------------------------------------------------
 
 
-def capacity_by_model(
+def instances_by_model(
     formations: typing.Iterable[Formation], engine: routes.Engine
-) -> dict[str, float]:
-    """Returns what live groups carry, in groups of pace 1."""
-    carried = {model.name: 0.0 for model in engine.models}
+) -> dict[str, int]:
+    """Returns how many instances live groups of each model hold."""
+    held = {model.name: 0 for model in engine.models}
     for formation in formations:
         model = engine.model(formation.model)
         if model is not None and formation.phase in (
@@ -629,18 +629,18 @@
             Phase.OPENING,
             Phase.SERVING,
         ):
-            carried[model.name] += 1.0 / model.pace
-    return carried
+            held[model.name] += model.size
+    return held
 
 
 def by_need(
-    carried: dict[str, float], engine: routes.Engine
+    held: dict[str, int], engine: routes.Engine
 ) -> list[routes.Model]:
-    """Returns the models, the one that lacks most capacity first."""
+    """Returns the models, the one furthest below its share first."""
     return sorted(
         engine.models,
         key=lambda model: (
-            carried[model.name] / max(model.share, 1e-6),
+            (held[model.name] + model.size) / max(model.share, 1e-6),
             model.name,
         ),
     )
@@ -659,9 +659,9 @@
         for formation in round_.planner.by_key.values()
         if formation.service == service
     ]
-    carried = capacity_by_model(formations, engine)
+    held = instances_by_model(formations, engine)
     free = round_.free(service)
-    for model in by_need(carried, engine):
+    for model in by_need(held, engine):
         members = choose_members(model, free, engine, round_)
         if members:
             _begin(service, model, members, round_)
