--- /dev/null
+++ b/figford/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the platform."""
--- /dev/null
+++ b/figford/tests/platform/standin.py
@@ -0,0 +1,277 @@
+"""A stand-in of the platform's upstreams, as one process.
+
+It is written from the published protocol: engines that form groups and
+stream events, and plain upstreams. All report to the controllers given on
+the command line, moving on to the next one after a failure.
+"""
+
+import datetime
+import json
+import random
+import sys
+import time
+import typing
+
+import attrs
+from twisted.internet import reactor
+from twisted.internet import task
+from twisted.web import client
+from twisted.web import http
+from twisted.web import http_headers
+from twisted.web import iweb
+from zope import interface
+
+from figford import fleetmessages
+from figford import formations
+from figford import routes
+from figford.tools import enginefleet
+
+BEAT_SECONDS = 0.3
+STEP_SECONDS = 0.05
+EVENTS = 6
+EVENT_SECONDS = 0.02
+SECOND = datetime.timedelta(seconds=1)
+MODELS = {
+    "large": routes.Model("large", 2, 0.6, 1.0, 0.3 * SECOND, 0.1 * SECOND),
+    "small": routes.Model("small", 1, 0.4, 1.0, 0.3 * SECOND, 0.1 * SECOND),
+}
+_ACTIONS = {action.value: action for action in formations.Action}
+_STATUS = {
+    formations.Result.BEGUN: 202,
+    formations.Result.HELD: 200,
+    formations.Result.REFUSED: 409,
+    formations.Result.FENCED: 412,
+}
+
+
+def now() -> datetime.timedelta:
+    """Returns monotonic time."""
+    return datetime.timedelta(seconds=time.monotonic())
+
+
+def heartbeat(engine: enginefleet.Engine, plain: bool) -> bytes:
+    """Returns the body of a heartbeat."""
+    report = engine.report()
+    item: dict[str, typing.Any] = {
+        "service": report.service,
+        "address": report.address,
+        "zone": report.data_centre,
+        "version": "v1",
+        "slots": report.slots,
+        "state": "draining" if report.leaving else "ready",
+        "cold_remaining_ms": 0,
+        "sequence": report.sequence,
+        "born": report.incarnation,
+    }
+    if not plain:
+        item["domain"] = report.domain
+        item["models"] = [
+            {"name": name, "version": 1, "adapters": []}
+            for name in report.models
+        ]
+        item["staged"] = report.staged
+        if report.seat is not None:
+            item["group"] = {
+                "name": report.seat.group,
+                "epoch": report.seat.epoch,
+                "rank": report.seat.rank,
+                "state": report.seat.state.value,
+            }
+    return json.dumps(item).encode()
+
+
+@interface.implementer(iweb.IBodyProducer)
+class Body:
+    """A body at hand."""
+
+    def __init__(self, body: bytes) -> None:
+        self.body, self.length = body, len(body)
+
+    def startProducing(self, consumer: typing.Any) -> typing.Any:
+        """Writes the body at once."""
+        consumer.write(self.body)
+        return task.deferLater(reactor, 0, lambda: None)
+
+    def pauseProducing(self) -> None:
+        """Does nothing."""
+
+    def resumeProducing(self) -> None:
+        """Does nothing."""
+
+    def stopProducing(self) -> None:
+        """Does nothing."""
+
+
+class UpstreamRequest(http.Request):
+    """A request or an order to one upstream."""
+
+    def process(self) -> None:
+        """Answers."""
+        upstream: Upstream = self.channel.factory.upstream
+        path = self.path.decode()
+        if path == "/figford/order":
+            self._order(upstream, json.loads(self.content.read()))
+        elif path == "/figford/report":
+            self._answer(200, {"sequence": upstream.engine.begun})
+        else:
+            self._serve(upstream)
+
+    def _answer(self, status: int, item: dict) -> None:
+        self.setResponseCode(status)
+        self.setHeader("content-type", "application/json")
+        self.write(json.dumps(item).encode())
+        self.finish()
+
+    def _order(self, upstream: "Upstream", item: dict) -> None:
+        order = formations.GroupOrder(
+            upstream=upstream.engine.name,
+            incarnation=upstream.engine.incarnation,
+            address="",
+            action=_ACTIONS[item["op"]],
+            fence=item.get("fence", 0),
+            expected=item.get("expected"),
+            group=item.get("group", ""),
+            epoch=item.get("epoch", 0),
+            model=item.get("model", ""),
+            members=tuple(item.get("members", ())),
+        )
+        result = upstream.fleet.order(order, now())
+        self._answer(_STATUS[result], {})
+
+    def _serve(self, upstream: "Upstream") -> None:
+        engine = upstream.engine
+        attempt = self.getHeader("figford-attempt-id")
+        self.setHeader("figford-attempt-id", attempt)
+        expected = self.getHeader("figford-expect-instance")
+        seat = engine.seat
+        is_head = (
+            seat is not None
+            and seat.members[0] == engine.name
+            and seat.state is fleetmessages.SeatState.OPEN
+        )
+        if expected != engine.name or not (upstream.plain or is_head):
+            self.setHeader("figford-instance-id", engine.name)
+            self._answer(421, {})
+            return
+        self.setHeader("figford-response-signature", f"sig-{attempt}")
+        self.setHeader("figford-server-load", "1,0,13")
+        upstream.runs.append(attempt)
+        if upstream.plain:
+            answer = {
+                "ran": upstream.runs.count(attempt),
+                "account": self.getHeader("figford-tenant"),
+                "key": self.getHeader("x-api-key"),
+            }
+            self._answer(200, answer)
+            return
+        self.setHeader("content-type", "text/event-stream")
+        after = int(self.getHeader("last-event-id") or 0)
+        self._stream(after + 1)
+
+    def _stream(self, number: int) -> None:
+        if self._disconnected:
+            return
+        if number > EVENTS:
+            self.finish()
+            return
+        self.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+        reactor.callLater(EVENT_SECONDS, self._stream, number + 1)
+
+
+class UpstreamFactory(http.HTTPFactory):
+    """Listens for one upstream."""
+
+    noisy = False
+
+    def __init__(self, upstream: "Upstream") -> None:
+        """Makes a factory without a log file."""
+        super().__init__(timeout=60)
+        self.upstream = upstream
+
+    def buildProtocol(self, addr: object) -> http.HTTPChannel:
+        """Returns the protocol of a new connection."""
+        channel = http.HTTPChannel()
+        channel.factory = self
+        channel.requestFactory = UpstreamRequest
+        return channel
+
+    def log(self, request: object) -> None:
+        """Writes nothing."""
+
+
+@attrs.define
+class Upstream:
+    """One upstream: its engine, its port and its reports."""
+
+    engine: enginefleet.Engine
+    plain: bool
+    fleet: enginefleet.EngineFleet
+    controllers: list[str]
+    agent: client.Agent
+    runs: list[str | None] = attrs.field(factory=list)
+    turn: int = 0
+
+    def start(self) -> None:
+        """Listens and begins to report."""
+        host, _, port = self.engine.address.partition(":")
+        reactor.listenTCP(
+            int(port), UpstreamFactory(self), interface=host
+        )
+        task.LoopingCall(self.beat).start(BEAT_SECONDS)
+
+    def beat(self) -> None:
+        """Reports to one controller; the next beat tries the next one."""
+        address = self.controllers[self.turn % len(self.controllers)]
+        sent = self.agent.request(
+            b"POST",
+            f"http://{address}/figford/instances/{self.engine.name}"
+            "/heartbeat".encode(),
+            http_headers.Headers({"content-type": ["application/json"]}),
+            Body(heartbeat(self.engine, self.plain)),
+        )
+        sent.addCallback(client.readBody)
+        sent.addErrback(self._failed)
+
+    def _failed(self, _: object) -> None:
+        self.turn += 1
+
+
+def main(controllers: list[str]) -> None:
+    """Runs four engines in one domain and one plain upstream."""
+    fleet = enginefleet.EngineFleet(MODELS, random.Random(1))
+    pool = client.HTTPConnectionPool(reactor)
+    agent = client.Agent(reactor, connectTimeout=1, pool=pool)
+    born = int(time.time() * 1000)
+    first_port = int(controllers.pop(0))
+    ups = []
+    for index in range(5):
+        plain = index == 4
+        engine = enginefleet.Engine(
+            name=f"u{index}",
+            service="app" if plain else "pool",
+            domain="" if plain else "d1",
+            data_centre="here",
+            address=f"127.0.0.1:{first_port + index}",
+            incarnation=born,
+        )
+        if not plain:
+            fleet.add(engine)
+        ups.append(Upstream(engine, plain, fleet, controllers, agent))
+
+    def step() -> None:
+        fleet.advance(now())
+        changed = {engine.name for engine in fleet.changed}
+        fleet.changed.clear()
+        for upstream in ups:
+            if upstream.engine.name in changed:
+                upstream.beat()
+
+    for upstream in ups:
+        upstream.start()
+    task.LoopingCall(step).start(STEP_SECONDS)
+    print("stand-in started", flush=True)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/figford/tests/platform/test_boot.py
@@ -0,0 +1,57 @@
+"""The platform's settings file becomes settings of the product."""
+
+import json
+import pathlib
+
+import pytest
+
+from figford import errors
+from figford.platform import boot
+
+SETTINGS = {
+    "node_name": "core-a-1",
+    "ip": "10.1.0.43",
+    "zone": "a",
+    "listen": {"control": "10.1.0.43:8229"},
+    "internal_port_range": [7340, 7355],
+    "seeds": ["10.1.0.43:8229", "10.2.0.31:8229"],
+    "bootstrap": True,
+    "data_dir": "/data/core",
+    "bounds": {"grace_s": 8, "fencing": True, "retry_budget_slack": 132},
+    "a_new_field": {},
+}
+
+
+def read(folder: pathlib.Path, **changes: object) -> object:
+    file = folder / "boot.json"
+    file.write_text(json.dumps(SETTINGS | changes))
+    return boot.read(file)
+
+
+def test_controllers_found_each_other_on_their_links_port(tmp_path) -> None:
+    found = read(tmp_path)
+    assert found.links_address == "10.1.0.43:7340"
+    assert found.seeds == ("10.1.0.43:7340", "10.2.0.31:7340")
+    assert found.founders == ("10.1.0.43", "10.2.0.31")
+    assert found.budget.reserve == 132
+
+
+def test_only_the_first_start_founds(tmp_path) -> None:
+    assert read(tmp_path, bootstrap=False).founders == ()
+
+
+def test_an_entry_has_links_of_its_own_port(tmp_path) -> None:
+    listen = {"front": "10.1.0.40:80", "ready": "10.1.0.40:81"}
+    found = read(tmp_path, ip="10.1.0.40", listen=listen, data_dir=None)
+    assert found.links_address == "10.1.0.40:7342"
+    assert found.seeds[0] == "10.1.0.43:7340"
+    assert found.data_folder is None
+
+
+def test_a_file_that_lacks_a_field_is_an_error(tmp_path) -> None:
+    file = tmp_path / "boot.json"
+    file.write_text("{}")
+    with pytest.raises(errors.SettingsError):
+        boot.read(file)
+    with pytest.raises(errors.SettingsError):
+        boot.read(tmp_path / "none.json")
--- /dev/null
+++ b/figford/tests/platform/test_processes.py
@@ -0,0 +1,317 @@
+"""Controllers, entries and stand-in upstreams as separate processes."""
+
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import time
+import typing
+
+import attrs
+import pytest
+
+from figford.tests.platform import test_manifest
+from figford.tools import deployment
+
+CONTROLLERS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
+ENTRY = "127.0.0.21"
+KEY = "key-1"
+# Far beyond what any wait here takes; it only ends a test that hangs.
+GIVE_UP_SECONDS = 60.0
+POLL_SECONDS = 0.05
+
+
+def manifest(version: int, prefix: str = "/book/") -> dict:
+    """Returns a manifest for the stand-in's services."""
+    base = test_manifest.MANIFEST
+    stream, call = base["routes"]
+    engine = base["services"][0]["engine"] | {
+        "models": [
+            {
+                "name": name,
+                "size": size,
+                "share": share,
+                "pace": 1.0,
+                "load_s": 0.3,
+                "warm_s": 0.1,
+            }
+            for name, size, share in (("large", 2, 0.6), ("small", 1, 0.4))
+        ]
+    }
+    route = {k: v for k, v in stream.items() if k != "traffic_split"}
+    return base | {
+        "version": version,
+        "routes": [
+            route | {"path_prefix": "/ask/", "service": "pool"},
+            call | {"path_prefix": prefix},
+        ],
+        "services": [base["services"][0] | {"engine": engine}]
+        + base["services"][1:],
+        "tenants": [{"name": "acme", "api_keys": [KEY], "priority": 1}],
+    }
+
+
+@attrs.frozen
+class Answer:
+    """An HTTP answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@attrs.define
+class Running:
+    """The processes, by IP number; ends only what it started."""
+
+    folder: pathlib.Path
+    ports: list[int] = attrs.field(
+        factory=lambda: deployment.free_ports(9)
+    )
+    by_ip: dict[str, subprocess.Popen] = attrs.field(factory=dict)
+    attempts: int = 0
+
+    def start(self, ip: str, founding: bool = True) -> None:
+        """Starts a controller or an entry."""
+        role = "entry" if ip == ENTRY else "controller"
+        listen = {"control": f"{ip}:{self.ports[0]}"}
+        if role == "entry":
+            listen = {
+                "front": f"{ip}:{self.ports[1]}",
+                "ready": f"{ip}:{self.ports[2]}",
+            }
+        boot = {
+            "node_name": f"{role}-{ip}",
+            "ip": ip,
+            "zone": "here",
+            "listen": listen,
+            "internal_port_range": [self.ports[3], self.ports[3] + 15],
+            "seeds": [f"{seed}:{self.ports[0]}" for seed in CONTROLLERS],
+            "bootstrap": founding,
+            "data_dir": str(self.folder / ip) if role != "entry" else None,
+            "bounds": {"fencing": True, "grace_s": 8},
+        }
+        file = self.folder / f"{ip}.json"
+        file.write_text(json.dumps(boot))
+        environment = os.environ | {"FIGFORD_NODE_FILE": str(file)}
+        with open(self.folder / f"{ip}.log", "ab") as log:
+            self.by_ip[ip] = subprocess.Popen(
+                [sys.executable, "-m", "figford.platform", role],
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+
+    def start_upstreams(self) -> None:
+        """Starts the stand-in upstreams."""
+        addresses = [f"{ip}:{self.ports[0]}" for ip in CONTROLLERS]
+        with open(self.folder / "standin.log", "ab") as log:
+            self.by_ip["standin"] = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "figford.tests.platform.standin",
+                    str(self.ports[4]),
+                    *addresses,
+                ],
+                stdout=log,
+                stderr=log,
+            )
+
+    def kill(self, ip: str) -> None:
+        """Kills one process at once."""
+        process = self.by_ip.pop(ip)
+        process.kill()
+        process.wait()
+
+    def end(self) -> None:
+        """Kills all processes."""
+        for ip in list(self.by_ip):
+            self.kill(ip)
+
+    def call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: typing.Mapping[str, str] = {},
+    ) -> Answer | None:
+        """Returns the answer of a call; None where there was none."""
+        host, _, port = address.partition(":")
+        link = http.client.HTTPConnection(host, int(port), timeout=10)
+        with contextlib.closing(link), contextlib.suppress(
+            OSError, http.client.HTTPException
+        ):
+            link.request(method, path, body, dict(headers))
+            found = link.getresponse()
+            return Answer(
+                found.status,
+                {k.lower(): v for k, v in found.getheaders()},
+                found.read(),
+            )
+        return None
+
+    def control(self, ip: str, path: str, document: dict | None = None):
+        """Returns the answer of a controller."""
+        body = b"" if document is None else json.dumps(document).encode()
+        method = "GET" if document is None else "POST"
+        return self.call(f"{ip}:{self.ports[0]}", method, path, body)
+
+    def submit(self, document: dict, ip: str = CONTROLLERS[0]) -> Answer:
+        """Submits a manifest again and again until it is answered."""
+
+        def answered() -> Answer | None:
+            found = self.control(ip, "/figford/config/replace", document)
+            return found if found and found.status != 503 else None
+
+        return self.wait("an answer to the manifest", answered)
+
+    def read(self, ip: str) -> dict | None:
+        """Returns the manifest that a controller is sure of."""
+        found = self.control(ip, "/figford/config/get")
+        served = found is not None and found.status == 200
+        return json.loads(found.body) if served else None
+
+    def ask(self, path: str, **headers: str) -> Answer | None:
+        """Returns what a caller gets from the entry."""
+        self.attempts += 1
+        sent = {
+            "Host": "h.example",
+            "Figford-Attempt-Id": f"a{self.attempts}",
+            "Figford-Deadline-Remaining": "6000",
+            "X-Api-Key": KEY,
+        }
+        sent |= {name.replace("_", "-"): v for name, v in headers.items()}
+        address = f"{ENTRY}:{self.ports[1]}"
+        return self.call(address, "POST", path, b"{}", sent)
+
+    def served(self, path: str, **headers: str) -> Answer:
+        """Asks until it is served."""
+
+        def served() -> Answer | None:
+            found = self.ask(path, **headers)
+            return found if found and found.status == 200 else None
+
+        return self.wait(f"{path} served", served)
+
+    def wait(self, what: str, condition: typing.Callable) -> typing.Any:
+        """Waits for a condition and returns its value."""
+        give_up = time.monotonic() + GIVE_UP_SECONDS
+        while time.monotonic() < give_up:
+            found = condition()
+            if found:
+                return found
+            time.sleep(POLL_SECONDS)
+        logs = "\n".join(
+            file.read_text()[-3000:] for file in self.folder.glob("*.log")
+        )
+        raise AssertionError(f"waited in vain for {what}\n{logs}")
+
+
+@pytest.fixture(name="running")
+def fixture_running(tmp_path):
+    running = Running(tmp_path)
+    try:
+        for ip in (*CONTROLLERS, ENTRY):
+            running.start(ip)
+        running.start_upstreams()
+        assert running.submit(manifest(3)).status == 200
+        yield running
+    finally:
+        running.end()
+
+
+def events(answer: Answer) -> list[bytes]:
+    return [line for line in answer.body.splitlines() if line[:3] == b"id:"]
+
+
+def test_streams_and_calls_are_served(running) -> None:
+    large = running.served("/ask/x", Figford_Model="large")
+    assert events(large) == [b"id: %d" % n for n in range(1, 7)]
+    assert large.headers["figford-response-signature"].startswith("sig-a")
+    running.served("/ask/x", Figford_Model="small")
+    booked = json.loads(running.served("/book/x").body)
+    assert booked == {"ran": 1, "account": "acme", "key": None}
+    assert running.ask("/none/x").status == 404
+    assert running.ask("/book/x", X_Api_Key="wrong").status == 401
+    ready = running.call(f"{ENTRY}:{running.ports[2]}", "GET", "/")
+    assert ready.status == 200
+
+
+def test_a_manifest_outlives_the_leader_and_all_processes(running) -> None:
+    assert running.submit(manifest(5), CONTROLLERS[1]).status == 200
+    running.kill(CONTROLLERS[0])
+    held = running.wait(
+        "the manifest at a survivor", lambda: running.read(CONTROLLERS[1])
+    )
+    assert held == manifest(5)
+    for ip in CONTROLLERS[1:]:
+        running.kill(ip)
+    for ip in CONTROLLERS:
+        running.start(ip, founding=False)
+    for ip in CONTROLLERS:
+        held = running.wait("the manifest", lambda ip=ip: running.read(ip))
+        assert held == manifest(5)
+
+
+def test_a_controller_that_lost_its_disk_gets_all_back(running) -> None:
+    running.kill(CONTROLLERS[2])
+    shutil.rmtree(running.folder / CONTROLLERS[2])
+    running.start(CONTROLLERS[2], founding=False)
+    assert running.submit(manifest(6), CONTROLLERS[2]).status == 200
+    held = running.wait(
+        "the manifest", lambda: running.read(CONTROLLERS[2])
+    )
+    assert held == manifest(6)
+
+
+def test_no_quorum_means_no_answer_and_no_acknowledgement(running) -> None:
+    for ip in CONTROLLERS[1:]:
+        running.kill(ip)
+    running.wait(
+        "a read that is refused",
+        lambda: running.control(CONTROLLERS[0], "/figford/config/get").status
+        == 503,
+    )
+    answer = running.control(
+        CONTROLLERS[0], "/figford/config/replace", manifest(9)
+    )
+    assert answer.status == 503
+
+
+def test_a_changed_route_is_in_force_at_the_entry(running) -> None:
+    running.served("/book/x")
+    assert running.submit(manifest(8, "/reserve/")).status == 200
+    running.served("/reserve/x")
+    assert running.ask("/book/x").status == 404
+    # An older one is acknowledged and changes nothing.
+    assert running.submit(manifest(4)).status == 200
+    assert running.ask("/book/x").status == 404
+    wrong = manifest(9) | {"services": []}
+    assert running.submit(wrong).status == 400
+    assert running.read(CONTROLLERS[0])["version"] == 8
+
+
+def test_an_entry_serves_while_all_controllers_are_gone(running) -> None:
+    running.served("/ask/x", Figford_Model="large")
+    for ip in CONTROLLERS:
+        running.kill(ip)
+    assert running.ask("/ask/x", Figford_Model="large").status == 200
+
+
+def test_a_stopping_entry_finishes_its_streams(running) -> None:
+    running.served("/ask/x", Figford_Model="large")
+    process = running.by_ip[ENTRY]
+    process.send_signal(signal.SIGTERM)
+    answer = running.ask("/ask/x", Figford_Model="large")
+    assert len(events(answer)) == 6
+    assert answer.headers["connection"] == "close"
+    ready = running.call(f"{ENTRY}:{running.ports[2]}", "GET", "/")
+    assert ready.status == 503
+    assert process.wait(timeout=GIVE_UP_SECONDS) == 0
--- /dev/null
+++ b/figford/tests/test_fleet.py
@@ -0,0 +1,92 @@
+"""The newest report of an upstream wins, and its end is final."""
+
+import datetime
+
+import attrs
+
+from figford import fleet
+from figford import fleetmessages
+
+NOW = datetime.timedelta(seconds=100)
+LATER = NOW + datetime.timedelta(seconds=1)
+
+
+def report(**changes: object) -> fleetmessages.Registration:
+    base = fleetmessages.Registration(
+        upstream="u1",
+        incarnation=5,
+        sequence=1,
+        service="s",
+        address="10.0.0.1:80",
+        data_centre="dc",
+        slots=4,
+    )
+    return attrs.evolve(base, **changes)
+
+
+def test_a_report_is_news_only_when_something_lasting_changed() -> None:
+    table = fleet.FleetTable()
+    assert table.report(report(), NOW)
+    assert not table.report(report(sequence=2), NOW)
+    assert table.report(report(sequence=3, leaving=True), NOW)
+
+
+def test_a_late_report_changes_nothing() -> None:
+    table = fleet.FleetTable()
+    table.report(report(sequence=3, leaving=True), NOW)
+    assert not table.report(report(sequence=2), LATER)
+    assert table.by_name["u1"].registration.leaving
+    assert table.stale_reports == 1
+
+
+def test_an_earlier_life_changes_nothing() -> None:
+    table = fleet.FleetTable()
+    table.report(report(incarnation=6), NOW)
+    assert not table.report(report(incarnation=5, sequence=99), LATER)
+
+
+def test_a_new_life_starts_its_count_anew() -> None:
+    table = fleet.FleetTable()
+    table.report(report(sequence=50), NOW)
+    assert table.report(report(incarnation=6, sequence=1), LATER)
+
+
+def test_a_late_report_does_not_undo_an_end() -> None:
+    table = fleet.FleetTable()
+    table.report(report(), NOW)
+    assert table.end("u1", NOW)
+    assert not table.report(report(sequence=9), LATER)
+    assert table.present() == []
+
+
+def test_a_newer_upstream_takes_over_an_address() -> None:
+    table = fleet.FleetTable()
+    table.report(report(), NOW)
+    table.report(report(upstream="u2", incarnation=9), NOW)
+    assert [item.upstream for item in table.present()] == ["u2"]
+
+
+def test_a_delayed_report_does_not_take_its_old_address_back() -> None:
+    table = fleet.FleetTable()
+    table.report(report(upstream="u2", incarnation=9), NOW)
+    assert not table.report(report(sequence=4), LATER)
+    assert [item.upstream for item in table.present()] == ["u2"]
+
+
+def test_silence_ends_with_a_beat_that_another_controller_heard() -> None:
+    table = fleet.FleetTable()
+    table.report(report(), NOW)
+    much_later = NOW + fleet.SILENCE * 2
+    assert table.is_silent("u1", much_later)
+    table.beat("u1", 5, 2, much_later)
+    assert not table.is_silent("u1", much_later)
+
+
+def test_ends_are_forgotten_in_time() -> None:
+    table = fleet.FleetTable()
+    table.report(report(), NOW)
+    table.end("u1", NOW)
+    table.forget_ended(NOW + fleet.END_KEPT / 2)
+    assert "u1" in table.by_name
+    table.forget_ended(NOW + fleet.END_KEPT * 2)
+    assert table.by_name == {}
--- /dev/null
+++ b/figford/tests/test_formations.py
@@ -0,0 +1,247 @@
+"""Groups are formed, opened and taken apart without ever being partial."""
+
+import datetime
+import random
+
+import attrs
+import pytest
+
+from figford import fleet as fleets
+from figford import formations
+from figford import routes
+from figford.tools import enginefleet
+
+SECOND = datetime.timedelta(seconds=1)
+STEP = datetime.timedelta(milliseconds=100)
+BEAT = datetime.timedelta(milliseconds=1200)
+LARGE = routes.Model("large", 4, 0.67, 1.0, 16 * SECOND, 1.6 * SECOND)
+SMALL = routes.Model("small", 2, 0.33, 0.6, 12 * SECOND, 1.1 * SECOND)
+ENGINE = routes.Engine(
+    slots=13, models=(LARGE, SMALL), loads_per_second=4.0, loads_at_once=6
+)
+
+
+@attrs.define
+class World:
+    """A planner before emulated engines; planners may be replaced."""
+
+    seed: int
+    domains: int = 3
+    now: datetime.timedelta = SECOND
+    planner: formations.Planner = attrs.field(factory=formations.Planner)
+    fleet: fleets.FleetTable = attrs.field(factory=fleets.FleetTable)
+    engines: enginefleet.EngineFleet = attrs.field(init=False)
+    rng: random.Random = attrs.field(init=False)
+    _beat_at: dict[str, datetime.timedelta] = attrs.field(factory=dict)
+    _results: list = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        """Starts engines in domains of eight and a first planner."""
+        self.rng = random.Random(self.seed)
+        self.engines = enginefleet.EngineFleet(
+            {"large": LARGE, "small": SMALL}, self.rng
+        )
+        for index in range(self.domains * 8):
+            self.add(f"e{index:02}", f"d{index // 8}")
+        self.planner.start(1, self.now)
+
+    def add(self, name: str, domain: str) -> None:
+        """Adds an engine with no weights."""
+        self.engines.add(
+            enginefleet.Engine(name, "pool", domain, "dc", f"10.0.0.1:{name}")
+        )
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds * SECOND
+        while self.now < end:
+            self.now += STEP
+            self.engines.advance(self.now)
+            self._report()
+            self._plan()
+
+    def _report(self) -> None:
+        changed = {engine.name for engine in self.engines.changed}
+        self.engines.changed.clear()
+        for name, engine in self.engines.by_name.items():
+            if not engine.up or engine.cut:
+                continue
+            due = self.now - self._beat_at.get(name, -BEAT) >= BEAT
+            if due or name in changed:
+                self._beat_at[name] = self.now
+                self.fleet.report(engine.report(), self.now)
+
+    def _plan(self) -> None:
+        present = {item.upstream: item for item in self.fleet.present()}
+        view = formations.View(
+            present,
+            {name: self.fleet.by_name[name].heard_at for name in present},
+            frozenset(
+                name
+                for name in present
+                if self.fleet.is_silent(name, self.now)
+            ),
+            {"pool": ENGINE},
+        )
+        for order, result in self._results:
+            self.planner.result(order, result, self.now)
+        self._results = []
+        for name in self.planner.questions(self.now):
+            engine = self.engines.by_name[name]
+            if engine.up and not engine.cut:
+                self.planner.orders_begun(
+                    name, engine.incarnation, engine.begun
+                )
+        for order in self.planner.plan(view, self.now):
+            engine = self.engines.by_name[order.upstream]
+            result = formations.Result.UNSENT
+            if not engine.cut:
+                result = self.engines.order(order, self.now)
+            self._results.append((order, result))
+
+    def replace_planner(self) -> None:
+        """Lets another controller take over, which knows only reports."""
+        term = self.planner.term + 1
+        self.planner = formations.Planner()
+        self.planner.start(term, self.now)
+        self._results = []
+
+
+def test_all_engines_serve_by_the_shares_of_the_models() -> None:
+    world = World(seed=1)
+    world.run(40)
+    assert world.engines.serving("large") == 4
+    assert world.engines.serving("small") == 4
+
+
+def test_a_dead_member_costs_its_group_a_stall_and_a_warm_join() -> None:
+    world = World(seed=1)
+    world.run(40)
+    for index in (0, 1):
+        world.add(f"spare{index}", "d0")
+    world.run(40)
+    before = world.engines.serving("large")
+    victim = next(
+        engine
+        for engine in world.engines.by_name.values()
+        if engine.seat and engine.seat.model == "large"
+        # Not the head, so that the head has to notice.
+        and engine.seat.members[1] == engine.name
+    )
+    world.engines.crash(victim.name, world.now)
+    world.run(30)
+    assert world.engines.serving("large") >= before
+
+
+def test_a_successor_adopts_groups_and_moves_nobody() -> None:
+    world = World(seed=2)
+    world.run(40)
+    seats = {
+        name: engine.seat.key
+        for name, engine in world.engines.by_name.items()
+        if engine.seat
+    }
+    world.replace_planner()
+    world.run(20)
+    assert seats == {
+        name: engine.seat.key
+        for name, engine in world.engines.by_name.items()
+        if engine.seat
+    }
+
+
+def test_a_head_that_was_only_cut_off_keeps_its_group() -> None:
+    world = World(seed=3)
+    world.run(40)
+    head = next(
+        engine
+        for engine in world.engines.by_name.values()
+        if engine.seat and engine.seat.members[0] == engine.name
+    )
+    key = head.seat.key
+    for name in key[2]:
+        world.engines.by_name[name].cut = True
+    world.run(12)
+    for name in key[2]:
+        world.engines.by_name[name].cut = False
+    world.run(10)
+    assert head.seat is not None and head.seat.key == key
+    assert head.seat.state is enginefleet.SeatState.OPEN
+
+
+def test_members_of_a_dead_head_serve_again() -> None:
+    world = World(seed=4)
+    world.run(40)
+    head = next(
+        engine
+        for engine in world.engines.by_name.values()
+        if engine.seat
+        and engine.seat.model == "large"
+        and engine.seat.members[0] == engine.name
+    )
+    others = set(head.seat.members[1:])
+    world.engines.crash(head.name, world.now)
+    world.add("spare", head.domain)
+    world.run(40)
+    assert all(world.engines.by_name[name].seat for name in others)
+
+
+def test_loads_keep_to_the_rate_of_the_weight_store() -> None:
+    world = World(seed=5, domains=6)
+    for _ in range(60):
+        before = world.engines.loads
+        world.run(5)
+        assert world.engines.loads - before <= 4 * 5 * 1.1 + 3
+
+
+def test_a_member_that_leaves_is_replaced_after_its_head_closed() -> None:
+    world = World(seed=6)
+    world.run(40)
+    engine = next(
+        item
+        for item in world.engines.by_name.values()
+        if item.seat and item.seat.members[1] == item.name
+    )
+    engine.leaving = True
+    world.run(8)
+    head = world.engines.by_name[engine.seat.members[0]] if engine.seat else None
+    assert head is None or head.seat is None or (
+        head.seat.state is not enginefleet.SeatState.OPEN
+        or engine.name not in head.seat.members
+    )
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_nothing_is_partial_or_in_two_groups_under_faults(seed: int) -> None:
+    """Crashes, restarts, cuts, late orders and new planners at random."""
+    world = World(seed=seed)
+    world.engines.late_share = 0.3
+    world.run(30)
+    for _ in range(60):
+        names = sorted(world.engines.by_name)
+        name = world.rng.choice(names)
+        engine = world.engines.by_name[name]
+        match world.rng.randrange(6):
+            case 0 if engine.up:
+                world.engines.crash(name, world.now)
+            case 1 if not engine.up:
+                world.engines.restart(name)
+            case 2:
+                engine.cut = not engine.cut
+            case 3:
+                world.replace_planner()
+            case 4 if engine.up:
+                world.engines.crash(name, world.now)
+                world.engines.restart(name)
+        world.run(world.rng.uniform(0.2, 4.0))
+    for name, engine in world.engines.by_name.items():
+        engine.cut = False
+        if not engine.up:
+            world.engines.restart(name)
+    world.engines.late_share = 0.0
+    world.run(80)
+    # All is well again: few engines may be left over by their domains.
+    seated = sum(
+        engine.seat is not None for engine in world.engines.by_name.values()
+    )
+    assert seated >= len(world.engines.by_name) - 4
--- /dev/null
+++ b/figford/tests/test_forwarding.py
@@ -0,0 +1,366 @@
+"""One request ends once, and only in ways that its caller may be told."""
+
+import datetime
+import random
+
+import attrs
+import pytest
+
+from figford import errors
+from figford import exchanges
+from figford import fleet as fleets
+from figford import fleetmessages
+from figford import forwarder as forwarders
+from figford import forwarding
+from figford import metrics
+from figford import placement
+from figford import routes
+from figford import wire
+
+MS = datetime.timedelta(milliseconds=1)
+SECOND = datetime.timedelta(seconds=1)
+SEAT = fleetmessages.FleetSeat("g", 1, 0, fleetmessages.SeatState.OPEN)
+ENGINE = routes.Engine(
+    slots=13, models=(routes.Model("m", 1, 1.0, 1.0, SECOND, SECOND),)
+)
+
+
+@attrs.define
+class Clock:
+    """A clock that tests set."""
+
+    time: datetime.timedelta = 100 * SECOND
+
+    def now(self) -> datetime.timedelta:
+        """Returns the time that was set."""
+        return self.time
+
+
+class Dialect:
+    """Headers are not looked at here."""
+
+    def request_headers(
+        self, headers: wire.HeaderList, outgoing: wire.Outgoing
+    ) -> wire.HeaderList:
+        """Returns what was added, for the test to see."""
+        return [(b"outgoing", repr(outgoing).encode())]
+
+
+@attrs.define
+class Pool:
+    """Keeps exchanges for the test to answer."""
+
+    sent: list = attrs.field(factory=list)
+    fresh: list = attrs.field(factory=list)
+    dropped: list = attrs.field(factory=list)
+
+    def send(self, address, exchange, fresh_within=None) -> None:
+        """Notes an exchange."""
+        exchange.sent = True
+        self.sent.append((address, exchange))
+        self.fresh.append(fresh_within)
+
+    def drop(self, address: str) -> None:
+        """Notes an address that is used no more."""
+        self.dropped.append(address)
+
+
+@attrs.define
+class Responder:
+    """What a caller saw."""
+
+    status: int = 0
+    body: bytes = b""
+    ends: list = attrs.field(factory=list)
+    refusal: errors.Refusal | None = None
+
+    def begin(self, status: int, headers: wire.HeaderList) -> None:
+        """Notes the status."""
+        self.status = status
+
+    def write(self, data: bytes) -> None:
+        """Notes a part of the body."""
+        self.body += data
+
+    def finish(self) -> None:
+        """Notes a whole answer."""
+        self.ends.append("whole")
+
+    def refuse(self, refusal: errors.Refusal) -> None:
+        """Notes a refusal."""
+        self.refusal = refusal
+        self.ends.append("refused")
+
+    def abort(self) -> None:
+        """Notes a cut."""
+        self.ends.append("cut")
+
+
+@attrs.define
+class Bench:
+    """A forwarder before two upstreams that the test plays."""
+
+    kind: routes.Repeat
+    resumable: bool = False
+    attempts: int = 2
+    clock: Clock = attrs.field(factory=Clock)
+    pool: Pool = attrs.field(factory=Pool)
+    responder: Responder = attrs.field(factory=Responder)
+    forwarder: forwarders.Forwarder = attrs.field(init=False)
+    call: forwarding.ForwardedCall = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Places two upstreams and begins one call."""
+        rng = random.Random(1)
+        self.forwarder = forwarders.Forwarder(
+            self.clock,
+            self.pool,
+            Dialect(),
+            placement.Placement("dc", rng),
+            metrics.Metrics(),
+            forwarders.BudgetTerms(0.2, 100, 10 * SECOND),
+            rng,
+        )
+        route = routes.Route(
+            "r", "h", "/", self.kind, 8 * SECOND, 500 * MS,
+            (routes.Share("s", 1),),
+            attempts=self.attempts, resumable=self.resumable,
+            longest_pause=300 * MS,
+        )  # fmt: skip
+        service = routes.Service("s", 10, ENGINE)
+        self.forwarder.configured(
+            routes.RouteTable(1, (route,), (service,))
+        )
+        self.place("u1", "u2")
+        self.call = forwarding.ForwardedCall(
+            self.forwarder, route, None,
+            wire.CallHead("a1", 6 * SECOND, None, model="m"),
+            b"POST", b"/x", [], b"body", self.responder,
+            self.clock.now(), self.clock.now() + 6 * SECOND,
+        )  # fmt: skip
+
+    def place(self, *names: str) -> None:
+        """Takes these upstreams into the fleet."""
+        fleet = fleets.FleetTable()
+        for name in names:
+            fleet.report(
+                fleetmessages.Registration(
+                    name, 1, 1, "s", f"{name}:1", "dc", 13,
+                    models=["m"], seat=SEAT,
+                ),  # fmt: skip
+                self.clock.now(),
+            )
+        self.forwarder.fleet_changed(fleet)
+
+    def begin(self) -> "Bench":
+        """Begins the call."""
+        self.forwarder.begin(self.call)
+        return self
+
+    @property
+    def receiver(self):
+        """Returns the receiver of the newest attempt."""
+        return self.pool.sent[-1][1].receiver
+
+    def answer(self, status: int, *parts: bytes, **head: object) -> None:
+        """Answers the newest attempt, but for the end."""
+        receiver = self.receiver
+        fields: dict = {"signed": True, "attempt": "a1"}
+        receiver.answer_began(
+            wire.AnswerHead(status, [], **(fields | head))
+        )
+        for part in parts:
+            receiver.answer_data(part)
+
+    def idle(self) -> bool:
+        """Returns whether nothing is counted as in progress."""
+        standings = self.forwarder.placement.standing_by_upstream.values()
+        return not self.forwarder.calls and not any(
+            standing.in_progress for standing in standings
+        )
+
+
+def event(number: int) -> bytes:
+    return f"id: {number}\ndata: x\n\n".encode()
+
+
+def test_a_whole_answer_is_passed_on_once() -> None:
+    bench = Bench(routes.Repeat.ONCE).begin()
+    receiver = bench.receiver
+    bench.answer(200, b"ab", b"cd")
+    assert bench.responder.status == 0
+    receiver.answer_ended()
+    assert bench.responder.status == 200
+    assert bench.responder.body == b"abcd"
+    assert bench.responder.ends == ["whole"] and bench.idle()
+
+
+def test_a_success_without_its_signature_is_not_passed_on() -> None:
+    bench = Bench(routes.Repeat.ONCE).begin()
+    bench.answer(200, b"forged", signed=False)
+    assert bench.responder.refusal.status == 502
+    assert bench.responder.body == b"" and bench.idle()
+
+
+def test_what_may_have_run_once_is_never_sent_again() -> None:
+    bench = Bench(routes.Repeat.ONCE).begin()
+    bench.receiver.answer_failed(exchanges.Failure.BROKEN)
+    assert len(bench.pool.sent) == 1
+    assert bench.responder.refusal.status == 502
+    assert bench.idle()
+
+
+def test_what_was_not_run_may_be_sent_again() -> None:
+    bench = Bench(routes.Repeat.ONCE).begin()
+    bench.answer(503, not_run=True, signed=False)
+    assert len(bench.pool.sent) == 2
+    bench.answer(503, not_run=True, signed=False)
+    # Both upstreams said so, so the refusal promises it.
+    assert bench.responder.refusal.status == 503
+    assert bench.responder.refusal.retry_after is not None
+    assert bench.idle()
+
+
+def test_an_idempotent_call_goes_on_elsewhere() -> None:
+    bench = Bench(routes.Repeat.IDEMPOTENT).begin()
+    bench.receiver.answer_failed(exchanges.Failure.BROKEN)
+    receiver = bench.receiver
+    assert bench.pool.sent[0][0] != bench.pool.sent[1][0]
+    bench.answer(200, b"ok")
+    receiver.answer_ended()
+    assert bench.responder.body == b"ok" and bench.idle()
+
+
+def test_what_may_have_run_is_not_called_not_run_later() -> None:
+    bench = Bench(routes.Repeat.IDEMPOTENT).begin()
+    bench.receiver.answer_failed(exchanges.Failure.BROKEN)
+    bench.answer(503, not_run=True, signed=False)
+    assert bench.responder.refusal.status == 502
+
+
+def test_an_upstreams_failure_keeps_its_status() -> None:
+    bench = Bench(routes.Repeat.ONCE).begin()
+    receiver = bench.receiver
+    bench.answer(500, b"broken")
+    receiver.answer_ended()
+    assert bench.responder.status == 500 and bench.idle()
+
+
+def test_attempts_end_at_the_limit_of_the_route() -> None:
+    bench = Bench(routes.Repeat.IDEMPOTENT, attempts=1).begin()
+    bench.receiver.answer_failed(exchanges.Failure.BROKEN)
+    assert len(bench.pool.sent) == 1 and bench.responder.ends == ["refused"]
+
+
+def test_a_broken_stream_goes_on_after_its_last_whole_event() -> None:
+    bench = Bench(routes.Repeat.STREAM, resumable=True).begin()
+    bench.answer(200, event(1), event(2)[:4], streamed=True)
+    bench.receiver.answer_failed(exchanges.Failure.BROKEN)
+    _, second = bench.pool.sent[-1]
+    assert b"resume_after='1'" in second.headers[0][1]
+    receiver = bench.receiver
+    bench.answer(200, event(2), event(3), streamed=True)
+    receiver.answer_ended()
+    assert bench.responder.body == event(1) + event(2) + event(3)
+    assert bench.responder.ends == ["whole"] and bench.idle()
+
+
+def test_a_stream_that_may_not_be_resumed_is_cut() -> None:
+    bench = Bench(routes.Repeat.STREAM).begin()
+    bench.answer(200, event(1), streamed=True)
+    bench.receiver.answer_failed(exchanges.Failure.BROKEN)
+    assert len(bench.pool.sent) == 1
+    assert bench.responder.ends == ["cut"] and bench.idle()
+
+
+def test_a_stream_with_a_gap_never_looks_whole() -> None:
+    bench = Bench(routes.Repeat.STREAM).begin()
+    bench.answer(200, event(1), event(3), streamed=True)
+    assert bench.responder.body == event(1)
+    assert bench.responder.ends == ["cut"]
+
+
+def test_a_stream_that_ends_within_an_event_never_looks_whole() -> None:
+    bench = Bench(routes.Repeat.STREAM).begin()
+    receiver = bench.receiver
+    bench.answer(200, event(1), b"id: 2\nda", streamed=True)
+    receiver.answer_ended()
+    assert bench.responder.ends == ["cut"]
+
+
+def test_a_group_that_stands_still_is_left_for_another() -> None:
+    bench = Bench(routes.Repeat.STREAM, resumable=True).begin()
+    bench.answer(200, event(1), streamed=True)
+    bench.clock.time += forwarding.GROUP_STILL
+    bench.forwarder.tick()
+    assert len(bench.pool.sent) == 2
+    assert bench.pool.sent[0][1].receiver is None
+
+
+def test_work_ends_at_the_upstream_when_the_caller_leaves() -> None:
+    bench = Bench(routes.Repeat.STREAM, resumable=True).begin()
+    bench.answer(200, event(1), streamed=True)
+    bench.call.caller_left()
+    assert bench.pool.sent[0][1].receiver is None
+    assert bench.responder.ends == [] and bench.idle()
+
+
+@pytest.mark.parametrize("sent", [True, False])
+def test_at_the_deadline_only_what_was_not_sent_is_not_run(
+    sent: bool,
+) -> None:
+    bench = Bench(routes.Repeat.ONCE)
+    if not sent:
+        for name in ("u1", "u2"):
+            standing = bench.forwarder.placement.standing(name)
+            standing.others, standing.others_at = 1e9, bench.clock.now()
+    bench.begin()
+    bench.clock.time += 6 * SECOND
+    bench.call.check(bench.clock.now())
+    assert bench.responder.refusal.status == (504 if sent else 503)
+    assert bench.idle()
+
+
+def test_an_upstream_that_can_t_be_reached_was_sent_nothing() -> None:
+    bench = Bench(routes.Repeat.ONCE).begin()
+    bench.receiver.answer_failed(exchanges.Failure.NOT_SENT)
+    assert len(bench.pool.sent) == 2
+    bench.receiver.answer_failed(exchanges.Failure.NOT_SENT)
+    assert bench.responder.refusal.status == 503 and bench.idle()
+
+
+def test_calls_that_may_not_be_repeated_take_fresh_connections() -> None:
+    assert Bench(routes.Repeat.ONCE).begin().pool.fresh == [
+        forwarding.FRESH_CONNECTION
+    ]
+    assert Bench(routes.Repeat.IDEMPOTENT).begin().pool.fresh == [None]
+
+
+def test_without_a_group_a_request_is_refused_at_once() -> None:
+    bench = Bench(routes.Repeat.STREAM)
+    bench.place()
+    bench.begin()
+    assert bench.responder.refusal.status == 503
+    assert bench.responder.refusal.retry_after is not None
+
+
+def test_what_waits_starts_when_a_place_comes_free() -> None:
+    bench = Bench(routes.Repeat.STREAM)
+    bench.place("u1")
+    standing = bench.forwarder.placement.standing("u1")
+    standing.in_progress = 13
+    bench.begin()
+    assert not bench.pool.sent and not bench.responder.ends
+    standing.in_progress = 12
+    bench.forwarder.tick()
+    assert len(bench.pool.sent) == 1
+
+
+def test_what_waits_too_long_is_refused_as_not_run() -> None:
+    bench = Bench(routes.Repeat.STREAM)
+    bench.place("u1")
+    bench.forwarder.placement.standing("u1").in_progress = 13
+    bench.begin()
+    bench.clock.time += 500 * MS
+    bench.forwarder.tick()
+    assert bench.responder.refusal.status == 503
--- /dev/null
+++ b/figford/tests/test_sharedbudget.py
@@ -0,0 +1,37 @@
+"""The parts of all entries add up to no more than the budget."""
+
+import datetime
+import random
+
+from figford import sharedbudget
+
+WINDOW = datetime.timedelta(seconds=10)
+RATIO = 0.2
+RESERVE = 130.0
+
+
+def test_the_sum_over_entries_keeps_to_the_budget_in_every_window() -> None:
+    rng = random.Random(7)
+    budgets = [
+        sharedbudget.SharedBudget(RATIO, RESERVE, WINDOW) for _ in range(7)
+    ]
+    requests: list[datetime.timedelta] = []
+    repeats: list[datetime.timedelta] = []
+    for step in range(4000):
+        now = step * datetime.timedelta(milliseconds=10)
+        budget = rng.choice(budgets)
+        budget.requested(now)
+        requests.append(now)
+        # Every request fails and asks for a repeat.
+        if budget.take(now, entries=7):
+            repeats.append(now)
+        recent = [at for at in repeats if now - at <= WINDOW]
+        asked = [at for at in requests if now - at <= WINDOW]
+        assert len(recent) <= RATIO * len(asked) + RESERVE
+
+
+def test_a_quiet_entry_has_its_part_of_the_reserve() -> None:
+    budget = sharedbudget.SharedBudget(RATIO, RESERVE, WINDOW)
+    now = datetime.timedelta(seconds=1)
+    taken = sum(budget.take(now, entries=10) for _ in range(100))
+    assert taken == int(RESERVE / 10 * sharedbudget.SAFETY)
