An upstream that signs off still runs: close its head before members move

Ruled out: late orders (none in the traces). Change: signing off is leaving; the head is closed, asked for its state, and left before its members are free. Members that left a lost head are free at once. Entries tell controllers which targets fail.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -26,6 +26,8 @@
 PLAN_EVERY = datetime.timedelta(milliseconds=100)
 # A process that was held up this long distrusts what it knew of silence.
 PAUSE = datetime.timedelta(seconds=1)
+# What an entry saw of an upstream counts this long.
+DOUBT_LIFE = datetime.timedelta(seconds=6)
 # How long after a pause, or after the start, silence means nothing.
 SETTLE = fleets.SILENCE
 
@@ -66,6 +68,9 @@
     _asked_at_by_name: dict[str, datetime.timedelta] = attrs.field(
         factory=dict
     )
+    _doubt_by_name: dict[
+        str, tuple[fleetmessages.UpstreamDoubt, datetime.timedelta]
+    ] = attrs.field(factory=dict)
     _beats: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     _beats_due: datetime.timedelta = datetime.timedelta(0)
     _heartbeat_due: datetime.timedelta = datetime.timedelta(0)
@@ -177,13 +182,13 @@
         )
         return []
 
-    def end(self, upstream: str, now: datetime.timedelta) -> list[Effect]:
+    def sign_off(self, upstream: str, now: datetime.timedelta) -> list[Effect]:
         """Takes an upstream's word that it leaves for good."""
         self._note_event(now)
-        if not self.fleet.end(upstream, now):
+        if not self.fleet.sign_off(upstream):
             return []
-        ended = self.fleet.by_name[upstream].registration
-        return self._tell_all(fleetmessages.FleetUpdate([ended]), None)
+        told = self.fleet.by_name[upstream].registration
+        return self._tell_all(fleetmessages.FleetUpdate([told]), None)
 
     def propose(
         self,
@@ -228,6 +233,9 @@
             case fleetmessages.FleetBeats():
                 self._on_beats(message, now)
                 return []
+            case fleetmessages.UpstreamDoubt():
+                self._doubt_by_name[message.upstream] = (message, now)
+                return []
         # Messages of other kinds of processes say nothing to a controller.
         return []
 
@@ -307,11 +315,7 @@
         now: datetime.timedelta,
     ) -> None:
         for registration in registrations:
-            if registration.gone:
-                self.fleet.report(registration, now)
-                self.fleet.end(registration.upstream, now)
-            else:
-                self.fleet.report(registration, now)
+            self.fleet.report(registration, now)
 
     def _on_beats(
         self, beats: fleetmessages.FleetBeats, now: datetime.timedelta
@@ -444,7 +448,30 @@
             name: self.fleet.by_name[name].heard_at if settled else now
             for name in present
         }
-        return formations.View(present, heard_at, self.silent(now), engines)
+        return formations.View(
+            present,
+            heard_at,
+            self.silent(now),
+            engines,
+            self._doubted(present, now),
+        )
+
+    def _doubted(
+        self,
+        present: dict[str, fleetmessages.Registration],
+        now: datetime.timedelta,
+    ) -> frozenset[str]:
+        """Returns the upstreams that entries lately saw failing."""
+        for name, (_, at) in list(self._doubt_by_name.items()):
+            if now - at > DOUBT_LIFE:
+                del self._doubt_by_name[name]
+        return frozenset(
+            name
+            for name, (doubt, _) in self._doubt_by_name.items()
+            if doubt.failing
+            and name in present
+            and present[name].incarnation == doubt.incarnation
+        )
 
     def _ask_orders_begun(
         self, view: formations.View, now: datetime.timedelta
--- a/figford/controllerdaemon.py
+++ b/figford/controllerdaemon.py
@@ -57,8 +57,8 @@
         """Returns what a status says."""
 
     @staticmethod
-    def orders_begun(report: bytes) -> int:
-        """Returns the count of orders that a report tells."""
+    def read_report(report: bytes) -> formations.Told:
+        """Returns what a report tells; raises MessageError."""
 
 
 @attrs.define
@@ -121,9 +121,7 @@
                 founding_name(me), founders
             )
         else:
-            self._records = [
-                messages.Identity(f"{me}.{secrets.token_hex(6)}")
-            ]
+            self._records = [messages.Identity(f"{me}.{secrets.token_hex(6)}")]
         journal.append(self._records)
         return self._records[0].voter
 
@@ -211,9 +209,7 @@
     def report(self, registration: fleetmessages.Registration) -> None:
         """Takes an upstream's report."""
         known = self.state.fleet.by_name.get(registration.upstream)
-        if registration.leaving and not (
-            known and known.registration.leaving
-        ):
+        if registration.leaving and not (known and known.registration.leaving):
             _log.info(
                 "upstream leaving",
                 upstream=registration.upstream,
@@ -221,10 +217,10 @@
             )
         self.guard(self.state.report, registration, self.clock.now())
 
-    def end(self, upstream: str) -> None:
+    def sign_off(self, upstream: str) -> None:
         """Takes an upstream's word that it leaves for good."""
-        _log.info("upstream ended", upstream=upstream)
-        self.guard(self.state.end, upstream, self.clock.now())
+        _log.info("upstream signed off", upstream=upstream)
+        self.guard(self.state.sign_off, upstream, self.clock.now())
 
     def store(self, version: int, packed: bytes, reply: Reply) -> None:
         """Takes a route table into force, then replies."""
@@ -422,12 +418,13 @@
         """Tells the planner."""
         self._stop_timer()
         try:
-            begun = self.daemon.orders.orders_begun(b"".join(self._parts))
+            told = self.daemon.orders.read_report(b"".join(self._parts))
         except errors.MessageError as error:
             self.daemon.message_refused(error)
             return
-        planner = self.daemon.state.planner
-        planner.orders_begun(self.asked.upstream, self.asked.incarnation, begun)
+        self.daemon.state.planner.told(
+            self.asked.upstream, self.asked.incarnation, told
+        )
 
     def answer_failed(self, failure: exchanges.Failure) -> None:
         """Leaves the question open."""
--- a/figford/entry.py
+++ b/figford/entry.py
@@ -147,7 +147,5 @@
         before = self.fleet.revision
         for registration in registrations:
             self.fleet.report(registration, now)
-            if registration.gone:
-                self.fleet.end(registration.upstream, now)
         self.fleet.forget_ended(now)
         return [FleetChanged()] if self.fleet.revision != before else []
--- a/figford/entrydaemon.py
+++ b/figford/entrydaemon.py
@@ -11,6 +11,7 @@
 from figford import effects
 from figford import entry as entries
 from figford import exchanges
+from figford import fleetmessages
 from figford import forwarder as forwarders
 from figford import ingress as ingresses
 from figford import membership
@@ -58,6 +59,7 @@
             self.config.budget,
             rng,
         )
+        self.forwarder.placement.on_doubt = self._tell_doubt
         self.ingress = ingresses.Ingress(self.forwarder)
         self.make_hub()
 
@@ -99,6 +101,14 @@
                 case effects.StateChanged():
                     self.state_changed(effect)
 
+    def _tell_doubt(self, doubt: fleetmessages.UpstreamDoubt) -> None:
+        """Tells the controllers what only requests can show."""
+        _log.info(
+            "upstream doubted" if doubt.failing else "upstream works again",
+            upstream=doubt.upstream,
+        )
+        self.hub.send_to_all(sorted(self.state.links), doubt)
+
     def tick(self) -> None:
         """Does what time makes due."""
         now = self.clock.now()
@@ -114,9 +124,7 @@
         self._stopping_since = self.clock.now()
         self.state.stopping = True
         self.ingress.stopping = True
-        _log.info(
-            "process stopping", in_progress=len(self.forwarder.calls)
-        )
+        _log.info("process stopping", in_progress=len(self.forwarder.calls))
 
     def _check_stopped(self, now: datetime.timedelta) -> None:
         since = self._stopping_since
--- a/figford/fleet.py
+++ b/figford/fleet.py
@@ -16,6 +16,8 @@
 # How long the end of an upstream is remembered, so that a report that was
 # held up in the network does not bring it back.
 END_KEPT = datetime.timedelta(minutes=10)
+# A process that signed off has exited by then.
+SIGNED_OFF_KEPT = datetime.timedelta(seconds=30)
 
 
 @attrs.define
@@ -66,11 +68,15 @@
             self._take_address(registration, now)
             self.revision += 1
             return True
-        changed = _lasting(known.registration) != _lasting(registration)
         if known.registration.gone:
             # Its end is final for this incarnation.
             self.stale_reports += 1
             return False
+        if known.registration.signed_off:
+            registration = attrs.evolve(
+                registration, leaving=True, signed_off=True
+            )
+        changed = _lasting(known.registration) != _lasting(registration)
         known.registration = registration
         known.heard_at = now
         if changed:
@@ -101,11 +107,17 @@
         if previous is None or previous == registration.upstream:
             return
         known = self.by_name[previous]
+        if not known.registration.gone:
+            self._end(known)
+            known.heard_at = now
+
+    def _end(self, known: Known) -> None:
+        """Notes that the process of an upstream is no more."""
         if not known.registration.gone:
             known.registration = attrs.evolve(
-                known.registration, gone=True, seat=None
+                known.registration, leaving=True, gone=True, seat=None
             )
-            known.heard_at = now
+            self.revision += 1
 
     def beat(
         self,
@@ -124,19 +136,20 @@
         known.registration = attrs.evolve(held, sequence=sequence)
         known.heard_at = now
 
-    def end(self, upstream: str, now: datetime.timedelta) -> bool:
-        """Notes that an upstream signed off; returns whether it is news."""
+    def sign_off(self, upstream: str) -> bool:
+        """Notes that an upstream leaves for good; returns whether it is news.
+
+        Its process goes on with the work that it has for a while.
+        """
         known = self.by_name.get(upstream)
-        if known is None or known.registration.gone:
+        if known is None or known.registration.signed_off:
             return False
         known.registration = attrs.evolve(
             known.registration,
             sequence=known.registration.sequence + 1,
-            gone=True,
             leaving=True,
-            seat=None,
+            signed_off=True,
         )
-        known.heard_at = now
         self.revision += 1
         return True
 
@@ -160,6 +173,9 @@
     def forget_ended(self, now: datetime.timedelta) -> None:
         """Drops upstreams that ended or fell silent long ago."""
         for name, known in list(self.by_name.items()):
+            silence = now - known.heard_at
+            if known.registration.signed_off and silence > SIGNED_OFF_KEPT:
+                self._end(known)
             if now - known.heard_at > END_KEPT:
                 del self.by_name[name]
                 address = known.registration.address
--- a/figford/fleetmessages.py
+++ b/figford/fleetmessages.py
@@ -30,7 +30,8 @@
     """What an upstream says of itself, or its end (`gone`).
 
     `incarnation` is the time of its start in Unix milliseconds; `sequence`
-    rises with each of its reports.
+    rises with each of its reports. One that signed off takes no new work
+    but may go on with what it has; `gone` says that its process ended.
     """
 
     upstream: str
@@ -45,6 +46,7 @@
     models: list[str] = attrs.field(factory=list)
     staged: list[str] = attrs.field(factory=list)
     seat: FleetSeat | None = None
+    signed_off: bool = False
     gone: bool = False
 
 
@@ -67,6 +69,15 @@
     sequences: list[int]
 
 
+@attrs.frozen
+class UpstreamDoubt:
+    """What an entry saw of a target: it fails, or it works again."""
+
+    upstream: str
+    incarnation: int
+    failing: bool
+
+
 @attrs.frozen
 class FleetStatus:
     """What the leading controller tells entries beside registrations.
--- a/figford/formations.py
+++ b/figford/formations.py
@@ -24,17 +24,20 @@
 TAKEOVER_WAIT = datetime.timedelta(milliseconds=600)
 # An order that shows no effect is given again after this long.
 ORDER_REPEAT = datetime.timedelta(milliseconds=1200)
-# A head that is silent this long may be dead; one that was only cut off
+# A head that is silent this long counts as dead; one that was only cut off
 # from the controllers is usually back by then.
-HEAD_SILENCE = datetime.timedelta(seconds=5)
-# A head stands still this long after a member left, then it is broken.
-STALL = datetime.timedelta(milliseconds=5000)
+HEAD_SILENCE = datetime.timedelta(seconds=8)
+# The same where entries see it fail: more than one report is missing.
+DOUBTED_SILENCE = datetime.timedelta(milliseconds=2600)
 # Members of a group that does not come up are given to others after this
 # long beyond the time that loads need.
 FORMING_SLACK = datetime.timedelta(seconds=6)
 # Members wait this long for a neighbour in their fabric domain before they
 # make a slower group with members of other domains.
 FAR_PATIENCE = datetime.timedelta(seconds=1)
+# Members wait this long for others that have the same weights, before some
+# of them load other weights; a load takes longer than most repairs.
+LOAD_PATIENCE = datetime.timedelta(seconds=8)
 # Loads are counted over this window against the weight store's rate.
 LOAD_WINDOW = datetime.timedelta(seconds=5)
 EPOCHS_PER_TERM = 1 << 20
@@ -91,6 +94,10 @@
     pending: GroupOrder | None = None
     ask_due: bool = False
     barred: bool = False
+    # What it answered last, once it does not report by itself any more.
+    was_told: bool = False
+    told_seat: fleetmessages.FleetSeat | None = None
+    asked_at: datetime.timedelta = datetime.timedelta(0)
     last: GroupOrder | None = None
     last_at: datetime.timedelta = datetime.timedelta(0)
     free_since: datetime.timedelta | None = None
@@ -120,7 +127,6 @@
     since: datetime.timedelta
     deadline: datetime.timedelta
     why: str = ""
-    orphaned_at: datetime.timedelta | None = None
 
     @property
     def head(self) -> str:
@@ -128,14 +134,26 @@
         return self.members.get(0, "")
 
 
+@attrs.frozen
+class Told:
+    """An upstream's own count of orders begun, and its seat."""
+
+    begun: int
+    seat: fleetmessages.FleetSeat | None
+
+
 @attrs.frozen
 class View:
-    """What a round of planning sees."""
+    """What a round of planning sees.
+
+    `doubted` are upstreams that entries lately saw failing.
+    """
 
     fleet: dict[str, fleetmessages.Registration]
     heard_at: dict[str, datetime.timedelta]
     silent: frozenset[str]
     engines: dict[str, routes.Engine]
+    doubted: frozenset[str] = frozenset()
 
 
 @attrs.frozen
@@ -205,13 +223,15 @@
         if formation is not None and formation.head == order.upstream:
             formation.phase = Phase.FREED
 
-    def orders_begun(self, upstream: str, incarnation: int, begun: int) -> None:
-        """Takes in an upstream's count of the orders that it began."""
+    def told(self, upstream: str, incarnation: int, told: Told) -> None:
+        """Takes in what an upstream answered to a question."""
         member = self.member_by_name.get(upstream)
         if member is None or member.incarnation != incarnation:
             return
         member.ask_due = False
-        member.begun = begun
+        member.begun = told.begun
+        member.told_seat = told.seat
+        member.was_told = True
 
     def questions(self, now: datetime.timedelta) -> list[str]:
         """Returns the upstreams whose count of orders is in doubt.
@@ -228,9 +248,7 @@
 
     # ---- A round --------------------------------------------------------
 
-    def plan(
-        self, view: View, now: datetime.timedelta
-    ) -> list[GroupOrder]:
+    def plan(self, view: View, now: datetime.timedelta) -> list[GroupOrder]:
         """Returns the orders that are due now."""
         if now < self._plan_from:
             return []
@@ -352,7 +370,7 @@
             registration.incarnation != formation.incarnations[0]
         ):
             self._set(formation, Phase.FREED, "head ended", round_)
-        elif round_.silent_for(name) >= HEAD_SILENCE:
+        elif round_.head_is_lost(name):
             self._give_up(formation, HEAD_IS_SILENT, round_)
         elif head is SeatState.BROKEN:
             self._set(formation, Phase.FREED, "broken", round_)
@@ -379,13 +397,15 @@
         ):
             self._set(formation, Phase.FREED, "head ended", round_)
             return
-        if round_.silent_for(name) >= HEAD_SILENCE:
+        if round_.head_is_lost(name):
             self._orphan(formation, round_)
             return
         if formation.why == HEAD_IS_SILENT:
             # It was cut off from the controllers and is back.
             self._set(formation, Phase.SERVING, "head back", round_)
             return
+        if registration.signed_off:
+            self._ask_again(name, round_)
         match round_.seat(formation, 0):
             case SeatState.BROKEN:
                 self._set(formation, Phase.FREED, "broken", round_)
@@ -396,28 +416,30 @@
             case _:
                 round_.order(formation, 0, Action.LEAVE)
 
+    def _ask_again(self, name: str, round_: "_Round") -> None:
+        """Asks one that reports no more by itself how far it is."""
+        member = self.member_by_name[name]
+        if round_.now - member.asked_at >= ORDER_REPEAT:
+            member.asked_at = round_.now
+            member.ask_due = True
+
     def _orphan(self, formation: Formation, round_: "_Round") -> None:
-        """Frees members whose head can't be asked.
+        """Frees members whose head can't be asked, once they have left.
 
-        Their leaving makes a head that still serves stand still, and it is
-        broken before they are given to another group.
+        Their leaving makes a head that still serves stand still, so that
+        nothing runs in a group that is not whole.
         """
-        if formation.orphaned_at is None:
-            heard = [
-                rank
-                for rank, name in sorted(formation.members.items())
-                if rank and name not in round_.view.silent
-            ]
-            seated = [
-                rank
-                for rank in heard
-                if round_.seat(formation, rank) is not None
-            ]
-            for rank in seated:
-                round_.order(formation, rank, Action.LEAVE)
-            if heard and not seated:
-                formation.orphaned_at = round_.now
-        elif round_.now - formation.orphaned_at >= STALL:
+        heard = [
+            rank
+            for rank, name in sorted(formation.members.items())
+            if rank and name not in round_.view.silent
+        ]
+        seated = [
+            rank for rank in heard if round_.seat(formation, rank) is not None
+        ]
+        for rank in seated:
+            round_.order(formation, rank, Action.LEAVE)
+        if heard and not seated:
             self._set(formation, Phase.FREED, "head lost", round_)
 
     def _set(
@@ -502,6 +524,16 @@
         """Returns how long ago an upstream was heard."""
         return self.now - self.view.heard_at.get(name, self.now)
 
+    def head_is_lost(self, name: str) -> bool:
+        """Returns whether a head is silent for too long.
+
+        It takes less where entries that send it requests see it fail: a
+        head that is only cut off from the controllers serves them.
+        """
+        doubted = name in self.view.doubted
+        limit = DOUBTED_SILENCE if doubted else HEAD_SILENCE
+        return self.silent_for(name) >= limit
+
     def seat(self, formation: Formation, rank: int) -> SeatState | None:
         """Returns the state that a member reports under this epoch."""
         seats = self.seats_by_key.get((formation.group, formation.epoch), {})
@@ -510,8 +542,27 @@
             return None
         if registration.upstream != formation.members.get(rank):
             return None
+        if registration.signed_off:
+            return self._told_state(formation, registration)
         return registration.seat.state
 
+    def _told_state(
+        self,
+        formation: Formation,
+        registration: fleetmessages.Registration,
+    ) -> SeatState | None:
+        """Returns the state of one that reports no more by itself."""
+        member = self.planner.member_by_name[registration.upstream]
+        seat = registration.seat
+        if member.was_told:
+            seat = member.told_seat
+        if seat is None or (seat.group, seat.epoch) != (
+            formation.group,
+            formation.epoch,
+        ):
+            return None
+        return seat.state
+
     def lost_members(self, formation: Formation) -> list[str]:
         """Returns members that ended, leave or fell silent."""
         return [
@@ -579,6 +630,11 @@
         self.orders.append(order)
         return True
 
+    def free_for(self, name: str) -> datetime.timedelta:
+        """Returns how long an engine has had no group."""
+        since = self.planner.member_by_name[name].free_since
+        return self.now - (self.now if since is None else since)
+
     def busy(self) -> set[str]:
         """Returns the members of all groups that are not freed."""
         return {
@@ -633,9 +689,7 @@
     return held
 
 
-def by_need(
-    held: dict[str, int], engine: routes.Engine
-) -> list[routes.Model]:
+def by_need(held: dict[str, int], engine: routes.Engine) -> list[routes.Model]:
     """Returns the models, the one furthest below its share first."""
     return sorted(
         engine.models,
@@ -679,7 +733,8 @@
 
     Hosts that have the weights, in one domain, come first; then such hosts
     of several domains that waited long enough; then bare hosts that fill
-    a group in one domain.
+    a group in one domain; at last hosts that wait in vain for others with
+    their weights, though they must load first.
     """
     staged = [item for item in free if model.name in item.staged]
     found = _in_one_domain(staged, model.size)
@@ -688,20 +743,23 @@
     patient = [
         item
         for item in staged
-        if round_.now
-        - (
-            round_.planner.member_by_name[item.upstream].free_since
-            or round_.now
-        )
-        >= FAR_PATIENCE
+        if round_.free_for(item.upstream) >= FAR_PATIENCE
     ]
     if len(patient) >= model.size:
         patient.sort(key=lambda item: (item.data_centre, item.domain))
         return patient[: model.size]
     bare = [item for item in free if not item.staged and item.seat is None]
+    stranded = [
+        item
+        for item in free
+        if round_.free_for(item.upstream) >= LOAD_PATIENCE
+    ]
     if not round_.planner.may_load(engine, model.size, round_.now):
         return []
-    return _in_one_domain(bare, model.size)
+    return _in_one_domain(bare, model.size) or _in_one_domain(
+        sorted(stranded, key=lambda item: model.name not in item.staged),
+        model.size,
+    )
 
 
 def _in_one_domain(
@@ -792,15 +850,30 @@
     free: list[fleetmessages.Registration],
     engine: routes.Engine,
 ) -> routes.Model | None:
-    """Returns the model whose group a bare host would complete soonest."""
+    """Returns the model that a bare host should be ready for.
+
+    That is the one whose group it completes soonest, among hosts of its
+    domain or else of others; with none to complete, the one whose groups
+    strand most instances when they lose one.
+    """
     if item.staged:
         return None
 
-    def missing(model: routes.Model) -> tuple[int, str]:
-        beside = sum(
-            other.domain == item.domain and model.name in other.staged
-            for other in free
+    def rank(model: routes.Model) -> tuple[float, float, str]:
+        ready = [other for other in free if model.name in other.staged]
+        beside = sum(other.domain == item.domain for other in ready)
+        missing = model.size - max(beside, min(len(ready), model.size) - 0.5)
+        return (
+            missing if ready else model.size,
+            -model.share * (model.size - 1),
+            model.name,
         )
-        return (model.size - beside, model.name)
 
-    return min(engine.models, key=missing, default=None)
+    most = max(model.size for model in engine.models)
+
+    def key(model: routes.Model) -> tuple[float, float, str]:
+        missing, stranding, name = rank(model)
+        # With nobody to complete, sizes do not matter.
+        return (missing if missing < model.size else most, stranding, name)
+
+    return min(engine.models, key=key, default=None)
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -232,9 +232,7 @@
         self.pool.drop(target.address)
         self.placement.close(target, self.clock.now())
 
-    def attempt_ended(
-        self, call: forwarding.ForwardedCall, why: str
-    ) -> None:
+    def attempt_ended(self, call: forwarding.ForwardedCall, why: str) -> None:
         """Logs that a call goes on at another target."""
         self.metrics.event("attempt-ended")
         _log.info(
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -36,6 +36,7 @@
 # A connection used this lately is taken for calls that may not be
 # repeated; an older one may be dead, and then the outcome is unknown.
 FRESH_CONNECTION = datetime.timedelta(seconds=1)
+GROUP_STANDS_STILL = "group stands still"
 BUFFER_LIMIT_BYTES = 8 << 20
 
 
@@ -164,7 +165,10 @@
             return
         why = self._stands_still(self._attempt, now)
         if why and self._may_go_on(now):
-            self.owner.placement.failed(self._attempt.target, now)
+            target = self._attempt.target
+            self.owner.placement.failed(target, now)
+            if why == GROUP_STANDS_STILL:
+                self.owner.placement.close(target, now)
             self._drop_attempt()
             self._go_on(why, errors.UpstreamFailed(why))
 
@@ -182,9 +186,7 @@
         else:
             self.refuse(self.owner.no_capacity("deadline passed in queue"))
 
-    def _stands_still(
-        self, attempt: _Attempt, now: datetime.timedelta
-    ) -> str:
+    def _stands_still(self, attempt: _Attempt, now: datetime.timedelta) -> str:
         """Returns why an attempt is given up, if it is."""
         if not self.route.repeatable:
             return ""
@@ -194,7 +196,7 @@
             return "slow upstream" if quiet >= limit else ""
         standing = self.owner.placement.standing(attempt.target.upstream)
         if quiet >= GROUP_STILL and now - standing.active_at >= GROUP_STILL:
-            return "group stands still"
+            return GROUP_STANDS_STILL
         if quiet >= STREAM_STILL:
             return "stream stands still"
         return ""
@@ -348,9 +350,7 @@
         now = self.owner.clock.now()
         self.owner.placement.failed(attempt.target, now)
         self._drop_attempt()
-        refusal = errors.UpstreamFailed(
-            why, run_state=errors.RunState.UNKNOWN
-        )
+        refusal = errors.UpstreamFailed(why, run_state=errors.RunState.UNKNOWN)
         if self.route.repeatable:
             self._go_on(why, refusal)
         else:
--- a/figford/links.py
+++ b/figford/links.py
@@ -351,9 +351,9 @@
     listen_address: str
     events: LinkEvents
     me: typing.Callable[[], messages.Peer]
-    wanted: typing.Callable[
-        [messages.Peer, list[messages.Peer]], set[str]
-    ] = attrs.field(default=wanted_links)
+    wanted: typing.Callable[[messages.Peer, list[messages.Peer]], set[str]] = (
+        attrs.field(default=wanted_links)
+    )
     silence_limit: datetime.timedelta = SILENCE_LIMIT
     blocked: set[str] = attrs.field(factory=set)
     bytes_sent: int = 0
--- a/figford/messages.py
+++ b/figford/messages.py
@@ -632,6 +632,7 @@
     | fleetmessages.FleetUpdate
     | fleetmessages.FleetBeats
     | fleetmessages.FleetStatus
+    | fleetmessages.UpstreamDoubt
     | fleetmessages.RoutesView
     | fleetmessages.RoutesPull
 )
--- a/figford/nodes.py
+++ b/figford/nodes.py
@@ -111,9 +111,7 @@
     def start_common(self) -> None:
         """Serves metrics, starts the loops and takes signals."""
         if self.config.metrics_address:
-            site = administration.QuietSite(
-                administration.metrics_root(self)
-            )
+            site = administration.QuietSite(administration.metrics_root(self))
             self.listen(self.config.metrics_address, site)
         self.loop(self.tick, TICK_SECONDS)
         self.loop(self._check_settings, SETTINGS_CHECK_SECONDS)
--- a/figford/placement.py
+++ b/figford/placement.py
@@ -68,6 +68,9 @@
     data_centre: str
     rng: random.Random
     silent: frozenset[str] = frozenset()
+    on_doubt: typing.Callable[[fleetmessages.UpstreamDoubt], None] | None = (
+        None
+    )
     standing_by_upstream: dict[str, Standing] = attrs.field(factory=dict)
     _targets: dict[tuple[str, str | None], list[Target]] = attrs.field(
         factory=dict
@@ -129,8 +132,7 @@
             target
             for target in self.targets(service, model)
             if target.upstream not in tried
-            and self.standing(target.upstream).closed_until <= now
-            and self.standing(target.upstream).expected(now) < target.slots
+            and self._takes(target, self.standing(target.upstream), now)
         ]
         if not open_targets:
             return None
@@ -151,6 +153,17 @@
             sampled += self.rng.sample(near, min(SAMPLED_TARGETS, len(near)))
         return min(sampled, key=lambda target: self._cost(target, now))
 
+    @staticmethod
+    def _takes(
+        target: Target, standing: Standing, now: datetime.timedelta
+    ) -> bool:
+        if standing.closed_until > now:
+            return False
+        if standing.failures >= FAILURES_TO_CLOSE:
+            # One request tries whether it works again.
+            return standing.in_progress == 0
+        return standing.expected(now) < target.slots
+
     def _cost(
         self, target: Target, now: datetime.timedelta
     ) -> tuple[float, str]:
@@ -198,6 +211,8 @@
     def succeeded(self, target: Target) -> None:
         """Notes that a target did its work."""
         standing = self.standing(target.upstream)
+        if standing.failures >= FAILURES_TO_CLOSE:
+            self._doubt(target, False)
         standing.failures = 0
         standing.closed_for = FIRST_CLOSED
         standing.closed_until = datetime.timedelta(0)
@@ -212,11 +227,21 @@
     def close(self, target: Target, now: datetime.timedelta) -> None:
         """Sends a target nothing for a while, longer each time."""
         standing = self.standing(target.upstream)
+        standing.failures = max(standing.failures, FAILURES_TO_CLOSE)
         if standing.closed_until > now:
             return
+        self._doubt(target, True)
         standing.closed_until = now + standing.closed_for
         standing.closed_for = min(standing.closed_for * 2, LONGEST_CLOSED)
 
+    def _doubt(self, target: Target, failing: bool) -> None:
+        if self.on_doubt is not None:
+            self.on_doubt(
+                fleetmessages.UpstreamDoubt(
+                    target.upstream, target.incarnation, failing
+                )
+            )
+
 
 def _is_open_head(item: fleetmessages.Registration) -> bool:
     return (
--- a/figford/platform/announcing.py
+++ b/figford/platform/announcing.py
@@ -58,7 +58,7 @@
         domain=str(item.get("domain") or ""),
         models=[_typed(model, "name", str) for model in models],
         staged=[_name_of(model) for model in staged],
-        seat=_seat(item.get("group")),
+        seat=read_seat(item.get("group")),
     )
 
 
@@ -69,7 +69,8 @@
     return _typed(model, "name", str)
 
 
-def _seat(item: typing.Any) -> fleetmessages.FleetSeat | None:
+def read_seat(item: typing.Any) -> fleetmessages.FleetSeat | None:
+    """Returns the seat that a report names; raises ValueError or KeyError."""
     if not item:
         return None
     return fleetmessages.FleetSeat(
--- a/figford/platform/controlpages.py
+++ b/figford/platform/controlpages.py
@@ -30,7 +30,7 @@
     def report(self, registration: fleetmessages.Registration) -> None:
         """Takes an upstream's report."""
 
-    def end(self, upstream: str) -> None:
+    def sign_off(self, upstream: str) -> None:
         """Takes an upstream's word that it leaves for good."""
 
     def store(self, version: int, packed: bytes, reply: Reply) -> None:
@@ -73,7 +73,7 @@
             port.report(announcing.read(name, body))
             self._answer(200, {})
         elif path.startswith(_INSTANCES) and path.endswith(_DEREGISTER):
-            port.end(path[len(_INSTANCES) : -len(_DEREGISTER)])
+            port.sign_off(path[len(_INSTANCES) : -len(_DEREGISTER)])
             self._answer(200, {})
         elif path == _REPLACE and self.method == b"POST":
             table = manifest.read(body)
@@ -131,7 +131,10 @@
     noisy = False
 
     def __init__(
-        self, request: type[http.Request], port: typing.Any, reactor: typing.Any
+        self,
+        request: type[http.Request],
+        port: typing.Any,
+        reactor: typing.Any,
     ) -> None:
         """Makes a factory without a log file of its own."""
         super().__init__(reactor=reactor, timeout=60)
--- a/figford/platform/manifest.py
+++ b/figford/platform/manifest.py
@@ -140,9 +140,7 @@
             _model(part) for part in _items(item.get("models", []), "models")
         ),
         step_ms=_number(item.get("step_ms", 0), "step_ms"),
-        step_ms_per_sequence=_number(
-            item.get("per_seq_ms", 0), "per_seq_ms"
-        ),
+        step_ms_per_sequence=_number(item.get("per_seq_ms", 0), "per_seq_ms"),
         prefill_tokens_per_second=_number(
             item.get("read_per_s", 0), "read_per_s"
         ),
--- a/figford/platform/ordering.py
+++ b/figford/platform/ordering.py
@@ -4,6 +4,7 @@
 
 from figford import errors
 from figford import formations
+from figford.platform import announcing
 
 REPORT_TARGET = b"/figford/report"
 ORDER_TARGET = b"/figford/order"
@@ -44,16 +45,18 @@
     return _RESULT_BY_STATUS.get(status, formations.Result.UNKNOWN)
 
 
-def orders_begun(report: bytes) -> int:
-    """Returns the count of orders that a report tells.
+def read_report(report: bytes) -> formations.Told:
+    """Returns what an upstream's report tells of orders and its group.
 
     Raises MessageError where it can't be read.
     """
     try:
+        item = json.loads(report)
         # Orders that began something since the start of this life.
-        count = json.loads(report)["sequence"]
-    except (ValueError, TypeError, KeyError) as error:
+        count = item["sequence"]
+        seat = announcing.read_seat(item.get("group"))
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
         raise errors.MessageError("report can't be read") from error
     if isinstance(count, bool) or not isinstance(count, int):
         raise errors.MessageError("count of orders is not a number")
-    return count
+    return formations.Told(count, seat)
--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -214,9 +214,7 @@
     def start(self) -> None:
         """Listens and begins to report."""
         host, _, port = self.engine.address.partition(":")
-        reactor.listenTCP(
-            int(port), UpstreamFactory(self), interface=host
-        )
+        reactor.listenTCP(int(port), UpstreamFactory(self), interface=host)
         task.LoopingCall(self.beat).start(BEAT_SECONDS)
 
     def beat(self) -> None:
--- a/figford/tests/platform/test_ordering.py
+++ b/figford/tests/platform/test_ordering.py
@@ -6,6 +6,7 @@
 import pytest
 
 from figford import errors
+from figford import fleetmessages
 from figford import formations
 from figford.platform import ordering
 
@@ -68,14 +69,17 @@
         (500, formations.Result.UNKNOWN),
     ],
 )
-def test_statuses_are_results(
-    status: int, result: formations.Result
-) -> None:
+def test_statuses_are_results(status: int, result: formations.Result) -> None:
     assert ordering.result(status) is result
 
 
-def test_the_count_of_orders_is_read_from_a_report() -> None:
-    assert ordering.orders_begun(b'{"sequence": 3}') == 3
+def test_the_count_of_orders_and_the_seat_are_read_from_a_report() -> None:
+    assert ordering.read_report(b'{"sequence": 3}').begun == 3
+    told = ordering.read_report(
+        b'{"sequence": 1, "group": {"name": "g", "epoch": 4, "rank": 0,'
+        b' "state": "closing"}}'
+    )
+    assert told.seat.state is fleetmessages.SeatState.CLOSING
     for wrong in (b"", b"[]", b"{}", b'{"sequence": true}'):
         with pytest.raises(errors.MessageError):
-            ordering.orders_begun(wrong)
+            ordering.read_report(wrong)
--- a/figford/tests/platform/test_processes.py
+++ b/figford/tests/platform/test_processes.py
@@ -70,9 +70,7 @@
     """The processes, by IP number; ends only what it started."""
 
     folder: pathlib.Path
-    ports: list[int] = attrs.field(
-        factory=lambda: deployment.free_ports(9)
-    )
+    ports: list[int] = attrs.field(factory=lambda: deployment.free_ports(9))
     by_ip: dict[str, subprocess.Popen] = attrs.field(factory=dict)
     attempts: int = 0
 
@@ -145,8 +143,9 @@
         """Returns the answer of a call; None where there was none."""
         host, _, port = address.partition(":")
         link = http.client.HTTPConnection(host, int(port), timeout=10)
-        with contextlib.closing(link), contextlib.suppress(
-            OSError, http.client.HTTPException
+        with (
+            contextlib.closing(link),
+            contextlib.suppress(OSError, http.client.HTTPException),
         ):
             link.request(method, path, body, dict(headers))
             found = link.getresponse()
@@ -265,9 +264,7 @@
     shutil.rmtree(running.folder / CONTROLLERS[2])
     running.start(CONTROLLERS[2], founding=False)
     assert running.submit(manifest(6), CONTROLLERS[2]).status == 200
-    held = running.wait(
-        "the manifest", lambda: running.read(CONTROLLERS[2])
-    )
+    held = running.wait("the manifest", lambda: running.read(CONTROLLERS[2]))
     assert held == manifest(6)
 
 
--- a/figford/tests/test_fleet.py
+++ b/figford/tests/test_fleet.py
@@ -51,11 +51,23 @@
     assert table.report(report(incarnation=6, sequence=1), LATER)
 
 
-def test_a_late_report_does_not_undo_an_end() -> None:
+def test_a_late_report_does_not_undo_a_sign_off() -> None:
     table = fleet.FleetTable()
     table.report(report(), NOW)
-    assert table.end("u1", NOW)
-    assert not table.report(report(sequence=9), LATER)
+    assert table.sign_off("u1")
+    assert not table.sign_off("u1")
+    table.report(report(sequence=9), LATER)
+    held = table.by_name["u1"].registration
+    assert held.leaving and held.signed_off
+
+
+def test_one_that_signed_off_still_runs_for_a_while() -> None:
+    """Its group must not be taken apart as if its process had ended."""
+    table = fleet.FleetTable()
+    table.report(report(), NOW)
+    table.sign_off("u1")
+    assert [item.upstream for item in table.present()] == ["u1"]
+    table.forget_ended(NOW + fleet.SIGNED_OFF_KEPT * 2)
     assert table.present() == []
 
 
@@ -85,7 +97,7 @@
 def test_ends_are_forgotten_in_time() -> None:
     table = fleet.FleetTable()
     table.report(report(), NOW)
-    table.end("u1", NOW)
+    table.sign_off("u1")
     table.forget_ended(NOW + fleet.END_KEPT / 2)
     assert "u1" in table.by_name
     table.forget_ended(NOW + fleet.END_KEPT * 2)
--- a/figford/tests/test_formations.py
+++ b/figford/tests/test_formations.py
@@ -32,6 +32,7 @@
     fleet: fleets.FleetTable = attrs.field(factory=fleets.FleetTable)
     engines: enginefleet.EngineFleet = attrs.field(init=False)
     rng: random.Random = attrs.field(init=False)
+    signed_off: set[str] = attrs.field(factory=set)
     _beat_at: dict[str, datetime.timedelta] = attrs.field(factory=dict)
     _results: list = attrs.field(factory=list)
 
@@ -64,7 +65,7 @@
         changed = {engine.name for engine in self.engines.changed}
         self.engines.changed.clear()
         for name, engine in self.engines.by_name.items():
-            if not engine.up or engine.cut:
+            if not engine.up or engine.cut or name in self.signed_off:
                 continue
             due = self.now - self._beat_at.get(name, -BEAT) >= BEAT
             if due or name in changed:
@@ -89,9 +90,8 @@
         for name in self.planner.questions(self.now):
             engine = self.engines.by_name[name]
             if engine.up and not engine.cut:
-                self.planner.orders_begun(
-                    name, engine.incarnation, engine.begun
-                )
+                told = formations.Told(engine.begun, engine.report().seat)
+                self.planner.told(name, engine.incarnation, told)
         for order in self.planner.plan(view, self.now):
             engine = self.engines.by_name[order.upstream]
             result = formations.Result.UNSENT
@@ -99,6 +99,16 @@
                 result = self.engines.order(order, self.now)
             self._results.append((order, result))
 
+    def sign_off(self, name: str) -> None:
+        """Lets an engine say that it leaves; it runs on for a while."""
+        self.signed_off.add(name)
+        self.fleet.sign_off(name)
+
+    def restart(self, name: str) -> None:
+        """Starts an engine again under its name."""
+        self.signed_off.discard(name)
+        self.engines.restart(name)
+
     def replace_planner(self) -> None:
         """Lets another controller take over, which knows only reports."""
         term = self.planner.term + 1
@@ -117,14 +127,15 @@
 def test_a_dead_member_costs_its_group_a_stall_and_a_warm_join() -> None:
     world = World(seed=1)
     world.run(40)
-    for index in (0, 1):
-        world.add(f"spare{index}", "d0")
+    world.add("spare", "d0")
     world.run(40)
     before = world.engines.serving("large")
     victim = next(
         engine
         for engine in world.engines.by_name.values()
-        if engine.seat and engine.seat.model == "large"
+        if engine.seat
+        and engine.seat.model == "large"
+        and engine.domain == "d0"
         # Not the head, so that the head has to notice.
         and engine.seat.members[1] == engine.name
     )
@@ -169,6 +180,26 @@
     assert head.seat.state is enginefleet.SeatState.OPEN
 
 
+def test_a_head_that_signed_off_is_closed_before_its_members_move() -> None:
+    """It stops reporting but serves on; seen on a day of releases."""
+    world = World(seed=7)
+    world.run(40)
+    head = next(
+        engine
+        for engine in world.engines.by_name.values()
+        if engine.seat
+        and engine.seat.model == "large"
+        and engine.seat.members[0] == engine.name
+    )
+    others = set(head.seat.members[1:])
+    key = head.seat.key
+    world.sign_off(head.name)
+    world.add("spare", head.domain)
+    # The emulator refuses joins while the head is open.
+    world.run(40)
+    assert all(world.engines.by_name[name].seat.key != key for name in others)
+
+
 def test_members_of_a_dead_head_serve_again() -> None:
     world = World(seed=4)
     world.run(40)
@@ -204,10 +235,16 @@
     )
     engine.leaving = True
     world.run(8)
-    head = world.engines.by_name[engine.seat.members[0]] if engine.seat else None
-    assert head is None or head.seat is None or (
-        head.seat.state is not enginefleet.SeatState.OPEN
-        or engine.name not in head.seat.members
+    head = (
+        world.engines.by_name[engine.seat.members[0]] if engine.seat else None
+    )
+    assert (
+        head is None
+        or head.seat is None
+        or (
+            head.seat.state is not enginefleet.SeatState.OPEN
+            or engine.name not in head.seat.members
+        )
     )
 
 
@@ -225,19 +262,21 @@
             case 0 if engine.up:
                 world.engines.crash(name, world.now)
             case 1 if not engine.up:
-                world.engines.restart(name)
+                world.restart(name)
+            case 5 if engine.up:
+                world.sign_off(name)
             case 2:
                 engine.cut = not engine.cut
             case 3:
                 world.replace_planner()
             case 4 if engine.up:
                 world.engines.crash(name, world.now)
-                world.engines.restart(name)
+                world.restart(name)
         world.run(world.rng.uniform(0.2, 4.0))
     for name, engine in world.engines.by_name.items():
         engine.cut = False
-        if not engine.up:
-            world.engines.restart(name)
+        if not engine.up or name in world.signed_off:
+            world.restart(name)
     world.engines.late_share = 0.0
     world.run(80)
     # All is well again: few engines may be left over by their domains.
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -128,9 +128,7 @@
             longest_pause=300 * MS,
         )  # fmt: skip
         service = routes.Service("s", 10, ENGINE)
-        self.forwarder.configured(
-            routes.RouteTable(1, (route,), (service,))
-        )
+        self.forwarder.configured(routes.RouteTable(1, (route,), (service,)))
         self.place("u1", "u2")
         self.call = forwarding.ForwardedCall(
             self.forwarder, route, None,
@@ -143,10 +141,16 @@
         """Takes these upstreams into the fleet."""
         fleet = fleets.FleetTable()
         for name in names:
-            fleet.report(
-                fleetmessages.Registration(
-                    name, 1, 1, "s", f"{name}:1", "dc", 13,
-                    models=["m"], seat=SEAT,
+            fleet.report(fleetmessages.Registration(
+                name,
+                1,
+                1,
+                "s",
+                f"{name}:1",
+                "dc",
+                13,
+                models=["m"],
+                seat=SEAT,
                 ),  # fmt: skip
                 self.clock.now(),
             )
@@ -166,9 +170,7 @@
         """Answers the newest attempt, but for the end."""
         receiver = self.receiver
         fields: dict = {"signed": True, "attempt": "a1"}
-        receiver.answer_began(
-            wire.AnswerHead(status, [], **(fields | head))
-        )
+        receiver.answer_began(wire.AnswerHead(status, [], **(fields | head)))
         for part in parts:
             receiver.answer_data(part)
 
--- a/figford/tests/test_routes.py
+++ b/figford/tests/test_routes.py
@@ -59,10 +59,15 @@
 )
 def test_a_wrong_route_makes_the_table_invalid(changes: dict) -> None:
     with pytest.raises(errors.ConfigurationInvalid):
-        table(route("a", "/a/", **{k: v for k, v in changes.items()
-                                   if k != "prefix"})
-              if "prefix" not in changes
-              else route("a", changes["prefix"]))
+        table(
+            route(
+                "a",
+                "/a/",
+                **{k: v for k, v in changes.items() if k != "prefix"},
+            )
+            if "prefix" not in changes
+            else route("a", changes["prefix"])
+        )
 
 
 def test_two_routes_of_one_place_are_invalid() -> None:
