Spares by domain, far groups by their pace, loads before the first request

Cause: groups that lost a member waited for a load of 12 to 16 s, or came up across domains and got as much as the others; groups were still loading when the first requests came, since the store's rate was kept before it applies; a silent head was given a group again. Change: each domain keeps a spare for each model it has groups of; a group that spans domains counts and gets less; no rate limit before the first request; only hosts heard within 2 s are given a group.

--- a/figford/agreement.py
+++ b/figford/agreement.py
@@ -17,6 +17,9 @@
 
 HEARTBEAT = datetime.timedelta(milliseconds=150)
 ELECTION_TIMEOUT = datetime.timedelta(milliseconds=900)
+# After a start nobody may lead, and a vote that is only asked about disturbs
+# no leader, so the first election need not wait for a leader to be missed.
+FIRST_ELECTION_TIMEOUT = datetime.timedelta(milliseconds=250)
 ENTRIES_PER_APPEND = 200
 # A learner is made a voter when it is this close to the leader's log.
 PROMOTION_LAG_ENTRIES = 20
@@ -99,7 +102,8 @@
             self._restore_record(record)
         self.commit_index = self.log.snapshot.index
         self._synced_index = self.log.last_index
-        self._reset_election(now)
+        spread = 1 + self.rng.random()
+        self._election_due = now + FIRST_ELECTION_TIMEOUT * spread
         output = Output()
         if self.log.snapshot.index:
             output.restored = self.log.snapshot
--- a/figford/controller.py
+++ b/figford/controller.py
@@ -64,6 +64,8 @@
     desk: proposals.ProposalDesk = attrs.field(factory=proposals.ProposalDesk)
     table: routes.RouteTable = attrs.field(factory=routes.RouteTable)
     stopping: bool = False
+    # False only at the first start of a deployment, before any request.
+    callers_seen: bool = True
     links: set[str] = attrs.field(factory=set)
     _asked_at_by_name: dict[str, datetime.timedelta] = attrs.field(
         factory=dict
@@ -233,6 +235,9 @@
             case fleetmessages.FleetBeats():
                 self._on_beats(message, now)
                 return []
+            case fleetmessages.CallersSeen():
+                self.callers_seen = True
+                return []
             case fleetmessages.UpstreamDoubt():
                 self._doubt_by_name[message.upstream] = (message, now)
                 return []
@@ -261,7 +266,8 @@
         self._last_event = now
 
     def _heartbeat(self, now: datetime.timedelta) -> list[Effect]:
-        if now < self._heartbeat_due:
+        turned = self.me.hears_quorum != self.control.hears_quorum(now)
+        if now < self._heartbeat_due and not turned:
             return []
         self.fleet.forget_ended(now)
         self.peers.forget_lost(now)
@@ -454,6 +460,7 @@
             self.silent(now),
             engines,
             self._doubted(present, now),
+            warming_up=not self.callers_seen,
         )
 
     def _doubted(
--- a/figford/controllerdaemon.py
+++ b/figford/controllerdaemon.py
@@ -84,6 +84,7 @@
     _on_outcome_by_proposal: dict[str, typing.Callable] = attrs.field(
         factory=dict
     )
+    _founding: bool = False
     _readers: list[_Reader] = attrs.field(factory=list)
     _stopping_since: datetime.timedelta | None = None
 
@@ -101,6 +102,7 @@
             control.Control(peers, agreement.Agreement(voter, rng)),
             rng,
             self.clock.now(),
+            callers_seen=not self._founding,
         )
         self._writer = durable.DurableWriter(
             self.reactor, journal, self._synced, self.fatal
@@ -111,10 +113,12 @@
     def _load(self, journal: store.FileJournal) -> str:
         """Loads or founds the journal; returns the name of this disk."""
         self._records = journal.load()
+        self._founding = False
         for record in self._records:
             if isinstance(record, messages.Identity):
                 return record.voter
         me = self.config.instance
+        self._founding = bool(self.config.founders)
         if me in self.config.founders:
             founders = [founding_name(name) for name in self.config.founders]
             self._records = control.founding_records(
--- a/figford/entry.py
+++ b/figford/entry.py
@@ -44,6 +44,7 @@
     view: fleetmessages.RoutesView = fleetmessages.RoutesView(0, b"")
     links: set[str] = attrs.field(factory=set)
     stopping: bool = False
+    callers_seen: bool = False
     _heartbeat_due: datetime.timedelta = datetime.timedelta(0)
     _pull_until: datetime.timedelta = datetime.timedelta(0)
 
@@ -82,7 +83,20 @@
         """Notes a link."""
         self.links.add(peer.instance)
         self.peers.heard(peer, now)
-        return []
+        if not self.callers_seen:
+            return []
+        seen = fleetmessages.CallersSeen()
+        return [effects.SendPeer(peer.instance, seen)]
+
+    def caller_came(self) -> list[Effect]:
+        """Notes a request of a caller; the first one is told to all."""
+        if self.callers_seen:
+            return []
+        self.callers_seen = True
+        seen = fleetmessages.CallersSeen()
+        return [
+            effects.SendPeer(instance, seen) for instance in sorted(self.links)
+        ]
 
     def link_down(self, instance: str) -> None:
         """Notes that a link broke."""
--- a/figford/entrydaemon.py
+++ b/figford/entrydaemon.py
@@ -60,7 +60,7 @@
             rng,
         )
         self.forwarder.placement.on_doubt = self._tell_doubt
-        self.ingress = ingresses.Ingress(self.forwarder)
+        self.ingress = ingresses.Ingress(self.forwarder, self._caller_came)
         self.make_hub()
 
     @defer.inlineCallbacks
@@ -101,6 +101,10 @@
                 case effects.StateChanged():
                     self.state_changed(effect)
 
+    def _caller_came(self) -> None:
+        if not self.state.callers_seen:
+            self.carry_out(self.state.caller_came())
+
     def _tell_doubt(self, doubt: fleetmessages.UpstreamDoubt) -> None:
         """Tells the controllers what only requests can show."""
         _log.info(
--- a/figford/fleetmessages.py
+++ b/figford/fleetmessages.py
@@ -69,6 +69,11 @@
     sequences: list[int]
 
 
+@attrs.frozen
+class CallersSeen:
+    """Tells that the first request of a caller reached an entry."""
+
+
 @attrs.frozen
 class UpstreamDoubt:
     """What an entry saw of a target: it fails, or it works again."""
--- a/figford/formations.py
+++ b/figford/formations.py
@@ -29,6 +29,9 @@
 HEAD_SILENCE = datetime.timedelta(seconds=8)
 # The same where entries see it fail: more than one report is missing.
 DOUBTED_SILENCE = datetime.timedelta(milliseconds=2600)
+# Only hosts that reported this lately are given a group; reports come
+# every 1.2 s.
+MEMBER_FRESHNESS = datetime.timedelta(seconds=2)
 # Members of a group that does not come up are given to others after this
 # long beyond the time that loads need.
 FORMING_SLACK = datetime.timedelta(seconds=6)
@@ -38,6 +41,9 @@
 # Members wait this long for others that have the same weights, before some
 # of them load other weights; a load takes longer than most repairs.
 LOAD_PATIENCE = datetime.timedelta(seconds=8)
+# Hosts of each domain that are kept ready with weights: a group that lost a
+# member goes on with one within a warm join.
+SPARES_PER_DOMAIN = 1
 # Loads are counted over this window against the weight store's rate.
 LOAD_WINDOW = datetime.timedelta(seconds=5)
 EPOCHS_PER_TERM = 1 << 20
@@ -101,6 +107,8 @@
     last: GroupOrder | None = None
     last_at: datetime.timedelta = datetime.timedelta(0)
     free_since: datetime.timedelta | None = None
+    # Whether it was in a group before, which makes it no mere spare.
+    had_group: bool = False
 
 
 class Phase(enum.Enum):
@@ -127,6 +135,8 @@
     since: datetime.timedelta
     deadline: datetime.timedelta
     why: str = ""
+    far: bool = False
+    loads: int = 0
 
     @property
     def head(self) -> str:
@@ -146,7 +156,8 @@
 class View:
     """What a round of planning sees.
 
-    `doubted` are upstreams that entries lately saw failing.
+    `doubted` are upstreams that entries lately saw failing. Before the
+    first request of all (`warming_up`) the weight store has no rate limit.
     """
 
     fleet: dict[str, fleetmessages.Registration]
@@ -154,6 +165,7 @@
     silent: frozenset[str]
     engines: dict[str, routes.Engine]
     doubted: frozenset[str] = frozenset()
+    warming_up: bool = False
 
 
 @attrs.frozen
@@ -287,6 +299,14 @@
                 if rank not in formation.members:
                     formation.members[rank] = registration.upstream
                     formation.incarnations[rank] = registration.incarnation
+                loaded = registration.seat is not None and (
+                    registration.seat.state
+                    in (SeatState.READY, SeatState.OPEN)
+                )
+                if loaded and registration.models and not formation.model:
+                    formation.model = registration.models[0]
+            domains = {registration.domain for registration in seats.values()}
+            formation.far = formation.far or len(domains) > 1
 
     def _adopted(
         self,
@@ -295,11 +315,8 @@
         round_: "_Round",
     ) -> Formation:
         some = next(iter(seats.values()))
-        models = some.models or some.staged
-        name = models[0] if models else ""
         engine = round_.engine(some.service)
-        model = engine.model(name) if engine else None
-        load = model.load if model else datetime.timedelta(0)
+        loads = [model.load for model in engine.models] if engine else []
         # A group of this term that is not held was freed before; a late
         # order brought its member back.
         own = key[1] // EPOCHS_PER_TERM == self.term
@@ -307,12 +324,14 @@
             group=key[0],
             epoch=key[1],
             service=some.service,
-            model=name,
+            model="",
             members={},
             incarnations={},
             phase=Phase.FREED if own else Phase.FORMING,
             since=round_.now,
-            deadline=round_.now + load + FORMING_SLACK,
+            deadline=round_.now
+            + max(loads, default=datetime.timedelta(0))
+            + FORMING_SLACK,
         )
 
     # ---- One group ------------------------------------------------------
@@ -469,12 +488,15 @@
     # ---- Loads ----------------------------------------------------------
 
     def may_load(
-        self, engine: routes.Engine, count: int, now: datetime.timedelta
+        self, engine: routes.Engine, count: int, round_: "_Round"
     ) -> bool:
         """Returns whether the weight store takes `count` more loads.
 
         Few at a time finish soonest, since the store shares its bandwidth.
         """
+        if round_.view.warming_up:
+            return round_.loads_in_progress() < engine.loads_at_once
+        now = round_.now
         while self._loads and now - self._loads[0] > LOAD_WINDOW:
             self._loads.popleft()
         second = datetime.timedelta(seconds=1)
@@ -630,6 +652,29 @@
         self.orders.append(order)
         return True
 
+    def loads_in_progress(self) -> int:
+        """Returns how many members still load for their groups."""
+        return sum(
+            formation.loads > 0
+            and self.seat(formation, rank)
+            not in (SeatState.READY, SeatState.OPEN)
+            for formation in self.planner.by_key.values()
+            if formation.phase is Phase.FORMING
+            for rank in formation.members
+        )
+
+    def members_by_model(self, domain: str) -> collections.Counter[str]:
+        """Returns how many members of groups a domain has by model."""
+        count: collections.Counter[str] = collections.Counter()
+        for formation in self.planner.by_key.values():
+            if formation.phase is Phase.FREED:
+                continue
+            for name in formation.members.values():
+                found = self.view.fleet.get(name)
+                if found is not None and found.domain == domain:
+                    count[formation.model] += 1
+        return count
+
     def free_for(self, name: str) -> datetime.timedelta:
         """Returns how long an engine has had no group."""
         since = self.planner.member_by_name[name].free_since
@@ -655,6 +700,7 @@
                 registration.service == service
                 and name not in busy
                 and name not in self.view.silent
+                and self.silent_for(name) < MEMBER_FRESHNESS
                 and not registration.leaving
                 and not member.barred
                 and member.pending is None
@@ -675,9 +721,12 @@
 
 def instances_by_model(
     formations: typing.Iterable[Formation], engine: routes.Engine
-) -> dict[str, int]:
-    """Returns how many instances live groups of each model hold."""
-    held = {model.name: 0 for model in engine.models}
+) -> dict[str, float]:
+    """Returns how many instances live groups of each model hold.
+
+    Those of a group that spans domains count less, by how slow it is.
+    """
+    held = {model.name: 0.0 for model in engine.models}
     for formation in formations:
         model = engine.model(formation.model)
         if model is not None and formation.phase in (
@@ -685,7 +734,8 @@
             Phase.OPENING,
             Phase.SERVING,
         ):
-            held[model.name] += model.size
+            slower = engine.far_factor if formation.far else 1.0
+            held[model.name] += model.size / slower
     return held
 
 
@@ -715,26 +765,31 @@
     ]
     held = instances_by_model(formations, engine)
     free = round_.free(service)
-    for model in by_need(held, engine):
-        members = choose_members(model, free, engine, round_)
+    in_order = by_need(held, engine)
+    for model in in_order:
+        members = choose_ready(model, free, round_)
+        if members:
+            _begin(service, model, members, round_)
+            return True
+    for model in in_order:
+        members = choose_to_load(model, model is in_order[0], free, round_)
+        if not round_.planner.may_load(engine, len(members), round_):
+            return False
         if members:
             _begin(service, model, members, round_)
             return True
     return False
 
 
-def choose_members(
+def choose_ready(
     model: routes.Model,
     free: list[fleetmessages.Registration],
-    engine: routes.Engine,
     round_: _Round,
 ) -> list[fleetmessages.Registration]:
-    """Returns members for a group, or none where there are too few.
+    """Returns members that have the weights, or none if there are too few.
 
-    Hosts that have the weights, in one domain, come first; then such hosts
-    of several domains that waited long enough; then bare hosts that fill
-    a group in one domain; at last hosts that wait in vain for others with
-    their weights, though they must load first.
+    Those of one domain come first; then hosts of several domains that
+    waited long enough.
     """
     staged = [item for item in free if model.name in item.staged]
     found = _in_one_domain(staged, model.size)
@@ -745,34 +800,63 @@
         for item in staged
         if round_.free_for(item.upstream) >= FAR_PATIENCE
     ]
-    if len(patient) >= model.size:
-        patient.sort(key=lambda item: (item.data_centre, item.domain))
-        return patient[: model.size]
-    bare = [item for item in free if not item.staged and item.seat is None]
+    patient.sort(
+        key=lambda item: (
+            not round_.planner.member_by_name[item.upstream].had_group,
+            item.data_centre,
+            item.domain,
+        )
+    )
+    chosen = patient[: model.size]
+    left_over = sum(
+        round_.planner.member_by_name[item.upstream].had_group
+        for item in chosen
+    )
+    # Spares stay with their domains, unless they help what is left over.
+    if len(chosen) < model.size or 2 * left_over < model.size:
+        return []
+    return chosen
+
+
+def choose_to_load(
+    model: routes.Model,
+    neediest: bool,
+    free: list[fleetmessages.Registration],
+    round_: _Round,
+) -> list[fleetmessages.Registration]:
+    """Returns members of one domain of which some must load the weights.
+
+    Bare hosts serve the neediest model; some of each domain are left as
+    spares. Others load only when they waited in vain for long.
+    """
+    if neediest:
+        bare = [item for item in free if not item.staged]
+        found = _in_one_domain(bare, model.size, SPARES_PER_DOMAIN)
+        if found:
+            return found
     stranded = [
         item
         for item in free
         if round_.free_for(item.upstream) >= LOAD_PATIENCE
     ]
-    if not round_.planner.may_load(engine, model.size, round_.now):
-        return []
-    return _in_one_domain(bare, model.size) or _in_one_domain(
-        sorted(stranded, key=lambda item: model.name not in item.staged),
-        model.size,
-    )
+    stranded.sort(key=lambda item: model.name not in item.staged)
+    return _in_one_domain(stranded, model.size, SPARES_PER_DOMAIN)
 
 
 def _in_one_domain(
-    free: list[fleetmessages.Registration], size: int
+    free: list[fleetmessages.Registration], size: int, left: int = 0
 ) -> list[fleetmessages.Registration]:
-    """Returns members of the domain that has the fewest to spare."""
+    """Returns members of the domain that has the fewest to spare.
+
+    At least `left` hosts of the domain stay free.
+    """
     by_domain: dict[str, list[fleetmessages.Registration]] = {}
     for item in free:
         by_domain.setdefault(item.domain, []).append(item)
     fitting = [
         (len(items) - size, domain)
         for domain, items in by_domain.items()
-        if len(items) >= size
+        if len(items) >= size + left
     ]
     if not fitting:
         return []
@@ -796,11 +880,15 @@
         incarnations=dict(enumerate(item.incarnation for item in members)),
         phase=Phase.FORMING,
         since=round_.now,
+        far=len({item.domain for item in members}) > 1,
+        loads=loads,
         deadline=round_.now
         + (model.load * 2 if loads else model.warm * 2)
         + FORMING_SLACK,
     )
     round_.planner.by_key[(formation.group, epoch)] = formation
+    for item in members:
+        round_.planner.member_by_name[item.upstream].had_group = True
     round_.planner.loaded(loads, round_.now)
     round_.planner.notes.append(
         Note(
@@ -824,10 +912,10 @@
         engine = round_.view.engines[service]
         free = round_.free(service)
         for item in free:
-            model = _model_to_stage(item, free, engine)
+            model = _model_to_stage(item, free, engine, round_)
             if model is None:
                 continue
-            if not round_.planner.may_load(engine, 1, round_.now):
+            if not round_.planner.may_load(engine, 1, round_):
                 return
             sent = round_.send(
                 item.upstream,
@@ -849,31 +937,33 @@
     item: fleetmessages.Registration,
     free: list[fleetmessages.Registration],
     engine: routes.Engine,
+    round_: _Round,
 ) -> routes.Model | None:
     """Returns the model that a bare host should be ready for.
 
-    That is the one whose group it completes soonest, among hosts of its
-    domain or else of others; with none to complete, the one whose groups
-    strand most instances when they lose one.
+    That is the one whose left-over members in its domain it completes
+    soonest; else one that has groups in the domain and no spare there;
+    else the one whose groups strand most instances.
     """
     if item.staged:
         return None
-
-    def rank(model: routes.Model) -> tuple[float, float, str]:
-        ready = [other for other in free if model.name in other.staged]
-        beside = sum(other.domain == item.domain for other in ready)
-        missing = model.size - max(beside, min(len(ready), model.size) - 0.5)
+    beside = [other for other in free if other.domain == item.domain]
+    members_by_model = round_.members_by_model(item.domain)
+
+    def rank(model: routes.Model) -> tuple[bool, int, bool, float, str]:
+        ready = [other for other in beside if model.name in other.staged]
+        left_over = [
+            other
+            for other in ready
+            if round_.planner.member_by_name[other.upstream].had_group
+        ]
+        members = members_by_model[model.name]
         return (
-            missing if ready else model.size,
+            not left_over,
+            model.size - len(left_over) if left_over else 0,
+            bool(ready) or not members,
             -model.share * (model.size - 1),
             model.name,
         )
 
-    most = max(model.size for model in engine.models)
-
-    def key(model: routes.Model) -> tuple[float, float, str]:
-        missing, stranding, name = rank(model)
-        # With nobody to complete, sizes do not matter.
-        return (missing if missing < model.size else most, stranding, name)
-
-    return min(engine.models, key=key, default=None)
+    return min(engine.models, key=rank, default=None)
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -82,7 +82,7 @@
 
     def _placed_anew(self) -> None:
         engines = {
-            service.name
+            service.name: service.engine
             for service in self.table.services
             if service.engine is not None
         }
--- a/figford/ingress.py
+++ b/figford/ingress.py
@@ -53,6 +53,7 @@
             for name, values in self.requestHeaders.getAllRawHeaders()
             for value in values
         ]
+        ingress.caller_came()
         ingress.check_ready()
         head = ingress.forwarder.dialect.read_call(headers)
         now = ingress.forwarder.clock.now()
@@ -177,9 +178,14 @@
 class Ingress:
     """Admits callers while the entry knows a route table."""
 
-    def __init__(self, forwarder: forwarders.Forwarder) -> None:
+    def __init__(
+        self,
+        forwarder: forwarders.Forwarder,
+        caller_came: typing.Callable[[], None],
+    ) -> None:
         """Starts with no connections."""
         self.forwarder = forwarder
+        self.caller_came = caller_came
         self.channels: set[CallerChannel] = set()
         self.stopping = False
 
--- a/figford/links.py
+++ b/figford/links.py
@@ -38,6 +38,7 @@
 HANDSHAKE_TIMEOUT_SECONDS = 3.0
 SILENCE_LIMIT = datetime.timedelta(seconds=6)
 DIAL_EVERY_SECONDS = 0.5
+DIAL_TIMEOUT_SECONDS = 2.0
 # Up to this many entries, each is linked with every other.
 FULL_MESH_ENTRIES = 16
 LINKS_TO_VOTERS = 2
@@ -355,6 +356,8 @@
         attrs.field(default=wanted_links)
     )
     silence_limit: datetime.timedelta = SILENCE_LIMIT
+    dial_every_seconds: float = DIAL_EVERY_SECONDS
+    dial_timeout_seconds: float = DIAL_TIMEOUT_SECONDS
     blocked: set[str] = attrs.field(factory=set)
     bytes_sent: int = 0
     bytes_received: int = 0
@@ -418,7 +421,7 @@
         self._drop_silent()
         for address in self._addresses_to_dial():
             self._dial(address)
-        self.reactor.callLater(DIAL_EVERY_SECONDS, self._dial_round)
+        self.reactor.callLater(self.dial_every_seconds, self._dial_round)
 
     def _drop_silent(self) -> None:
         now = self.clock.now()
@@ -451,7 +454,7 @@
     def _dial(self, address: str) -> None:
         host, port = settings.split_address(address)
         endpoint = endpoints.TCP4ClientEndpoint(
-            self.reactor, host, port, timeout=2
+            self.reactor, host, port, timeout=self.dial_timeout_seconds
         )
         self._dialling.add(address)
         dialled = endpoint.connect(_DialFactory(self, address))
--- a/figford/messages.py
+++ b/figford/messages.py
@@ -633,6 +633,7 @@
     | fleetmessages.FleetBeats
     | fleetmessages.FleetStatus
     | fleetmessages.UpstreamDoubt
+    | fleetmessages.CallersSeen
     | fleetmessages.RoutesView
     | fleetmessages.RoutesPull
 )
--- a/figford/nodes.py
+++ b/figford/nodes.py
@@ -30,6 +30,10 @@
 # Links carry a pulse every 400 ms; one that is this silent is dead, also
 # where the network gave no notice.
 LINK_SILENCE = datetime.timedelta(milliseconds=1600)
+# Processes that start together find each other within a few rounds; a peer
+# without power answers nothing, and is dialled anew once it may be back.
+DIAL_EVERY_SECONDS = 0.2
+DIAL_TIMEOUT_SECONDS = 0.7
 DEPLOYMENT = "platform"
 
 ReadSettings = typing.Callable[[pathlib.Path], nodesettings.NodeSettings]
@@ -84,6 +88,8 @@
             lambda: self.state.me,
             wanted=links.voter_links,
             silence_limit=LINK_SILENCE,
+            dial_every_seconds=DIAL_EVERY_SECONDS,
+            dial_timeout_seconds=DIAL_TIMEOUT_SECONDS,
         )
 
     def me(self, voter: str | None) -> messages.Peer:
--- a/figford/placement.py
+++ b/figford/placement.py
@@ -15,6 +15,7 @@
 
 from figford import fleet as fleets
 from figford import fleetmessages
+from figford import routes
 
 # What other entries had in progress is halved in weight in this time.
 OTHERS_HALF_LIFE = datetime.timedelta(seconds=1)
@@ -41,6 +42,8 @@
     slots: int
     model: str | None = None
     epoch: int = 0
+    # How much slower it is than a group within one fabric domain.
+    slower: float = 1.0
 
 
 @attrs.define
@@ -79,19 +82,25 @@
     # ---- Targets --------------------------------------------------------
 
     def update(
-        self, fleet: fleets.FleetTable, engines: typing.Container[str]
+        self,
+        fleet: fleets.FleetTable,
+        engines: typing.Mapping[str, routes.Engine],
     ) -> None:
         """Takes the present fleet; `engines` are services with groups."""
         self._targets = {}
         present = fleet.present()
+        far = _far_groups(present)
         for item in present:
             if item.leaving:
                 continue
-            if item.service not in engines:
+            engine = engines.get(item.service)
+            if engine is None:
                 self._add(_target(item, None), None)
-            elif _is_open_head(item):
+            elif item.seat is not None and _is_open_head(item.seat):
+                is_far = (item.seat.group, item.seat.epoch) in far
+                slower = engine.far_factor if is_far else 1.0
                 for model in item.models:
-                    self._add(_target(item, model), model)
+                    self._add(_target(item, model, slower), model)
         names = {item.upstream for item in present}
         for name, standing in list(self.standing_by_upstream.items()):
             if name not in names and not standing.in_progress:
@@ -162,13 +171,13 @@
         if standing.failures >= FAILURES_TO_CLOSE:
             # One request tries whether it works again.
             return standing.in_progress == 0
-        return standing.expected(now) < target.slots
+        return standing.expected(now) * target.slower < target.slots
 
     def _cost(
         self, target: Target, now: datetime.timedelta
     ) -> tuple[float, str]:
         standing = self.standing(target.upstream)
-        cost = standing.expected(now)
+        cost = (standing.expected(now) + 1.0) * target.slower
         cost += standing.failures * FAILURE_PENALTY
         if target.data_centre != self.data_centre:
             cost += DISTANCE
@@ -243,15 +252,25 @@
             )
 
 
-def _is_open_head(item: fleetmessages.Registration) -> bool:
-    return (
-        item.seat is not None
-        and item.seat.rank == 0
-        and item.seat.state is fleetmessages.SeatState.OPEN
-    )
+def _is_open_head(seat: fleetmessages.FleetSeat) -> bool:
+    return seat.rank == 0 and seat.state is fleetmessages.SeatState.OPEN
+
+
+def _far_groups(
+    present: list[fleetmessages.Registration],
+) -> set[tuple[str, int]]:
+    """Returns the groups whose members are in several fabric domains."""
+    domains: dict[tuple[str, int], set[str]] = {}
+    for item in present:
+        if item.seat is not None:
+            key = (item.seat.group, item.seat.epoch)
+            domains.setdefault(key, set()).add(item.domain)
+    return {key for key, names in domains.items() if len(names) > 1}
 
 
-def _target(item: fleetmessages.Registration, model: str | None) -> Target:
+def _target(
+    item: fleetmessages.Registration, model: str | None, slower: float = 1.0
+) -> Target:
     return Target(
         upstream=item.upstream,
         incarnation=item.incarnation,
@@ -261,4 +280,5 @@
         slots=max(1, item.slots),
         model=model,
         epoch=item.seat.epoch if item.seat else 0,
+        slower=slower,
     )
