A spare of each model in a domain; surplus groups give way when all is quiet

Cause: both spares of a domain were staged with the larger model, since the first load was still under way; after many faults shares never came back. Change: weights under way count; a group in surplus is given up for a model that lacks a whole group after 30 s without any change.

--- a/figford/formations.py
+++ b/figford/formations.py
@@ -44,6 +44,9 @@
 # Hosts of each domain that are kept ready with weights: a group that lost a
 # member goes on with one within a warm join.
 SPARES_PER_DOMAIN = 1
+# Groups in surplus are given up for a lacking model only when nothing has
+# changed this long, far beyond any repair.
+REBALANCE_PATIENCE = datetime.timedelta(seconds=30)
 # Loads are counted over this window against the weight store's rate.
 LOAD_WINDOW = datetime.timedelta(seconds=5)
 EPOCHS_PER_TERM = 1 << 20
@@ -107,6 +110,10 @@
     last: GroupOrder | None = None
     last_at: datetime.timedelta = datetime.timedelta(0)
     free_since: datetime.timedelta | None = None
+    # The weights that it was ordered to stage.
+    staging: str = ""
+    # The model that a group in surplus was given up for.
+    meant_for: str = ""
     # Whether it was in a group before, which makes it no mere spare.
     had_group: bool = False
 
@@ -224,10 +231,10 @@
                 member.barred = True
             case _:
                 pass
-        if order.action is Action.LEAVE and result in (
-            Result.BEGUN,
-            Result.HELD,
-        ):
+        done = result in (Result.BEGUN, Result.HELD)
+        if order.action is Action.STAGE and not done:
+            member.staging = ""
+        if order.action is Action.LEAVE and done:
             self._left(order)
 
     def _left(self, order: GroupOrder) -> None:
@@ -271,6 +278,7 @@
             self._advance(formation, round_)
         self._forget(round_)
         _form(round_)
+        _rebalance(round_)
         _stage(round_)
         return round_.orders
 
@@ -353,12 +361,12 @@
             self._set(formation, Phase.SERVING, "open", round_)
             return
         if head in (SeatState.BROKEN, SeatState.CLOSING):
-            self._give_up(formation, f"head {head.value}", round_)
+            self.give_up(formation, f"head {head.value}", round_)
             return
         lost = round_.lost_members(formation)
         if lost or round_.now >= formation.deadline:
             why = f"lost {','.join(lost)}" if lost else "not up in time"
-            self._give_up(formation, why, round_)
+            self.give_up(formation, why, round_)
             return
         size = round_.size(formation)
         if size and len(formation.members) == size:
@@ -390,17 +398,18 @@
         ):
             self._set(formation, Phase.FREED, "head ended", round_)
         elif round_.head_is_lost(name):
-            self._give_up(formation, HEAD_IS_SILENT, round_)
+            self.give_up(formation, HEAD_IS_SILENT, round_)
         elif head is SeatState.BROKEN:
             self._set(formation, Phase.FREED, "broken", round_)
         elif head is not SeatState.OPEN:
-            self._give_up(formation, "head not open", round_)
+            self.give_up(formation, "head not open", round_)
         elif round_.leaving_members(formation):
-            self._give_up(formation, "member leaving", round_)
+            self.give_up(formation, "member leaving", round_)
 
-    def _give_up(
+    def give_up(
         self, formation: Formation, why: str, round_: "_Round"
     ) -> None:
+        """Begins to take a group apart."""
         self._set(formation, Phase.DISSOLVING, why, round_)
         self._dissolve(formation, round_)
 
@@ -675,6 +684,17 @@
                     count[formation.model] += 1
         return count
 
+    def meant(
+        self, free: list[fleetmessages.Registration], model: routes.Model
+    ) -> list[fleetmessages.Registration]:
+        """Returns the free engines that are not kept for another model."""
+        return [
+            item
+            for item in free
+            if self.planner.member_by_name[item.upstream].meant_for
+            in ("", model.name)
+        ]
+
     def free_for(self, name: str) -> datetime.timedelta:
         """Returns how long an engine has had no group."""
         since = self.planner.member_by_name[name].free_since
@@ -757,6 +777,61 @@
             pass
 
 
+def surplus_model(
+    held: dict[str, float], engine: routes.Engine
+) -> routes.Model | None:
+    """Returns a model above its share while another lacks a whole group."""
+    total = sum(held.values())
+    target = {model.name: model.share * total for model in engine.models}
+    lacking = any(
+        held[model.name] + model.size <= target[model.name]
+        for model in engine.models
+    )
+    over = [
+        model
+        for model in engine.models
+        if held[model.name] - model.size >= target[model.name]
+    ]
+    if not lacking or not over:
+        return None
+    return max(over, key=lambda model: held[model.name] / model.share)
+
+
+def _rebalance(round_: _Round) -> None:
+    """Takes a group of a model in surplus apart, once all is quiet."""
+    for service in sorted(round_.view.engines):
+        engine = round_.view.engines[service]
+        formations = [
+            formation
+            for formation in round_.planner.by_key.values()
+            if formation.service == service
+            and formation.phase is not Phase.FREED
+        ]
+        quiet = all(
+            formation.phase is Phase.SERVING
+            and round_.now - formation.since >= REBALANCE_PATIENCE
+            for formation in formations
+        )
+        held = instances_by_model(formations, engine)
+        model = surplus_model(held, engine) if quiet else None
+        if model is None:
+            continue
+        free = collections.Counter(
+            item.domain for item in round_.free(service)
+        )
+        chosen = max(
+            (item for item in formations if item.model == model.name),
+            key=lambda item: (
+                free[round_.view.fleet[item.head].domain],
+                item.epoch,
+            ),
+        )
+        lacking = by_need(held, engine)[0].name
+        for name in chosen.members.values():
+            round_.planner.member_by_name[name].meant_for = lacking
+        round_.planner.give_up(chosen, "in surplus", round_)
+
+
 def _form_one(service: str, engine: routes.Engine, round_: _Round) -> bool:
     formations = [
         formation
@@ -767,12 +842,14 @@
     free = round_.free(service)
     in_order = by_need(held, engine)
     for model in in_order:
-        members = choose_ready(model, free, round_)
+        members = choose_ready(model, round_.meant(free, model), round_)
         if members:
             _begin(service, model, members, round_)
             return True
     for model in in_order:
-        members = choose_to_load(model, model is in_order[0], free, round_)
+        members = choose_to_load(
+            model, model is in_order[0], round_.meant(free, model), round_
+        )
         if not round_.planner.may_load(engine, len(members), round_):
             return False
         if members:
@@ -840,7 +917,12 @@
         if round_.free_for(item.upstream) >= LOAD_PATIENCE
     ]
     stranded.sort(key=lambda item: model.name not in item.staged)
-    return _in_one_domain(stranded, model.size, SPARES_PER_DOMAIN)
+    meant = any(
+        round_.planner.member_by_name[item.upstream].meant_for
+        for item in stranded
+    )
+    left = 0 if meant else SPARES_PER_DOMAIN
+    return _in_one_domain(stranded, model.size, left)
 
 
 def _in_one_domain(
@@ -888,7 +970,9 @@
     )
     round_.planner.by_key[(formation.group, epoch)] = formation
     for item in members:
-        round_.planner.member_by_name[item.upstream].had_group = True
+        member = round_.planner.member_by_name[item.upstream]
+        member.had_group = True
+        member.meant_for = ""
     round_.planner.loaded(loads, round_.now)
     round_.planner.notes.append(
         Note(
@@ -930,6 +1014,8 @@
                 ),
             )
             if sent:
+                member = round_.planner.member_by_name[item.upstream]
+                member.staging = model.name
                 round_.planner.loaded(1, round_.now)
 
 
@@ -945,13 +1031,19 @@
     soonest; else one that has groups in the domain and no spare there;
     else the one whose groups strand most instances.
     """
-    if item.staged:
+    if item.staged or round_.planner.member_by_name[item.upstream].staging:
         return None
     beside = [other for other in free if other.domain == item.domain]
     members_by_model = round_.members_by_model(item.domain)
 
     def rank(model: routes.Model) -> tuple[bool, int, bool, float, str]:
-        ready = [other for other in beside if model.name in other.staged]
+        ready = [
+            other
+            for other in beside
+            if model.name in other.staged
+            or round_.planner.member_by_name[other.upstream].staging
+            == model.name
+        ]
         left_over = [
             other
             for other in ready
