--- /dev/null
+++ b/figford/tests/test_controller.py
@@ -0,0 +1,420 @@
+"""Controllers and entries in virtual time, under cuts, kills and lost disks.
+
+What was acknowledged is never lost and never read as an older version, and
+an entry's route table never goes back while its process lives.
+"""
+
+import datetime
+import random
+
+import attrs
+import pytest
+
+from figford import agreement
+from figford import control
+from figford import controller
+from figford import effects
+from figford import entry as entries
+from figford import fleetmessages
+from figford import membership
+from figford import messages
+from figford import routes
+
+STEP = datetime.timedelta(milliseconds=20)
+SECOND = datetime.timedelta(seconds=1)
+CONTROLLERS = ("c1", "c2", "c3")
+ENTRIES = ("e1", "e2")
+
+
+@attrs.define
+class Process:
+    """A running process: its state, and what its disk does."""
+
+    name: str
+    state: object
+    waiting: list = attrs.field(factory=list)
+    outcomes: dict = attrs.field(factory=dict)
+    highest_seen: int = 0
+
+
+@attrs.define
+class Net:
+    """All processes, their disks and the network between them."""
+
+    seed: int
+    now: datetime.timedelta = 10 * SECOND
+    process_by_name: dict = attrs.field(factory=dict)
+    disk_by_name: dict = attrs.field(factory=dict)
+    cut: set = attrs.field(factory=set)
+    linked: set = attrs.field(factory=set)
+    mail: list = attrs.field(factory=list)
+    acknowledged: int = 0
+    submitted: int = 0
+    rng: random.Random = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Founds three controllers and starts two entries."""
+        self.rng = random.Random(self.seed)
+        for name in CONTROLLERS:
+            others = [f"{other}.first" for other in CONTROLLERS]
+            self.disk_by_name[name] = control.founding_records(
+                f"{name}.first", others
+            )
+        for name in (*CONTROLLERS, *ENTRIES):
+            self.start(name)
+
+    # ---- Processes ------------------------------------------------------
+
+    def start(self, name: str) -> None:
+        """Starts a process from what its disk holds."""
+        voter = None
+        if name in CONTROLLERS:
+            if name not in self.disk_by_name:
+                fresh = f"{name}.{self.rng.randrange(1 << 40):x}"
+                self.disk_by_name[name] = [messages.Identity(fresh)]
+            voter = self.disk_by_name[name][0].voter
+        me = messages.Peer(
+            name, int(self.now / STEP), 0, "dc", f"{name}:1", voter=voter
+        )
+        peers = membership.PeerTable(me)
+        if voter is None:
+            process = Process(name, entries.EntryState(peers))
+        else:
+            disk = control.Control(
+                peers, agreement.Agreement(voter, self.rng)
+            )
+            state = controller.Controller(peers, disk, self.rng, self.now)
+            process = Process(name, state)
+        self.process_by_name[name] = process
+        if voter is not None:
+            records = list(self.disk_by_name[name])
+            self.carry_out(process, process.state.start(records, self.now))
+
+    def kill(self, name: str) -> None:
+        """Ends a process; what was not synced is lost."""
+        self.process_by_name.pop(name, None)
+        for other in list(self.process_by_name):
+            self.unlink(name, other)
+
+    def wipe(self, name: str) -> None:
+        """Ends a process and loses its disk."""
+        self.kill(name)
+        del self.disk_by_name[name]
+
+    def unlink(self, one: str, other: str) -> None:
+        """Ends a link."""
+        pair = frozenset((one, other))
+        if pair in self.linked:
+            self.linked.discard(pair)
+            for name in pair & set(self.process_by_name):
+                peer = next(iter(pair - {name}))
+                self.process_by_name[name].state.link_down(peer)
+
+    # ---- Time -----------------------------------------------------------
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds * SECOND
+        while self.now < end:
+            self.now += STEP
+            self._link()
+            self._sync()
+            mail, self.mail = self.mail, []
+            for sender, receiver, message in mail:
+                self._deliver(sender, receiver, message)
+            for process in list(self.process_by_name.values()):
+                self.carry_out(process, process.state.tick(self.now))
+                self._check(process)
+
+    def _link(self) -> None:
+        names = sorted(self.process_by_name)
+        for one in names:
+            for other in names:
+                pair = frozenset((one, other))
+                wanted = one < other and set(pair) & set(CONTROLLERS)
+                if pair in self.cut:
+                    self.unlink(one, other)
+                elif wanted and pair not in self.linked:
+                    self._link_pair(one, other)
+
+    def _link_pair(self, one: str, other: str) -> None:
+        self.linked.add(frozenset((one, other)))
+        for name, peer in ((one, other), (other, one)):
+            process = self.process_by_name[name]
+            me = self.process_by_name[peer].state.me
+            self.carry_out(process, process.state.link_up(me, self.now))
+
+    def _sync(self) -> None:
+        """Writes what waits; some syncs take longer."""
+        for process in list(self.process_by_name.values()):
+            if process.waiting and self.rng.random() < 0.7:
+                waiting, process.waiting = process.waiting, []
+                for batch in waiting:
+                    self._write(process, batch)
+
+    def _write(self, process: Process, batch: object) -> None:
+        if isinstance(batch, effects.RewriteJournal):
+            self.disk_by_name[process.name] = list(batch.records)
+            return
+        self.disk_by_name[process.name].extend(batch.records)
+        for send in batch.sends:
+            self.send(process.name, send)
+        if batch.records:
+            todo = process.state.synced(
+                batch.last_index, batch.last_term, self.now
+            )
+            self.carry_out(process, todo)
+
+    def send(self, sender: str, send: effects.SendPeer) -> None:
+        """Sends a message over a link; a few are lost with their link."""
+        if frozenset((sender, send.instance)) not in self.linked:
+            return
+        if self.rng.random() < 0.001:
+            self.unlink(sender, send.instance)
+            return
+        self.mail.append((sender, send.instance, send.message))
+
+    def _deliver(self, sender: str, receiver: str, message: object) -> None:
+        pair = frozenset((sender, receiver))
+        process = self.process_by_name.get(receiver)
+        if process is None or pair not in self.linked:
+            return
+        todo = process.state.receive(sender, message, self.now)
+        self.carry_out(process, todo)
+
+    def carry_out(self, process: Process, todo: list) -> None:
+        """Carries out effects."""
+        for effect in todo:
+            match effect:
+                case effects.SendPeer():
+                    self.send(process.name, effect)
+                case effects.Durable() | effects.RewriteJournal():
+                    process.waiting.append(effect)
+                case effects.Decided(proposal, outcome):
+                    process.outcomes[proposal] = outcome
+
+    # ---- Operators ------------------------------------------------------
+
+    def submit(self, name: str) -> str | None:
+        """Submits the next version; returns the proposal."""
+        process = self.process_by_name.get(name)
+        if process is None:
+            return None
+        self.submitted += 1
+        command = fleetmessages.StoreRoutes(
+            self.submitted, b"v%d" % self.submitted
+        )
+        proposal, todo = process.state.propose(
+            command, self.now + 2 * SECOND, self.now
+        )
+        self.carry_out(process, todo)
+        return proposal
+
+    def outcome(self, name: str, proposal: str | None) -> object:
+        """Returns the outcome of a proposal; None where there is none."""
+        process = self.process_by_name.get(name)
+        return process.outcomes.get(proposal) if process else None
+
+    def read(self, name: str) -> str | None:
+        """Asks for the version in force; returns the proposal."""
+        process = self.process_by_name.get(name)
+        if process is None:
+            return None
+        proposal, todo = process.state.propose(
+            messages.ReadVersion(), self.now + SECOND, self.now
+        )
+        self.carry_out(process, todo)
+        return proposal
+
+    def _check(self, process: Process) -> None:
+        version = process.state.view.version
+        assert version >= process.highest_seen, "a route table went back"
+        process.highest_seen = version
+        assert version <= self.submitted
+
+
+def settle(net: Net, seconds: float = 6.0) -> None:
+    """Heals everything and waits."""
+    net.cut.clear()
+    for name in (*CONTROLLERS, *ENTRIES):
+        if name not in net.process_by_name:
+            net.start(name)
+    net.run(seconds)
+
+
+def test_a_submission_reaches_all_within_two_seconds() -> None:
+    net = Net(seed=1)
+    net.run(3)
+    proposal = net.submit("c2")
+    net.run(0.5)
+    assert isinstance(
+        net.outcome("c2", proposal), fleetmessages.RoutesStored
+    )
+    net.run(1.0)
+    for process in net.process_by_name.values():
+        assert process.state.view == fleetmessages.RoutesView(1, b"v1")
+
+
+def test_an_older_version_changes_nothing_and_is_acknowledged() -> None:
+    net = Net(seed=2)
+    net.run(3)
+    net.submitted = 8
+    net.submit("c1")
+    net.run(1)
+    net.submitted = 4
+    proposal = net.submit("c3")
+    net.submitted = 9
+    net.run(1)
+    assert net.outcome("c3", proposal) == fleetmessages.RoutesStored(9)
+    assert net.process_by_name["e1"].state.view.version == 9
+
+
+def test_a_controller_cut_off_confirms_and_acknowledges_nothing() -> None:
+    net = Net(seed=3)
+    net.run(3)
+    net.submit("c1")
+    net.run(2)
+    for other in ("c2", "c3"):
+        net.cut.add(frozenset(("c1", other)))
+    net.run(3)
+    read, proposal = net.read("c1"), net.submit("c1")
+    net.run(3)
+    for asked in (read, proposal):
+        assert net.outcome("c1", asked) is None
+
+
+def test_an_entry_that_starts_beside_a_cut_off_controller_waits() -> None:
+    net = Net(seed=4)
+    net.run(3)
+    net.submit("c1")
+    net.run(2)
+    for other in ("c2", "c3"):
+        net.cut.add(frozenset(("c1", other)))
+        net.cut.add(frozenset(("e1", other)))
+    net.run(3)
+    net.kill("e1")
+    net.start("e1")
+    net.run(4)
+    assert not net.process_by_name["e1"].state.ready
+    net.cut.clear()
+    net.run(2)
+    assert net.process_by_name["e1"].state.ready
+
+
+def test_a_silent_voter_gives_way_to_a_disk_that_came_for_it() -> None:
+    net = Net(seed=5)
+    net.run(3)
+    net.submit("c1")
+    net.run(1)
+    net.wipe("c3")
+    net.start("c3")
+    net.run(14)
+    disk = net.process_by_name["c1"].state.control.agreement
+    assert len(disk.voters) == 3
+    assert net.disk_by_name["c3"][0].voter in disk.voters
+    assert net.process_by_name["c3"].state.view.version == 1
+
+
+def registration(sequence: int, **changes: object):
+    base = fleetmessages.Registration(
+        "u1", 1, sequence, "s", "10.0.0.1:80", "dc", 4
+    )
+    return attrs.evolve(base, **changes)
+
+
+def test_an_upstream_that_leaves_is_known_everywhere_at_once() -> None:
+    net = Net(seed=6)
+    net.run(3)
+    process = net.process_by_name["c3"]
+    net.carry_out(process, process.state.report(registration(1), net.now))
+    net.run(0.2)
+    for name in ENTRIES:
+        state = net.process_by_name[name].state
+        assert [item.upstream for item in state.fleet.present()] == ["u1"]
+    leaving = registration(2, leaving=True)
+    net.carry_out(process, process.state.report(leaving, net.now))
+    net.run(0.2)
+    for name in ENTRIES:
+        state = net.process_by_name[name].state
+        assert state.fleet.by_name["u1"].registration.leaving
+
+
+def test_a_restarted_entry_is_told_the_whole_fleet() -> None:
+    net = Net(seed=7)
+    net.run(3)
+    process = net.process_by_name["c1"]
+    net.carry_out(process, process.state.report(registration(1), net.now))
+    net.run(1)
+    net.kill("e1")
+    net.start("e1")
+    net.run(1)
+    assert "u1" in net.process_by_name["e1"].state.fleet.by_name
+
+
+def test_the_planner_is_the_leader_alone() -> None:
+    net = Net(seed=8)
+    net.run(3)
+    table = routes.RouteTable(
+        1, (), (routes.Service("s", 1, routes.Engine(1, ())),)
+    )
+    for name in CONTROLLERS:
+        net.process_by_name[name].state.table = table
+    net.run(3)
+    planning = [
+        name
+        for name in CONTROLLERS
+        if net.process_by_name[name].state.planner.term
+    ]
+    leading = [
+        name
+        for name in CONTROLLERS
+        if net.process_by_name[name].state.control.agreement.leading
+    ]
+    assert planning == leading and len(leading) == 1
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_what_was_acknowledged_stays_under_faults(seed: int) -> None:
+    """Kills, cuts, one lost disk at a time and restarts of all."""
+    net = Net(seed=seed)
+    net.run(3)
+    wiped_at = net.now - 60 * SECOND
+    for _ in range(40):
+        name = net.rng.choice(CONTROLLERS)
+        proposal = net.submit(name)
+        match net.rng.randrange(8):
+            case 0:
+                net.kill(net.rng.choice(CONTROLLERS))
+            case 1:
+                for other in (*CONTROLLERS, *ENTRIES):
+                    if other != name:
+                        net.cut.add(frozenset((name, other)))
+            case 2:
+                for other in (*CONTROLLERS, *ENTRIES):
+                    net.kill(other)
+            case 3 if net.now - wiped_at > 20 * SECOND:
+                # No second disk is lost before the first is voted in.
+                settle(net, 8)
+                wiped_at = net.now
+                net.wipe(name)
+            case 4:
+                net.kill(net.rng.choice(ENTRIES))
+            case _:
+                settle(net, 0.1)
+        net.run(net.rng.uniform(0.05, 2.0))
+        if isinstance(
+            net.outcome(name, proposal), fleetmessages.RoutesStored
+        ):
+            stored = net.outcome(name, proposal).version
+            net.acknowledged = max(net.acknowledged, stored)
+        reader = net.rng.choice(CONTROLLERS)
+        known = net.acknowledged
+        read = net.read(reader)
+        net.run(0.5)
+        told = net.outcome(reader, read)
+        if isinstance(told, messages.VersionInForce):
+            assert told.routes_version >= known
+    settle(net, 12)
+    for process in net.process_by_name.values():
+        assert process.state.view.version >= net.acknowledged
+    assert net.acknowledged > 5
