Metrics pages without the operators' parts; one factory of small pages

Cause: platform processes loaded YAML, operators' and web.server parts for a metrics page, about a quarter of their imports.

--- a/figford/nodes.py
+++ b/figford/nodes.py
@@ -13,7 +13,6 @@
 from twisted.internet import endpoints
 from twisted.internet import task
 
-from figford import administration
 from figford import clocks
 from figford import effects
 from figford import errors
@@ -21,6 +20,7 @@
 from figford import messages
 from figford import metrics as metric_sets
 from figford import nodesettings
+from figford import pages
 from figford import settings
 
 _log = logbook.Logger(__name__)
@@ -117,8 +117,10 @@
     def start_common(self) -> None:
         """Serves metrics, starts the loops and takes signals."""
         if self.config.metrics_address:
-            site = administration.QuietSite(administration.metrics_root(self))
-            self.listen(self.config.metrics_address, site)
+            self.listen(
+                self.config.metrics_address,
+                pages.PagesFactory(pages.MetricsRequest, self, self.reactor),
+            )
         self.loop(self.tick, TICK_SECONDS)
         self.loop(self._check_settings, SETTINGS_CHECK_SECONDS)
         for number, handler in (
--- a/figford/platform/__main__.py
+++ b/figford/platform/__main__.py
@@ -7,6 +7,7 @@
 
 from figford import logs
 from figford import nodes
+from figford import pages
 from figford.platform import boot
 from figford.platform import controlpages
 from figford.platform import dialect
@@ -30,7 +31,7 @@
         reactor,
         dialect=dialect.PlatformDialect(),
         read_table=read_table,
-        ready_factory=lambda is_ready, reactor: controlpages.PagesFactory(
+        ready_factory=lambda is_ready, reactor: pages.PagesFactory(
             controlpages.ReadyRequest, is_ready, reactor
         ),
     )
@@ -48,7 +49,7 @@
         dialect=dialect.PlatformDialect(),
         orders=ordering,
         read_table=read_table,
-        pages_factory=lambda port, reactor: controlpages.PagesFactory(
+        pages_factory=lambda port, reactor: pages.PagesFactory(
             controlpages.ControlRequest, port, reactor
         ),
     )
--- a/figford/platform/controlpages.py
+++ b/figford/platform/controlpages.py
@@ -123,32 +123,3 @@
         self.responseHeaders.setRawHeaders(b"content-length", [b"0"])
         self.write(b"")
         self.finish()
-
-
-class PagesFactory(http.HTTPFactory):
-    """Serves one kind of request; `port` is what its pages call."""
-
-    noisy = False
-
-    def __init__(
-        self,
-        request: type[http.Request],
-        port: typing.Any,
-        reactor: typing.Any,
-    ) -> None:
-        """Makes a factory without a log file of its own."""
-        super().__init__(reactor=reactor, timeout=60)
-        self._request = request
-        self.port = port
-
-    def buildProtocol(self, addr: object) -> http.HTTPChannel:
-        """Returns the protocol of a new connection."""
-        channel = http.HTTPChannel()
-        channel.factory = self
-        channel.requestFactory = self._request
-        channel.callLater = self.reactor.callLater
-        channel.timeOut = self.timeOut
-        return channel
-
-    def log(self, request: object) -> None:
-        """Writes nothing."""
--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -80,9 +80,7 @@
         if voter is None:
             process = Process(name, entries.EntryState(peers))
         else:
-            disk = control.Control(
-                peers, agreement.Agreement(voter, self.rng)
-            )
+            disk = control.Control(peers, agreement.Agreement(voter, self.rng))
             state = controller.Controller(peers, disk, self.rng, self.now)
             process = Process(name, state)
         self.process_by_name[name] = process
@@ -247,9 +245,7 @@
     net.run(3)
     proposal = net.submit("c2")
     net.run(0.5)
-    assert isinstance(
-        net.outcome("c2", proposal), fleetmessages.RoutesStored
-    )
+    assert isinstance(net.outcome("c2", proposal), fleetmessages.RoutesStored)
     net.run(1.0)
     for process in net.process_by_name.values():
         assert process.state.view == fleetmessages.RoutesView(1, b"v1")
@@ -402,9 +398,7 @@
             case _:
                 settle(net, 0.1)
         net.run(net.rng.uniform(0.05, 2.0))
-        if isinstance(
-            net.outcome(name, proposal), fleetmessages.RoutesStored
-        ):
+        if isinstance(net.outcome(name, proposal), fleetmessages.RoutesStored):
             stored = net.outcome(name, proposal).version
             net.acknowledged = max(net.acknowledged, stored)
         reader = net.rng.choice(CONTROLLERS)
