A group that is cut off whole has lost nobody

Ruled out: stalls of the engines. Change: a member is lost only if its head was in touch after the member did not answer; a group that comes back whole goes on. Before: test_a_group_that_is_cut_off_whole_has_lost_nobody failed.

--- a/figford/controllerdaemon.py
+++ b/figford/controllerdaemon.py
@@ -428,7 +428,10 @@
             self.daemon.message_refused(error)
             return
         self.daemon.state.planner.told(
-            self.asked.upstream, self.asked.incarnation, told
+            self.asked.upstream,
+            self.asked.incarnation,
+            told,
+            self.daemon.clock.now(),
         )
 
     def answer_failed(self, failure: exchanges.Failure) -> None:
--- a/figford/formations.py
+++ b/figford/formations.py
@@ -70,6 +70,7 @@
     was_told: bool = False
     told_seat: fleetmessages.FleetSeat | None = None
     asked_at: datetime.timedelta = datetime.timedelta(0)
+    told_at: datetime.timedelta = datetime.timedelta(0)
     unanswered_at: datetime.timedelta | None = None
     last: GroupOrder | None = None
     last_at: datetime.timedelta = datetime.timedelta(0)
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -92,7 +92,11 @@
             formation.phase = formations.Phase.FREED
 
     def told(
-        self, upstream: str, incarnation: int, told: formations.Told
+        self,
+        upstream: str,
+        incarnation: int,
+        told: formations.Told,
+        now: datetime.timedelta,
     ) -> None:
         """Takes in what an upstream answered to a question."""
         member = self.member_by_name.get(upstream)
@@ -102,13 +106,17 @@
         member.begun = told.begun
         member.told_seat = told.seat
         member.was_told = True
+        member.told_at = now
+        member.unanswered_at = None
 
     def unanswered(
         self, upstream: str, incarnation: int, now: datetime.timedelta
     ) -> None:
         """Notes that an upstream did not answer a question."""
         member = self.member_by_name.get(upstream)
-        if member is not None and member.incarnation == incarnation:
+        if member is None or member.incarnation != incarnation:
+            return
+        if member.unanswered_at is None:
             member.unanswered_at = now
 
     def questions(self, now: datetime.timedelta) -> list[str]:
@@ -156,6 +164,10 @@
                 self.member_by_name[name].ask_due = not known
         for name in set(self.member_by_name) - set(view.fleet):
             del self.member_by_name[name]
+        for name, member in self.member_by_name.items():
+            unanswered_at = member.unanswered_at
+            if unanswered_at and unanswered_at < view.heard_at[name]:
+                member.unanswered_at = None
 
     def _adopt(self, round_: planrounds.Round) -> None:
         """Takes groups that others formed from the reports of members."""
@@ -287,14 +299,33 @@
         can go on, so the rest need not wait until the head notices.
         """
         for rank, name in sorted(formation.members.items()):
-            if rank and round_.is_lost(name):
+            if rank and round_.is_lost(name, formation.head):
                 formation.abort = True
                 self.give_up(formation, f"member {name} lost", round_)
                 return
-        for rank, name in formation.members.items():
-            missed = round_.silent_for(name) >= planrounds.MISSED_REPORT
-            if rank and missed and name in self.member_by_name:
-                self._ask_again(name, round_)
+        missed = [
+            name
+            for rank, name in formation.members.items()
+            if rank
+            and name in self.member_by_name
+            and round_.silent_for(name) >= planrounds.MISSED_REPORT
+        ]
+        for name in missed:
+            self._ask_again(name, round_)
+            self._ask_after(formation.head, name, round_)
+
+    def _ask_after(
+        self, head: str, name: str, round_: planrounds.Round
+    ) -> None:
+        """Asks a head after its member did not answer.
+
+        Its answer shows that the way to the group is open.
+        """
+        unanswered_at = self.member_by_name[name].unanswered_at
+        member = self.member_by_name[head]
+        if unanswered_at is not None and member.asked_at <= unanswered_at:
+            member.asked_at = round_.now
+            member.ask_due = True
 
     def give_up(
         self,
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -77,16 +77,40 @@
         limit = DOUBTED_SILENCE if doubted else HEAD_SILENCE
         return self.silent_for(name) >= limit
 
-    def is_lost(self, name: str) -> bool:
-        """Returns whether one neither reports nor answers a question."""
+    def is_lost(self, name: str, head: str) -> bool:
+        """Returns whether a member is out of reach while its head is not.
+
+        It neither reports nor answers, and its head did so later: a whole
+        group that is cut off from the controllers has lost nobody.
+        """
         member = self.planner.member_by_name.get(name)
         heard_at = self.view.heard_at.get(name)
         if member is None or heard_at is None:
             return True
+        if member.unanswered_at is None:
+            return False
         return (
-            member.unanswered_at is not None
-            and member.unanswered_at > heard_at
-            and self.now - heard_at >= MISSED_REPORT
+            self.now - heard_at >= MISSED_REPORT
+            and self._contact_at(head) > member.unanswered_at
+        )
+
+    def _contact_at(self, name: str) -> datetime.timedelta:
+        """Returns when an upstream last reported or answered."""
+        member = self.planner.member_by_name.get(name)
+        told_at = member.told_at if member else datetime.timedelta(0)
+        return max(told_at, self.view.heard_at.get(name, told_at))
+
+    def is_whole(self, formation: formations.Formation) -> bool:
+        """Returns whether all members are there and the head is open."""
+        size = self.size(formation)
+        return (
+            self.seat(formation, 0) is SeatState.OPEN
+            and len(formation.members) == size
+            and not self.lost_members(formation)
+            and all(
+                self.seat(formation, rank) in (SeatState.READY, SeatState.OPEN)
+                for rank in formation.members
+            )
         )
 
     def seat(
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -95,7 +95,7 @@
             engine = self.engines.by_name[name]
             if engine.up and not engine.cut:
                 told = formations.Told(engine.begun, engine.report().seat)
-                self.planner.told(name, engine.incarnation, told)
+                self.planner.told(name, engine.incarnation, told, self.now)
             else:
                 self.planner.unanswered(name, engine.incarnation, self.now)
         for order in self.planner.plan(view, self.now):
@@ -198,6 +198,31 @@
     }
 
 
+def test_a_group_that_is_cut_off_whole_has_lost_nobody() -> None:
+    """Entries on this side see it fail, those on its side are served."""
+    world = World(seed=1)
+    world.run(40)
+    seats = {
+        name: engine.seat.key
+        for name, engine in world.engines.by_name.items()
+        if engine.seat and engine.domain == "d0"
+    }
+    for name in seats:
+        world.engines.by_name[name].cut = True
+    world.run(1.2)
+    world.doubted.update(seats)
+    world.run(4)
+    for name in seats:
+        world.engines.by_name[name].cut = False
+    world.doubted.clear()
+    world.run(12)
+    assert seats == {
+        name: engine.seat.key
+        for name, engine in world.engines.by_name.items()
+        if engine.seat and engine.domain == "d0"
+    }
+
+
 def test_a_successor_adopts_groups_and_moves_nobody() -> None:
     world = World(seed=2)
     world.run(40)
