A stopping entry ends idle connections once the balancer has turned away

Ruled out: streams that began before the stop. Before: test_idle_connections_end_while_others_finish failed.

--- a/figford/entrydaemon.py
+++ b/figford/entrydaemon.py
@@ -42,6 +42,7 @@
     ready_factory: typing.Callable[..., typing.Any] = attrs.field(kw_only=True)
     forwarder: forwarders.Forwarder = attrs.field(init=False)
     ingress: ingresses.Ingress = attrs.field(init=False)
+    _callers_port: typing.Any = None
     _stopping_since: datetime.timedelta | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -71,7 +72,7 @@
             self.config.ready_address,
             self.ready_factory(lambda: self.state.ready, self.reactor),
         )
-        yield self.listen(
+        self._callers_port = yield self.listen(
             self.config.callers_address,
             ingresses.CallerFactory(self.ingress, self.reactor),
         )
@@ -134,12 +135,23 @@
         since = self._stopping_since
         if since is None or now - since < BALANCER_NOTICE:
             return
+        self._take_no_more()
         late = now - since >= self.config.stop_timeout - STOP_MARGIN
         if self.forwarder.calls and not late:
             return
         self._stopping_since = None
         self._close(late).addErrback(self.fatal)
 
+    def _take_no_more(self) -> None:
+        """Ends what could still bring a request, but no request.
+
+        One that came later could not be finished in the time that is left.
+        """
+        if self._callers_port is not None:
+            self._callers_port.stopListening()
+            self._callers_port = None
+        self.ingress.close_idle()
+
     @defer.inlineCallbacks
     def _close(self, late: bool) -> typing.Iterator[typing.Any]:
         _log.info("process stopped", cut=len(self.forwarder.calls))
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -28,6 +28,8 @@
 LONGEST_WAIT = datetime.timedelta(seconds=1)
 # Callers that are turned away come back spread over this time.
 RETRY_AFTER = datetime.timedelta(milliseconds=400)
+# A group that lost a member serves again after about this long.
+REPAIR = datetime.timedelta(milliseconds=1500)
 RETRY_AFTER_SPREAD = datetime.timedelta(milliseconds=800)
 
 
@@ -115,7 +117,7 @@
         call.service = self._choose_service(call)
         self._budget(call.service).requested(now)
         if not self.placement.has_any(call.service, self._model(call)):
-            call.refuse(self.no_capacity("no whole group or upstream"))
+            call.refuse(self.no_capacity("no whole group or upstream", REPAIR))
             return
         if not self._place(call, now):
             self._enqueue(call)
@@ -202,10 +204,12 @@
 
     # ---- From calls -----------------------------------------------------
 
-    def no_capacity(self, detail: str) -> errors.NoCapacity:
+    def no_capacity(
+        self, detail: str, after: datetime.timedelta = RETRY_AFTER
+    ) -> errors.NoCapacity:
         """Returns a refusal of what was not run, with a spread return."""
         spread = RETRY_AFTER_SPREAD * self.rng.random()
-        return errors.NoCapacity(detail, retry_after=RETRY_AFTER + spread)
+        return errors.NoCapacity(detail, retry_after=after + spread)
 
     def could_go_on(self, call: forwarding.ForwardedCall) -> bool:
         """Returns whether another target would take a call now."""
--- a/figford/ingress.py
+++ b/figford/ingress.py
@@ -23,6 +23,9 @@
 # Kept connections are closed this long after the callers' limit, so that
 # a request and the close do not cross.
 IDLE_SLACK_SECONDS = 2.0
+# A process that just started knows a route table after about a second.
+NOT_READY_RETRY = datetime.timedelta(milliseconds=900)
+NOT_READY_SPREAD = datetime.timedelta(milliseconds=600)
 DEFAULT_BUDGET = datetime.timedelta(seconds=30)
 
 
@@ -199,7 +202,8 @@
         if not self.forwarder.table.version:
             raise errors.Draining(
                 "this entry holds no route table yet",
-                retry_after=forwarders.RETRY_AFTER,
+                retry_after=NOT_READY_RETRY
+                + NOT_READY_SPREAD * self.forwarder.rng.random(),
             )
 
     def refused(self, refusal: errors.Refusal, request: http.Request) -> None:
--- a/figford/nodes.py
+++ b/figford/nodes.py
@@ -112,7 +112,11 @@
         endpoint = endpoints.TCP4ServerEndpoint(
             self.reactor, port, interface=host, backlog=1024
         )
-        return endpoint.listen(factory).addCallback(self._ports.append)
+        return endpoint.listen(factory).addCallback(self._listens)
+
+    def _listens(self, port: typing.Any) -> typing.Any:
+        self._ports.append(port)
+        return port
 
     def start_common(self) -> None:
         """Serves metrics, starts the loops and takes signals."""
--- a/figford/tests/platform/test_processes.py
+++ b/figford/tests/platform/test_processes.py
@@ -302,6 +302,32 @@
     assert running.ask("/ask/x", Figford_Model="large").status == 200
 
 
+def test_a_stopping_entry_ends_its_idle_connections(running) -> None:
+    """A request on one of them would come too late to be finished."""
+    running.served("/ask/x", Figford_Model="large")
+    kept = http.client.HTTPConnection(ENTRY, running.ports[1], timeout=60)
+    with contextlib.closing(kept):
+        # A stream that began before the stop does not tell of it.
+        kept.request(
+            "POST",
+            "/ask/x",
+            b"{}",
+            {
+                "Host": "h.example",
+                "Figford-Attempt-Id": "kept",
+                "Figford-Deadline-Remaining": "6000",
+                "Figford-Model": "large",
+                "X-Api-Key": KEY,
+            },
+        )
+        answer = kept.getresponse()
+        running.by_ip[ENTRY].send_signal(signal.SIGTERM)
+        assert answer.status == 200 and answer.read()
+        # The entry closes the connection, and ends only then.
+        assert kept.sock is None or kept.sock.recv(1) == b""
+    assert running.by_ip[ENTRY].wait(timeout=GIVE_UP_SECONDS) == 0
+
+
 def test_a_stopping_entry_finishes_its_streams(running) -> None:
     running.served("/ask/x", Figford_Model="large")
     process = running.by_ip[ENTRY]
--- /dev/null
+++ b/figford/tests/test_entrydaemon.py
@@ -0,0 +1,112 @@
+"""How an entry stops."""
+
+import datetime
+import pathlib
+
+import attrs
+from twisted.internet import testing
+
+from figford import entrydaemon
+from figford import nodesettings
+from figford.platform import dialect
+
+MS = datetime.timedelta(milliseconds=1)
+
+
+@attrs.define
+class Clock:
+    """A clock that tests set."""
+
+    time: datetime.timedelta = datetime.timedelta(seconds=100)
+
+    def now(self) -> datetime.timedelta:
+        """Returns the time that was set."""
+        return self.time
+
+    def wall(self) -> datetime.datetime:
+        """Returns a fixed time of day."""
+        return datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+
+
+@attrs.define(eq=False)
+class Channel:
+    """A caller's connection."""
+
+    requests: list = attrs.field(factory=list)
+    closed: bool = False
+
+    def loseConnection(self) -> None:
+        """Notes the close."""
+        self.closed = True
+
+
+@attrs.define(eq=False)
+class Call:
+    """A request in progress."""
+
+    def check(self, now: datetime.timedelta) -> None:
+        """Goes on."""
+
+
+def make_daemon(clock: Clock) -> entrydaemon.EntryDaemon:
+    config = nodesettings.NodeSettings(
+        instance="127.0.0.1",
+        name="e1",
+        data_centre="dc",
+        links_address="127.0.0.1:7342",
+        seeds=(),
+        links_port=7340,
+    )
+    return entrydaemon.EntryDaemon(
+        config,
+        pathlib.Path("boot.json"),
+        lambda path: config,
+        testing.MemoryReactorClock(),
+        clock=clock,
+        dialect=dialect.PlatformDialect(),
+        read_table=lambda packed: None,
+        ready_factory=lambda ready, reactor: None,
+    )
+
+
+def test_a_stopping_entry_is_not_ready_and_still_takes_requests() -> None:
+    clock = Clock()
+    daemon = make_daemon(clock)
+    idle = Channel()
+    daemon.ingress.channels.add(idle)
+    daemon.stop()
+    assert not daemon.state.ready and daemon.ingress.stopping
+    clock.time += entrydaemon.BALANCER_NOTICE - MS
+    daemon.tick()
+    assert not idle.closed
+
+
+def test_idle_connections_end_while_others_finish() -> None:
+    """A request on a kept connection seconds later can't be finished."""
+    clock = Clock()
+    daemon = make_daemon(clock)
+    idle, busy = Channel(), Channel(requests=["request"])
+    daemon.ingress.channels.update((idle, busy))
+    daemon.forwarder.calls.add(Call())
+    daemon.stop()
+    clock.time += entrydaemon.BALANCER_NOTICE
+    daemon.tick()
+    assert idle.closed and not busy.closed
+    busy.requests.clear()
+    daemon.tick()
+    assert busy.closed
+
+
+def test_what_is_not_finished_in_time_is_cut_at_the_end() -> None:
+    clock = Clock()
+    daemon = make_daemon(clock)
+    daemon.forwarder.calls.add(Call())
+    ended: list = []
+    daemon.stopped.addCallback(ended.append)
+    daemon.stop()
+    clock.time += daemon.config.stop_timeout - entrydaemon.STOP_MARGIN - MS
+    daemon.tick()
+    assert not ended
+    clock.time += MS
+    daemon.tick()
+    assert ended == [False]
