A head that comes back is closed before it joins another group

Ruled out: late orders (the join was the planner's own). Change: a freed group whose head reports open or closing is closed and left first; a host that left on an order is not taken by an older report. Before: test_a_head_that_comes_back_is_closed_before_it_joins_again failed.

--- a/figford/formations.py
+++ b/figford/formations.py
@@ -75,6 +75,8 @@
     last: GroupOrder | None = None
     last_at: datetime.timedelta = datetime.timedelta(0)
     free_since: datetime.timedelta | None = None
+    # The group and epoch that it left last, on an order.
+    left: tuple[str, int] | None = None
     # The weights that it was ordered to stage.
     staging: str = ""
     # The model that a group in surplus was given up for.
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -84,6 +84,7 @@
         if order.action is formations.Action.STAGE and not done:
             member.staging = ""
         if order.action is formations.Action.LEAVE and done:
+            member.left = (order.group, order.epoch)
             self._left(order)
 
     def _left(self, order: formations.GroupOrder) -> None:
@@ -228,7 +229,7 @@
             case formations.Phase.DISSOLVING:
                 self._dissolve(formation, round_)
             case formations.Phase.FREED:
-                pass
+                self._close_again(formation, round_)
 
     def _bring_up(
         self, formation: formations.Formation, round_: planrounds.Round
@@ -377,6 +378,13 @@
             member.asked_at = round_.now
             member.ask_due = True
 
+    def _close_again(
+        self, formation: formations.Formation, round_: planrounds.Round
+    ) -> None:
+        """Closes a head that came back after its members were freed."""
+        if round_.seat(formation, 0) in (SeatState.OPEN, SeatState.CLOSING):
+            self.give_up(formation, "head came back", round_)
+
     def _orphan(
         self, formation: formations.Formation, round_: planrounds.Round
     ) -> None:
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -123,6 +123,9 @@
             return None
         if registration.upstream != formation.members.get(rank):
             return None
+        member = self.planner.member_by_name.get(registration.upstream)
+        if member and member.left == (formation.group, formation.epoch):
+            return None
         if registration.signed_off:
             return self._told_state(formation, registration)
         return registration.seat.state
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -279,6 +279,31 @@
     assert all(world.engines.by_name[name].seat.key != key for name in others)
 
 
+def test_a_head_that_comes_back_is_closed_before_it_joins_again() -> None:
+    """It was cut off alone, and its members were given to others."""
+    world = World(seed=3)
+    world.run(40)
+    head = next(
+        engine
+        for engine in world.engines.by_name.values()
+        if engine.seat
+        and engine.seat.model == "large"
+        and engine.seat.members[0] == engine.name
+    )
+    key = head.seat.key
+    head.cut = True
+    world.run(20)
+    others = [world.engines.by_name[name] for name in key[2][1:]]
+    assert all(other.seat is None or other.seat.key != key for other in others)
+    # It still says that it is open; only now does it stand still.
+    head.stalled_at = None
+    head.seat.state = enginefleet.SeatState.OPEN
+    head.cut = False
+    # The emulator refuses joins of a head that is open.
+    world.run(30)
+    assert head.seat is None or head.seat.key != key
+
+
 def test_members_of_a_dead_head_serve_again() -> None:
     world = World(seed=4)
     world.run(40)
