Messages to many processes are encoded once

Cause: a controller encoded a change for each of its links; with 81 entries that is 81 times. Change: one effect for many receivers.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -41,6 +41,14 @@
     order: formations.GroupOrder
 
 
+@attrs.frozen
+class SendAll:
+    """Effect: send a message, encoded once, to several processes."""
+
+    instances: list[str]
+    message: messages.PeerMessage
+
+
 @attrs.frozen
 class AskOrdersBegun:
     """Effect: ask an engine how many orders it has begun."""
@@ -50,7 +58,7 @@
     address: str
 
 
-Effect = effects.Effect | SendGroupOrder | AskOrdersBegun
+Effect = effects.Effect | SendAll | SendGroupOrder | AskOrdersBegun
 
 
 @attrs.define
@@ -163,7 +171,8 @@
             result += self._tell_all(messages.Peers([peer]), peer.instance)
         elif self._told_status is not None and self.leads:
             result.append(effects.SendPeer(peer.instance, self._told_status))
-        return result + self._pulse_to(peer.instance)
+        result.append(effects.SendPeer(peer.instance, self._pulse()))
+        return result
 
     def link_down(self, instance: str) -> None:
         """Notes that a link broke."""
@@ -290,26 +299,20 @@
             draining=self.stopping,
             hears_quorum=self.control.hears_quorum(now),
         )
-        result: list[Effect] = []
-        for instance in sorted(self.links):
-            result += self._pulse_to(instance)
-        return result
+        return self._tell_all(self._pulse(), None)
 
-    def _pulse_to(self, instance: str) -> list[Effect]:
+    def _pulse(self) -> messages.Pulse:
         me = self.me
         state = messages.PeerState(
             me.sequence, self.view.version, me.draining, me.hears_quorum
         )
-        return [effects.SendPeer(instance, messages.Pulse(state))]
+        return messages.Pulse(state)
 
     def _tell_all(
         self, message: messages.PeerMessage, but: str | None
     ) -> list[Effect]:
-        return [
-            effects.SendPeer(instance, message)
-            for instance in sorted(self.links)
-            if instance != but
-        ]
+        instances = [name for name in sorted(self.links) if name != but]
+        return [SendAll(instances, message)] if instances else []
 
     def _on_peers(
         self, instance: str, message: messages.Peers, now: datetime.timedelta
@@ -350,11 +353,12 @@
             [self._beats[name][1] for name in names],
         )
         self._beats.clear()
-        return [
-            effects.SendPeer(peer.instance, beats)
+        controllers = [
+            peer.instance
             for peer in self.peers.live(now)
             if peer.voter is not None and peer.instance in self.links
         ]
+        return [SendAll(controllers, beats)]
 
     def silent(self, now: datetime.timedelta) -> frozenset[str]:
         """Returns the upstreams that no controller in reach hears."""
@@ -378,11 +382,10 @@
         if status == self._told_status:
             return []
         self._told_status = status
-        return [
-            effects.SendPeer(peer.instance, status)
-            for peer in entries
-            if peer.instance in self.links
+        linked = [
+            peer.instance for peer in entries if peer.instance in self.links
         ]
+        return [SendAll(linked, status)]
 
     # ---- The log --------------------------------------------------------
 
--- a/figford/controllerdaemon.py
+++ b/figford/controllerdaemon.py
@@ -160,6 +160,8 @@
             match effect:
                 case effects.SendPeer(instance, message):
                     self.hub.send(instance, message)
+                case controllers.SendAll(instances, message):
+                    self.hub.send_to_all(instances, message)
                 case effects.Durable() | effects.RewriteJournal():
                     self._writer.submit(effect)
                 case effects.Decided(proposal, outcome):
--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -186,6 +186,11 @@
             match effect:
                 case effects.SendPeer():
                     self.send(process.name, effect)
+                case controller.SendAll(instances, message):
+                    for name in instances:
+                        self.send(
+                            process.name, effects.SendPeer(name, message)
+                        )
                 case effects.Durable() | effects.RewriteJournal():
                     process.waiting.append(effect)
                 case effects.Decided(proposal, outcome):
