--- a/figford/forming.py
+++ b/figford/forming.py
@@ -190,25 +190,27 @@
     """Returns members of one domain of which some must load the weights.
 
     Bare hosts serve the neediest model; some of each domain are left as
-    spares. Others load only when they waited in vain for long.
+    spares. Others load only when they waited in vain for long, and longer
+    for a model that others lack less than.
     """
     if neediest:
         bare = [item for item in free if not item.staged]
         found = _in_one_domain(bare, model.size, SPARES_PER_DOMAIN)
         if found:
             return found
+    patience = LOAD_PATIENCE if neediest else 3 * LOAD_PATIENCE
     stranded = [
-        item
-        for item in free
-        if round_.free_for(item.upstream) >= LOAD_PATIENCE
+        item for item in free if round_.free_for(item.upstream) >= patience
     ]
     stranded.sort(key=lambda item: model.name not in item.staged)
-    meant = any(
-        round_.planner.member_by_name[item.upstream].meant_for
-        for item in stranded
+    # What was left over of a group may take the domain's spares along.
+    rest = _in_one_domain(stranded, model.size) if neediest else []
+    left_over = sum(
+        round_.planner.member_by_name[item.upstream].had_group for item in rest
     )
-    left = 0 if meant else SPARES_PER_DOMAIN
-    return _in_one_domain(stranded, model.size, left)
+    if rest and 2 * left_over >= model.size:
+        return rest
+    return _in_one_domain(stranded, model.size, SPARES_PER_DOMAIN)
 
 
 def _in_one_domain(
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -382,6 +382,10 @@
         self, formation: formations.Formation, round_: planrounds.Round
     ) -> None:
         """Closes a head that came back after its members were freed."""
+        silence = round_.silent_for(formation.head)
+        if silence >= planrounds.MEMBER_FRESHNESS:
+            # What it said last is what freed its members.
+            return
         if round_.seat(formation, 0) in (SeatState.OPEN, SeatState.CLOSING):
             self.give_up(formation, "head came back", round_)
 
