--- a/figford/platform/boot.py
+++ b/figford/platform/boot.py
@@ -15,9 +15,10 @@
 # Places in the range of ports for links between machines; two roles of one
 # machine share the range.
 _CONTROLLER_LINKS = 0
-_CONTROLLER_METRICS = 1
-_ENTRY_LINKS = 2
-_ENTRY_METRICS = 3
+_ENTRY_LINKS = 1
+# Named in deploy/system.toml, which can't tell a port of the range.
+_ENTRY_METRICS_PORT = 9464
+_CONTROLLER_METRICS_PORT = 9465
 
 
 def path() -> pathlib.Path:
@@ -49,7 +50,9 @@
     seed_ips = [_host(seed) for seed in item.get("seeds") or []]
     is_controller = "control" in listen
     links = _CONTROLLER_LINKS if is_controller else _ENTRY_LINKS
-    metrics = _CONTROLLER_METRICS if is_controller else _ENTRY_METRICS
+    metrics = (
+        _CONTROLLER_METRICS_PORT if is_controller else _ENTRY_METRICS_PORT
+    )
     controllers_port = first_port + _CONTROLLER_LINKS
     return nodesettings.NodeSettings(
         instance=ip,
@@ -64,7 +67,7 @@
         callers_address=listen.get("front"),
         ready_address=listen.get("ready"),
         control_address=listen.get("control"),
-        metrics_address=f"{ip}:{first_port + metrics}",
+        metrics_address=f"{ip}:{metrics}",
         stop_timeout=datetime.timedelta(seconds=bounds.get("grace_s", 8)),
         checks_fencing=bounds.get("fencing") is True,
         budget=forwarder.BudgetTerms(
