--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,9 @@
 SEED ?= 1
 STEPS ?= 20000
 
-.PHONY: demo check lint test process-test bench soak experiment plot \
+MINUTES ?= 1
+
+.PHONY: demo check lint test process-test bench soak fault-soak experiment plot \
 	capacity format clean
 
 $(STAMP): pyproject.toml
@@ -36,6 +38,9 @@
 soak: $(STAMP)
 	$(BIN)/python -m figford.tools.soak --seed $(SEED) --steps $(STEPS)
 
+fault-soak: $(STAMP)
+	$(BIN)/python -m figford.tests.platform.faultsoak --seed $(SEED) --minutes $(MINUTES)
+
 experiment: $(STAMP)
 	$(BIN)/python -m figford.tools.experiment
 	$(BIN)/python -m figford.tools.traffic
--- a/figford/nodes.py
+++ b/figford/nodes.py
@@ -124,7 +124,7 @@
             self.listen(
                 self.config.metrics_address,
                 pages.PagesFactory(pages.MetricsRequest, self, self.reactor),
-            )
+            ).addErrback(self._no_metrics)
         self.loop(self.tick, TICK_SECONDS)
         self.loop(self._check_settings, SETTINGS_CHECK_SECONDS)
         for number, handler in (
@@ -144,6 +144,10 @@
             founders=",".join(self.config.founders),
         )
 
+    def _no_metrics(self, failure: typing.Any) -> None:
+        """Goes on without metrics, which nothing else needs."""
+        _log.warning("metrics not served", error=str(failure.value))
+
     def _from_signal(
         self, handler: typing.Callable[[], None]
     ) -> typing.Callable[[int, object], None]:
--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -5,6 +5,7 @@
 the command line, moving on to the next one after a failure.
 """
 
+import collections
 import datetime
 import json
 import random
@@ -113,6 +114,8 @@
             self._order(upstream, json.loads(self.content.read()))
         elif path == "/figford/report":
             self._answer(200, {"sequence": upstream.engine.begun})
+        elif path == "/runs":
+            self._answer(200, collections.Counter(upstream.runs))
         else:
             self._serve(upstream)
 
--- a/figford/tests/platform/test_processes.py
+++ b/figford/tests/platform/test_processes.py
@@ -73,10 +73,11 @@
     ports: list[int] = attrs.field(factory=lambda: deployment.free_ports(9))
     by_ip: dict[str, subprocess.Popen] = attrs.field(factory=dict)
     attempts: int = 0
+    entries: tuple[str, ...] = (ENTRY,)
 
     def start(self, ip: str, founding: bool = True) -> None:
         """Starts a controller or an entry."""
-        role = "entry" if ip == ENTRY else "controller"
+        role = "entry" if ip in self.entries else "controller"
         listen = {"control": f"{ip}:{self.ports[0]}"}
         if role == "entry":
             listen = {
@@ -177,6 +178,11 @@
         served = found is not None and found.status == 200
         return json.loads(found.body) if served else None
 
+    def runs(self) -> dict[str, int]:
+        """Returns how often the plain upstream ran each attempt."""
+        address = f"127.0.0.1:{self.ports[4] + 4}"
+        return json.loads(self.call(address, "GET", "/runs").body)
+
     def ask(self, path: str, **headers: str) -> Answer | None:
         """Returns what a caller gets from the entry."""
         self.attempts += 1
