Spares change to weights that lack a whole group

Change: an idle spare loads the lacking model where at least half a group of it is left in its domain.

--- a/figford/forming.py
+++ b/figford/forming.py
@@ -21,6 +21,8 @@
 # A group across domains serves this long before it is formed anew.
 NEAR_PATIENCE = datetime.timedelta(seconds=2)
 CAN_BE_NEAR = "fits in one domain"
+# A spare is idle this long before it changes to weights that lack.
+CHANGE_PATIENCE = datetime.timedelta(seconds=2)
 # Groups in surplus are given up for a lacking model only when nothing has
 # changed this long, far beyond any repair.
 REBALANCE_PATIENCE = datetime.timedelta(seconds=30)
@@ -343,26 +345,82 @@
         free = round_.free(service)
         for item in free:
             model = _model_to_stage(item, free, engine, round_)
+            if model is None:
+                model = _model_to_change_to(item, service, free, round_)
             if model is None:
                 continue
             if not round_.planner.may_load(engine, 1, round_):
                 return
-            sent = round_.send(
-                item.upstream,
-                formations.GroupOrder(
-                    upstream=item.upstream,
-                    incarnation=item.incarnation,
-                    address="",
-                    action=formations.Action.STAGE,
-                    fence=round_.planner.term,
-                    expected=None,
-                    model=model.name,
-                ),
-            )
-            if sent:
-                member = round_.planner.member_by_name[item.upstream]
-                member.staging = model.name
-                round_.planner.loaded(1, round_.now)
+            _order_stage(item, model, round_)
+
+
+def _order_stage(
+    item: fleetmessages.Registration,
+    model: routes.Model,
+    round_: planrounds.Round,
+) -> None:
+    sent = round_.send(
+        item.upstream,
+        formations.GroupOrder(
+            upstream=item.upstream,
+            incarnation=item.incarnation,
+            address="",
+            action=formations.Action.STAGE,
+            fence=round_.planner.term,
+            expected=None,
+            model=model.name,
+        ),
+    )
+    if sent:
+        member = round_.planner.member_by_name[item.upstream]
+        member.staging = model.name
+        round_.planner.loaded(1, round_.now)
+
+
+def _model_to_change_to(
+    item: fleetmessages.Registration,
+    service: str,
+    free: list[fleetmessages.Registration],
+    round_: planrounds.Round,
+) -> routes.Model | None:
+    """Returns the model that a spare of another one should be ready for.
+
+    Only a model that lacks a whole group counts, and only where most of one
+    is left in the spare's domain, idle or in a slow group across domains.
+    """
+    engine = round_.view.engines[service]
+    groups = [
+        formation
+        for formation in round_.planner.by_key.values()
+        if formation.service == service
+    ]
+    held = instances_by_model(groups, engine)
+    model = by_need(held, engine)[0]
+    known = round_.planner.member_by_name
+    if model.name in item.staged or known[item.upstream].staging:
+        return None
+    if round_.free_for(item.upstream) < CHANGE_PATIENCE:
+        return None
+    if held[model.name] + model.size > model.share * sum(held.values()):
+        return None
+    beside = [other for other in free if other.domain == item.domain]
+    idle = sum(model.name in other.staged for other in beside)
+    coming = sum(
+        known[other.upstream].staging == model.name for other in beside
+    )
+    slow = sum(
+        round_.view.fleet[name].domain == item.domain
+        for formation in groups
+        if formation.far
+        and formation.model == model.name
+        and formation.phase is formations.Phase.SERVING
+        for name in formation.members.values()
+        if name in round_.view.fleet
+    )
+    left = idle + slow
+    if 2 * left < model.size or left + coming >= model.size:
+        return None
+    return model
 
 
 def _model_to_stage(
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -167,6 +167,8 @@
         for name in set(self.member_by_name) - set(view.fleet):
             del self.member_by_name[name]
         for name, member in self.member_by_name.items():
+            if member.staging and member.staging in view.fleet[name].staged:
+                member.staging = ""
             unanswered_at = member.unanswered_at
             if unanswered_at and unanswered_at < view.heard_at[name]:
                 member.unanswered_at = None
