--- a/figford/forming.py
+++ b/figford/forming.py
@@ -143,6 +143,8 @@
 
 def rebalance(round_: planrounds.Round) -> None:
     """Takes a group of a model in surplus apart, once all is quiet."""
+    if round_.now - round_.planner.changed_at < REBALANCE_PATIENCE:
+        return
     for service in sorted(round_.view.engines):
         engine = round_.view.engines[service]
         groups = [
@@ -151,25 +153,27 @@
             if formation.service == service
             and formation.phase is not formations.Phase.FREED
         ]
-        quiet = all(
-            formation.phase is formations.Phase.SERVING
-            and round_.now - formation.since >= REBALANCE_PATIENCE
-            for formation in groups
-        )
         held = instances_by_model(groups, engine)
-        model = surplus_model(held, engine) if quiet else None
+        model = surplus_model(held, engine)
         if model is None:
             continue
         free = collections.Counter(
             item.domain for item in round_.free(service)
         )
         chosen = max(
-            (item for item in groups if item.model == model.name),
+            (
+                item
+                for item in groups
+                if item.model == model.name and item.head in round_.view.fleet
+            ),
             key=lambda item: (
                 free[round_.view.fleet[item.head].domain],
                 item.epoch,
             ),
+            default=None,
         )
+        if chosen is None:
+            continue
         lacking = by_need(held, engine)[0].name
         for name in chosen.members.values():
             round_.planner.member_by_name[name].meant_for = lacking
@@ -317,6 +321,7 @@
         + formations.FORMING_SLACK,
     )
     round_.planner.by_key[(formation.group, epoch)] = formation
+    round_.planner.changed_at = round_.now
     for item in members:
         member = round_.planner.member_by_name[item.upstream]
         member.had_group = True
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -39,6 +39,8 @@
     )
     member_by_name: dict[str, formations.Member] = attrs.field(factory=dict)
     notes: list[formations.Note] = attrs.field(factory=list)
+    # When a group last came up, was given up or was begun.
+    changed_at: datetime.timedelta = datetime.timedelta(0)
     _epochs: int = 0
     _plan_from: datetime.timedelta = datetime.timedelta(0)
     _loads: collections.deque[datetime.timedelta] = attrs.field(
@@ -421,7 +423,7 @@
         round_: planrounds.Round,
     ) -> None:
         formation.phase = phase
-        formation.since = round_.now
+        formation.since = self.changed_at = round_.now
         formation.why = why
         self.notes.append(
             formations.Note(phase.value, formation.group, formation.epoch, why)
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -342,6 +342,42 @@
     assert world.engines.serving("large") == 3
 
 
+def test_idle_spares_change_to_weights_that_lack_a_group() -> None:
+    """Five of six groups lost a member; only other spares are left."""
+    world = World(seed=1, domains=6)
+    world.run(50)
+    for engine in list(world.engines.by_name.values()):
+        if engine.seat is None and engine.staged == ["large"]:
+            world.engines.crash(engine.name, world.now)
+    for index in range(5):
+        victim = next(
+            engine
+            for engine in world.engines.by_name.values()
+            if engine.domain == f"d{index}"
+            and engine.seat
+            and engine.seat.model == "large"
+            and engine.seat.members[1] == engine.name
+        )
+        world.engines.crash(victim.name, world.now)
+    world.run(6)
+    # Without a load there are groups across domains at most.
+    assert world.engines.serving("large") <= 4
+    world.run(40)
+    near = [
+        engine
+        for engine in world.engines.by_name.values()
+        if engine.up
+        and engine.seat
+        and engine.seat.model == "large"
+        and engine.seat.members[0] == engine.name
+        and {
+            world.engines.by_name[name].domain for name in engine.seat.members
+        }
+        == {engine.domain}
+    ]
+    assert len(near) >= 5
+
+
 def test_members_of_a_dead_head_serve_again() -> None:
     world = World(seed=4)
     world.run(40)
