--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -105,6 +105,38 @@
                 result = self.engines.order(order, self.now)
             self._results.append((order, result))
 
+    def member(
+        self, rank: int, model: str = "large", domain: str | None = None
+    ) -> enginefleet.Engine:
+        """Returns a member of this rank in a group of the model."""
+        return next(
+            engine
+            for engine in self.engines.by_name.values()
+            if engine.seat
+            and engine.seat.model == model
+            and engine.seat.members[rank] == engine.name
+            and domain in (None, engine.domain)
+        )
+
+    def seats(self, domain: str | None = None) -> dict[str, tuple]:
+        """Returns the seats of all engines, or of those of a domain."""
+        return {
+            name: engine.seat.key
+            for name, engine in self.engines.by_name.items()
+            if engine.seat and domain in (None, engine.domain)
+        }
+
+    def domains_of_heads(self, model: str) -> list[set[str]]:
+        """Returns the domains that each group of a model spans."""
+        return [
+            {self.engines.by_name[name].domain for name in engine.seat.members}
+            for engine in self.engines.by_name.values()
+            if engine.up
+            and engine.seat
+            and engine.seat.model == model
+            and engine.seat.members[0] == engine.name
+        ]
+
     def sign_off(self, name: str) -> None:
         """Lets an engine say that it leaves; it runs on for a while."""
         self.signed_off.add(name)
@@ -146,15 +178,8 @@
     world.add("spare", "d0")
     world.run(40)
     before = world.engines.serving("large")
-    victim = next(
-        engine
-        for engine in world.engines.by_name.values()
-        if engine.seat
-        and engine.seat.model == "large"
-        and engine.domain == "d0"
-        # Not the head, so that the head has to notice.
-        and engine.seat.members[1] == engine.name
-    )
+    # Not the head, so that the head has to notice.
+    victim = world.member(1, domain="d0")
     world.engines.crash(victim.name, world.now)
     world.run(30)
     assert world.engines.serving("large") >= before
@@ -164,13 +189,8 @@
     """Entries see it, and the member that is lost answers nothing."""
     world = World(seed=1)
     world.run(40)
-    victim, head = next(
-        (engine, world.engines.by_name[engine.seat.members[0]])
-        for engine in world.engines.by_name.values()
-        if engine.seat
-        and engine.seat.model == "large"
-        and engine.seat.members[1] == engine.name
-    )
+    victim = world.member(1)
+    head = world.engines.by_name[victim.seat.members[0]]
     key = head.seat.key
     world.engines.crash(victim.name, world.now)
     world.run(0.8)
@@ -184,29 +204,17 @@
 def test_a_group_with_all_members_is_left_alone_whatever_entries_see() -> None:
     world = World(seed=1)
     world.run(40)
-    seats = {
-        name: engine.seat.key
-        for name, engine in world.engines.by_name.items()
-        if engine.seat
-    }
+    seats = world.seats()
     world.doubted.update(seats)
     world.run(20)
-    assert seats == {
-        name: engine.seat.key
-        for name, engine in world.engines.by_name.items()
-        if engine.seat
-    }
+    assert seats == world.seats()
 
 
 def test_a_group_that_is_cut_off_whole_has_lost_nobody() -> None:
     """Entries on this side see it fail, those on its side are served."""
     world = World(seed=1)
     world.run(40)
-    seats = {
-        name: engine.seat.key
-        for name, engine in world.engines.by_name.items()
-        if engine.seat and engine.domain == "d0"
-    }
+    seats = world.seats("d0")
     for name in seats:
         world.engines.by_name[name].cut = True
     world.run(1.2)
@@ -216,38 +224,22 @@
         world.engines.by_name[name].cut = False
     world.doubted.clear()
     world.run(12)
-    assert seats == {
-        name: engine.seat.key
-        for name, engine in world.engines.by_name.items()
-        if engine.seat and engine.domain == "d0"
-    }
+    assert seats == world.seats("d0")
 
 
 def test_a_successor_adopts_groups_and_moves_nobody() -> None:
     world = World(seed=2)
     world.run(40)
-    seats = {
-        name: engine.seat.key
-        for name, engine in world.engines.by_name.items()
-        if engine.seat
-    }
+    seats = world.seats()
     world.replace_planner()
     world.run(20)
-    assert seats == {
-        name: engine.seat.key
-        for name, engine in world.engines.by_name.items()
-        if engine.seat
-    }
+    assert seats == world.seats()
 
 
 def test_a_head_that_was_only_cut_off_keeps_its_group() -> None:
     world = World(seed=3)
     world.run(40)
-    head = next(
-        engine
-        for engine in world.engines.by_name.values()
-        if engine.seat and engine.seat.members[0] == engine.name
-    )
+    head = world.member(0)
     key = head.seat.key
     for name in key[2]:
         world.engines.by_name[name].cut = True
@@ -263,13 +255,7 @@
     """It stops reporting but serves on; seen on a day of releases."""
     world = World(seed=7)
     world.run(40)
-    head = next(
-        engine
-        for engine in world.engines.by_name.values()
-        if engine.seat
-        and engine.seat.model == "large"
-        and engine.seat.members[0] == engine.name
-    )
+    head = world.member(0)
     others = set(head.seat.members[1:])
     key = head.seat.key
     world.sign_off(head.name)
@@ -283,13 +269,7 @@
     """It was cut off alone, and its members were given to others."""
     world = World(seed=3)
     world.run(40)
-    head = next(
-        engine
-        for engine in world.engines.by_name.values()
-        if engine.seat
-        and engine.seat.model == "large"
-        and engine.seat.members[0] == engine.name
-    )
+    head = world.member(0)
     key = head.seat.key
     head.cut = True
     world.run(20)
@@ -312,33 +292,15 @@
             is_spare = engine.seat is None and engine.staged == ["large"]
             if engine.domain == domain and is_spare:
                 world.engines.crash(engine.name, world.now)
-    victim = next(
-        engine
-        for engine in world.engines.by_name.values()
-        if engine.domain == "d0"
-        and engine.seat
-        and engine.seat.model == "large"
-        and engine.seat.members[1] == engine.name
-    )
+    victim = world.member(1, domain="d0")
     world.engines.crash(victim.name, world.now)
     world.run(12)
 
-    def domains() -> list[set[str]]:
-        return [
-            {
-                world.engines.by_name[name].domain
-                for name in engine.seat.members
-            }
-            for engine in world.engines.by_name.values()
-            if engine.seat
-            and engine.seat.model == "large"
-            and engine.seat.members[0] == engine.name
-        ]
-
-    assert {"d0", "d2"} in domains()
+    assert {"d0", "d2"} in world.domains_of_heads("large")
     world.add("fresh", "d0")
     world.run(30)
-    assert all(len(found) == 1 for found in domains())
+    found = world.domains_of_heads("large")
+    assert all(len(domains) == 1 for domains in found)
     assert world.engines.serving("large") == 3
 
 
@@ -350,44 +312,20 @@
         if engine.seat is None and engine.staged == ["large"]:
             world.engines.crash(engine.name, world.now)
     for index in range(5):
-        victim = next(
-            engine
-            for engine in world.engines.by_name.values()
-            if engine.domain == f"d{index}"
-            and engine.seat
-            and engine.seat.model == "large"
-            and engine.seat.members[1] == engine.name
-        )
+        victim = world.member(1, domain=f"d{index}")
         world.engines.crash(victim.name, world.now)
     world.run(6)
     # Without a load there are groups across domains at most.
     assert world.engines.serving("large") <= 4
     world.run(40)
-    near = [
-        engine
-        for engine in world.engines.by_name.values()
-        if engine.up
-        and engine.seat
-        and engine.seat.model == "large"
-        and engine.seat.members[0] == engine.name
-        and {
-            world.engines.by_name[name].domain for name in engine.seat.members
-        }
-        == {engine.domain}
-    ]
-    assert len(near) >= 5
+    found = world.domains_of_heads("large")
+    assert sum(len(domains) == 1 for domains in found) >= 5
 
 
 def test_members_of_a_dead_head_serve_again() -> None:
     world = World(seed=4)
     world.run(40)
-    head = next(
-        engine
-        for engine in world.engines.by_name.values()
-        if engine.seat
-        and engine.seat.model == "large"
-        and engine.seat.members[0] == engine.name
-    )
+    head = world.member(0)
     others = set(head.seat.members[1:])
     world.engines.crash(head.name, world.now)
     world.add("spare", head.domain)
@@ -406,11 +344,7 @@
 def test_a_member_that_leaves_is_replaced_after_its_head_closed() -> None:
     world = World(seed=6)
     world.run(40)
-    engine = next(
-        item
-        for item in world.engines.by_name.values()
-        if item.seat and item.seat.members[1] == item.name
-    )
+    engine = world.member(1)
     engine.leaving = True
     world.run(8)
     head = (
--- a/figford/tools/enginefleet.py
+++ b/figford/tools/enginefleet.py
@@ -23,7 +23,6 @@
 JOIN_AGAIN = datetime.timedelta(milliseconds=200)
 STALL = datetime.timedelta(seconds=4)
 LATE_ORDERS = (2.0, 12.0)
-UNTOLD = datetime.timedelta(0)
 
 
 class InvariantBroken(AssertionError):
@@ -171,10 +170,7 @@
             order.members,
         ):
             return Result.HELD
-        same = held is not None and (held.group, held.epoch) == (
-            order.group,
-            order.epoch,
-        )
+        same = held is not None and _is_about(order, held)
         if same or order.epoch < engine.highest_epoch:
             return Result.FENCED
         self._check_head_is_still(engine, now)
@@ -228,10 +224,7 @@
         now: datetime.timedelta,
     ) -> Result:
         held = engine.seat
-        if held is None or (held.group, held.epoch) != (
-            order.group,
-            order.epoch,
-        ):
+        if held is None or not _is_about(order, held):
             return Result.REFUSED
         if held.state is SeatState.OPEN:
             return Result.HELD
@@ -257,10 +250,7 @@
         now: datetime.timedelta,
     ) -> Result:
         held = engine.seat
-        if held is None or (held.group, held.epoch) != (
-            order.group,
-            order.epoch,
-        ):
+        if held is None or not _is_about(order, held):
             return Result.REFUSED
         if held.state is not SeatState.OPEN:
             return Result.HELD
@@ -274,10 +264,7 @@
         now: datetime.timedelta,
     ) -> Result:
         held = engine.seat
-        if held is None or (held.group, held.epoch) != (
-            order.group,
-            order.epoch,
-        ):
+        if held is None or not _is_about(order, held):
             return Result.HELD
         self._leave_seat(engine, now)
         engine.seat = None
@@ -380,3 +367,7 @@
             and engine.stalled_at is None
             for engine in self.by_name.values()
         )
+
+
+def _is_about(order: formations.GroupOrder, seat: _Seat) -> bool:
+    return (order.group, order.epoch) == (seat.group, seat.epoch)
