--- a/figford/forming.py
+++ b/figford/forming.py
@@ -60,6 +60,7 @@
 
 
 def form(round_: planrounds.Round) -> None:
+    """Begins all groups that free hosts make up now."""
     for service in sorted(round_.view.engines):
         engine = round_.view.engines[service]
         while _form_one(service, engine, round_):
--- a/figford/platform/__main__.py
+++ b/figford/platform/__main__.py
@@ -5,6 +5,7 @@
 
 from twisted.internet import reactor
 
+from figford import errors
 from figford import logs
 from figford import nodes
 from figford import pages
@@ -61,7 +62,11 @@
     if len(arguments) != 1 or arguments[0] not in make:
         print("usage: python3 -m figford.platform entry|controller")
         return 2
-    settings = boot.read(boot.path())
+    try:
+        settings = boot.read(boot.path())
+    except errors.SettingsError as error:
+        print(error)
+        return 2
     handler = logs.JsonHandler(settings.name)
     handler.push_application()
     daemon = make[arguments[0]]()
