Repairs: spares join ahead, leaves are counted, planning follows news

Ruled out: a slower weight store (no loads in these repairs), detection alone (1.3 to 2 s of it).

Change: a leave that is done counts as begun; a refused order may be given again once the count is known; spares join a group of their own, never opened; adopted members count as having had a group; news is planned for within 40 ms.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -26,6 +26,9 @@
 # Beats of upstreams are gathered this long for the other controllers.
 BEATS_EVERY = datetime.timedelta(milliseconds=400)
 PLAN_EVERY = datetime.timedelta(milliseconds=100)
+# News of an engine or an order is planned for this soon; each step of a
+# repair waits for the one before.
+PLAN_SPACING = datetime.timedelta(milliseconds=40)
 # A process that was held up this long distrusts what it knew of silence.
 PAUSE = datetime.timedelta(seconds=1)
 # What an entry saw of an upstream counts this long.
@@ -87,6 +90,7 @@
     _beats_due: datetime.timedelta = datetime.timedelta(0)
     _heartbeat_due: datetime.timedelta = datetime.timedelta(0)
     _plan_due: datetime.timedelta = datetime.timedelta(0)
+    _planned_at: datetime.timedelta = datetime.timedelta(0)
     _settled_at: datetime.timedelta = attrs.field(init=False)
     _last_event: datetime.timedelta = attrs.field(init=False)
     _told_status: fleetmessages.FleetStatus | None = None
@@ -186,6 +190,7 @@
         """Takes an upstream's own report."""
         self._note_event(now)
         if self.fleet.report(registration, now):
+            self._plan_soon()
             return self._tell_all(
                 fleetmessages.FleetUpdate([registration]), None
             )
@@ -263,6 +268,7 @@
     ) -> None:
         """Notes what came of an order."""
         self.planner.result(order, result, now)
+        self._plan_soon()
 
     def unanswered(
         self, asked: AskOrdersBegun, now: datetime.timedelta
@@ -332,7 +338,8 @@
         now: datetime.timedelta,
     ) -> None:
         for registration in registrations:
-            self.fleet.report(registration, now)
+            if self.fleet.report(registration, now):
+                self._plan_soon()
 
     def _on_beats(
         self, beats: fleetmessages.FleetBeats, now: datetime.timedelta
@@ -438,6 +445,7 @@
     def _plan(self, now: datetime.timedelta) -> list[Effect]:
         if not self.leads or now < self._plan_due or self.stopping:
             return []
+        self._planned_at = now
         self._plan_due = now + PLAN_EVERY
         if self.planner.term != self.control.agreement.term:
             self.planner.start(self.control.agreement.term, now)
@@ -449,6 +457,9 @@
         ]
         return result + self._ask_orders_begun(view, now) + self._notes()
 
+    def _plan_soon(self) -> None:
+        self._plan_due = min(self._plan_due, self._planned_at + PLAN_SPACING)
+
     def _planning_view(self, now: datetime.timedelta) -> formations.View:
         engines = {
             service.name: service.engine
--- a/figford/formations.py
+++ b/figford/formations.py
@@ -83,6 +83,8 @@
     meant_for: str = ""
     # Whether it was in a group before, which makes it no mere spare.
     had_group: bool = False
+    # The model of its last group, which it joins again in a moment.
+    warm: str = ""
 
 
 class Phase(enum.Enum):
--- a/figford/forming.py
+++ b/figford/forming.py
@@ -219,7 +219,9 @@
     Those of one domain come first; then hosts of several domains that
     waited long enough.
     """
+    known = round_.planner.member_by_name
     staged = [item for item in free if model.name in item.staged]
+    staged.sort(key=lambda item: known[item.upstream].warm != model.name)
     found = _in_one_domain(staged, model.size)
     if found:
         return found
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -15,6 +15,7 @@
 from figford import forming
 from figford import planrounds
 from figford import routes
+from figford import warming
 
 SeatState = fleetmessages.SeatState
 
@@ -74,7 +75,11 @@
         match result:
             case formations.Result.BEGUN:
                 member.begun = (order.expected or 0) + 1
-            case formations.Result.REFUSED | formations.Result.UNKNOWN:
+            case formations.Result.REFUSED:
+                # It may be given again as soon as the count is known.
+                member.ask_due = True
+                member.last = None
+            case formations.Result.UNKNOWN:
                 member.ask_due = True
             case formations.Result.FENCED:
                 # Another planner ordered with a higher number: this one
@@ -86,7 +91,11 @@
         if order.action is formations.Action.STAGE and not done:
             member.staging = ""
         if order.action is formations.Action.LEAVE and done:
-            member.left = (order.group, order.epoch)
+            key = (order.group, order.epoch)
+            if member.left != key:
+                # It takes effect at once; only a repeat changes nothing.
+                member.begun = (order.expected or 0) + 1
+            member.left = key
             self._left(order)
 
     def _left(self, order: formations.GroupOrder) -> None:
@@ -153,6 +162,7 @@
         forming.bring_near(round_)
         forming.rebalance(round_)
         forming.stage(round_)
+        warming.warm(round_)
         return round_.orders
 
     def _meet(self, view: formations.View) -> None:
@@ -183,6 +193,9 @@
                 formation = self._adopted(key, seats, round_)
                 self.by_key[key] = formation
             for rank, registration in seats.items():
+                member = self.member_by_name[registration.upstream]
+                if not warming.is_warm_up(formation.group):
+                    member.had_group = True
                 if rank not in formation.members:
                     formation.members[rank] = registration.upstream
                     formation.incarnations[rank] = registration.incarnation
@@ -190,7 +203,10 @@
                     registration.seat.state
                     in (SeatState.READY, SeatState.OPEN)
                 )
-                if loaded and registration.models and not formation.model:
+                if not loaded or not registration.models:
+                    continue
+                member.warm = registration.models[0]
+                if not formation.model:
                     formation.model = registration.models[0]
             domains = {registration.domain for registration in seats.values()}
             formation.far = formation.far or len(domains) > 1
@@ -205,8 +221,9 @@
         engine = round_.engine(some.service)
         loads = [model.load for model in engine.models] if engine else []
         # A group of this term that is not held was freed before; a late
-        # order brought its member back.
+        # order brought its member back. One that only warms up is nobody's.
         own = key[1] // EPOCHS_PER_TERM == self.term
+        free = own or warming.is_warm_up(key[0])
         return formations.Formation(
             group=key[0],
             epoch=key[1],
@@ -214,7 +231,7 @@
             model="",
             members={},
             incarnations={},
-            phase=formations.Phase.FREED if own else formations.Phase.FORMING,
+            phase=formations.Phase.FREED if free else formations.Phase.FORMING,
             since=round_.now,
             deadline=round_.now
             + max(loads, default=datetime.timedelta(0))
--- a/figford/tools/enginefleet.py
+++ b/figford/tools/enginefleet.py
@@ -266,9 +266,12 @@
         held = engine.seat
         if held is None or not _is_about(order, held):
             return Result.HELD
+        # Done at once, which counts although it says no more than that.
         self._leave_seat(engine, now)
         engine.seat = None
-        return Result.BEGUN
+        engine.begun += 1
+        self.changed.append(engine)
+        return Result.HELD
 
     def _stage(
         self,
