Spares after groups, slow groups last

Cause: at the start hosts became spares while groups waited for the weight store (loads_at_once), so a domain could hold four spares of one model; and a host whose order was open did not count as a spare of its domain. Far groups (2.5 times slower) got work while near ones had room: their first tokens took 480 ms at best.

Ruled out: too few loads (the store was busy all the time), wrong shares.

Change: a bare host waits for its domain's groups first; idle engines count as spares whatever orders are open; first tokens are predicted from the engine's figures, and a far group gets work only once near ones are slower than it would be alone.

--- a/figford/forming.py
+++ b/figford/forming.py
@@ -23,6 +23,9 @@
 CAN_BE_NEAR = "fits in one domain"
 # A spare is idle this long before it changes to weights that lack.
 CHANGE_PATIENCE = datetime.timedelta(seconds=2)
+# A host without weights waits this long for neighbours that start with it,
+# before it becomes a spare.
+STAGE_PATIENCE = datetime.timedelta(milliseconds=500)
 # Groups in surplus are given up for a lacking model only when nothing has
 # changed this long, far beyond any repair.
 REBALANCE_PATIENCE = datetime.timedelta(seconds=30)
@@ -350,11 +353,11 @@
     """Loads weights onto spare hosts, so that a repair needs no load."""
     for service in sorted(round_.view.engines):
         engine = round_.view.engines[service]
-        free = round_.free(service)
-        for item in free:
-            model = _model_to_stage(item, free, engine, round_)
+        idle = round_.idle(service)
+        for item in round_.free(service):
+            model = _model_to_stage(item, idle, engine, round_)
             if model is None:
-                model = _model_to_change_to(item, service, free, round_)
+                model = _model_to_change_to(item, service, idle, round_)
             if model is None:
                 continue
             if not round_.planner.may_load(engine, 1, round_):
@@ -388,7 +391,7 @@
 def _model_to_change_to(
     item: fleetmessages.Registration,
     service: str,
-    free: list[fleetmessages.Registration],
+    idle: list[fleetmessages.Registration],
     round_: planrounds.Round,
 ) -> routes.Model | None:
     """Returns the model that a spare of another one should be ready for.
@@ -411,8 +414,8 @@
         return None
     if held[model.name] + model.size > model.share * sum(held.values()):
         return None
-    beside = [other for other in free if other.domain == item.domain]
-    idle = sum(model.name in other.staged for other in beside)
+    beside = [other for other in idle if other.domain == item.domain]
+    ready = sum(model.name in other.staged for other in beside)
     coming = sum(
         known[other.upstream].staging == model.name for other in beside
     )
@@ -425,15 +428,36 @@
         for name in formation.members.values()
         if name in round_.view.fleet
     )
-    left = idle + slow
+    left = ready + slow
     if 2 * left < model.size or left + coming >= model.size:
         return None
     return model
 
 
+def _patience_to_stage(
+    beside: list[fleetmessages.Registration],
+    engine: routes.Engine,
+    round_: planrounds.Round,
+) -> datetime.timedelta:
+    """Returns how long a bare host waits to be given a group.
+
+    Where enough of them are left in a domain for a group and a spare, the
+    group comes first: it only waits for the weight store.
+    """
+    bare = sum(
+        not other.staged
+        and not round_.planner.member_by_name[other.upstream].staging
+        for other in beside
+    )
+    least = min((model.size for model in engine.models), default=0)
+    if bare >= least + SPARES_PER_DOMAIN:
+        return LOAD_PATIENCE
+    return STAGE_PATIENCE
+
+
 def _model_to_stage(
     item: fleetmessages.Registration,
-    free: list[fleetmessages.Registration],
+    idle: list[fleetmessages.Registration],
     engine: routes.Engine,
     round_: planrounds.Round,
 ) -> routes.Model | None:
@@ -445,7 +469,11 @@
     """
     if item.staged or round_.planner.member_by_name[item.upstream].staging:
         return None
-    beside = [other for other in free if other.domain == item.domain]
+    beside = [other for other in idle if other.domain == item.domain]
+    if round_.free_for(item.upstream) < _patience_to_stage(
+        beside, engine, round_
+    ):
+        return None
     members_by_model = round_.members_by_model(item.domain)
 
     def rank(model: routes.Model) -> tuple[bool, int, bool, float, str]:
--- a/figford/placement.py
+++ b/figford/placement.py
@@ -15,6 +15,7 @@
 
 from figford import fleet as fleets
 from figford import fleetmessages
+from figford import prediction
 from figford import routes
 
 # What other entries had in progress is halved in weight in this time.
@@ -44,6 +45,7 @@
     epoch: int = 0
     # How much slower it is than a group within one fabric domain.
     slower: float = 1.0
+    first_token: prediction.FirstToken = prediction.FirstToken()
 
 
 @attrs.define
@@ -100,7 +102,10 @@
                 is_far = (item.seat.group, item.seat.epoch) in far
                 slower = engine.far_factor if is_far else 1.0
                 for model in item.models:
-                    self._add(_target(item, model, slower), model)
+                    first = prediction.first_token(
+                        engine, engine.model(model), slower
+                    )
+                    self._add(_target(item, model, slower, first), model)
         names = {item.upstream for item in present}
         for name, standing in list(self.standing_by_upstream.items()):
             if name not in names and not standing.in_progress:
@@ -150,7 +155,7 @@
             for target in open_targets
             if target.upstream not in self.silent
         ]
-        open_targets = heard or open_targets
+        open_targets = self._quick(heard or open_targets, now)
         count = min(SAMPLED_TARGETS, len(open_targets))
         near = [
             target
@@ -162,6 +167,31 @@
             sampled += self.rng.sample(near, min(SAMPLED_TARGETS, len(near)))
         return min(sampled, key=lambda target: self._cost(target, now))
 
+    def _quick(
+        self, targets: list[Target], now: datetime.timedelta
+    ) -> list[Target]:
+        """Leaves out slow groups while others answer sooner than those.
+
+        A group across domains is slow even when it has nothing to do.
+        """
+        alone_ms = [
+            target.first_token.alone_ms
+            for target in targets
+            if target.slower > 1.0
+        ]
+        if not alone_ms:
+            return targets
+        quick = [
+            target
+            for target in targets
+            if target.slower <= 1.0
+            and target.first_token.after_ms(
+                self.standing(target.upstream).expected(now)
+            )
+            <= min(alone_ms)
+        ]
+        return quick or targets
+
     @staticmethod
     def _takes(
         target: Target, standing: Standing, now: datetime.timedelta
@@ -269,7 +299,10 @@
 
 
 def _target(
-    item: fleetmessages.Registration, model: str | None, slower: float = 1.0
+    item: fleetmessages.Registration,
+    model: str | None,
+    slower: float = 1.0,
+    first_token: prediction.FirstToken = prediction.FirstToken(),
 ) -> Target:
     return Target(
         upstream=item.upstream,
@@ -281,4 +314,5 @@
         model=model,
         epoch=item.seat.epoch if item.seat else 0,
         slower=slower,
+        first_token=first_token,
     )
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -270,6 +270,18 @@
             for name in formation.members.values()
         }
 
+    def idle(self, service: str) -> list[fleetmessages.Registration]:
+        """Returns the engines without a group, also while orders are open."""
+        busy = self.busy()
+        return [
+            registration
+            for name, registration in sorted(self.view.fleet.items())
+            if registration.service == service
+            and name not in busy
+            and name not in self.view.silent
+            and not registration.leaving
+        ]
+
     def free(self, service: str) -> list[fleetmessages.Registration]:
         """Returns the engines of a service that may be given a group."""
         busy = self.busy()
--- a/figford/platform/manifest.py
+++ b/figford/platform/manifest.py
@@ -148,9 +148,19 @@
         loads_at_once=_whole(item.get("loads_at_once", 1), "loads_at_once"),
         form=_number(item.get("form_ms", 0), "form_ms") * _MILLISECOND,
         far_factor=_number(item.get("far_x", 1), "far_x"),
+        steps_per_pass=_whole(item.get("stride", 1), "stride"),
+        usual_prompt=_usual_prompt(item.get("usual")),
     )
 
 
+def _usual_prompt(usual: typing.Any) -> float:
+    if usual is None:
+        return 0.0
+    if not isinstance(usual, dict):
+        raise ValueError("usual is not an object")
+    return _number(usual.get("prompt", 0), "usual prompt")
+
+
 def _model(item: dict[str, typing.Any]) -> routes.Model:
     return routes.Model(
         name=_text(item, "name"),
--- a/figford/routes.py
+++ b/figford/routes.py
@@ -87,6 +87,10 @@
     loads_at_once: int = 1
     form: datetime.timedelta = datetime.timedelta(0)
     far_factor: float = 1.0
+    # Token steps that an engine does before it looks for new work.
+    steps_per_pass: int = 1
+    # Tokens of a usual prompt.
+    usual_prompt: float = 0.0
 
     def model(self, name: str) -> Model | None:
         """Returns a model by its name."""
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -209,6 +209,36 @@
     assert world.now - began < LARGE.warm
 
 
+def test_a_spare_with_an_open_order_is_counted_as_one() -> None:
+    world = World(seed=1)
+    world.run(40)
+    spares = {
+        engine.staged[0]: engine
+        for engine in world.spares()
+        if engine.domain == "d0"
+    }
+    world.engines.crash(spares["small"].name, world.now)
+    world.run(fleets.SILENCE.total_seconds() + 1)
+    member = world.planner.member_by_name[spares["large"].name]
+    member.pending = member.last
+    world.add("fresh", "d0")
+    world.run(20)
+    assert world.engines.by_name["fresh"].staged == ["small"]
+
+
+def test_hosts_become_spares_only_after_groups_are_begun() -> None:
+    """The weight store is slow, and a group waits for its turn."""
+    world = World(seed=1, domains=6)
+    while not world.seats("d5"):
+        world.run(0.1)
+        staged = [
+            engine
+            for engine in world.engines.by_name.values()
+            if engine.domain == "d5" and engine.staging
+        ]
+        assert not staged
+
+
 def test_a_successor_takes_spares_that_warmed_up() -> None:
     world = World(seed=1)
     world.run(40)
--- a/figford/tests/test_placement.py
+++ b/figford/tests/test_placement.py
@@ -12,7 +12,16 @@
 
 NOW = datetime.timedelta(seconds=100)
 MOMENT = datetime.timedelta(milliseconds=10)
-ENGINE = routes.Engine(slots=13, models=(), far_factor=2.5)
+ENGINE = routes.Engine(
+    slots=13,
+    models=(),
+    far_factor=2.5,
+    step_ms=6.0,
+    step_ms_per_sequence=0.5,
+    prefill_tokens_per_second=46000.0,
+    steps_per_pass=5,
+    usual_prompt=1000.0,
+)
 SEAT = fleetmessages.FleetSeat("g1", 7, 0, fleetmessages.SeatState.OPEN)
 
 
@@ -119,3 +128,19 @@
     assert slower == {"u1": 2.5, "u3": 1.0}
     chosen = {made.choose("pool", "m", (), NOW).upstream for _ in range(20)}
     assert chosen == {"u3"}
+
+
+def test_a_group_that_spans_domains_is_used_once_others_are_full() -> None:
+    """Even idle it answers later than others that are nearly full."""
+    other = attrs.evolve(SEAT, group="g2")
+    made = placed(
+        head("u1", domain="d1", slots=13),
+        head("u2", seat=attrs.evolve(SEAT, rank=1), domain="d2"),
+        head("u3", seat=other, domain="d1", slots=13),
+    )
+    chosen = []
+    for _ in range(16):
+        target = made.choose("pool", "m", (), NOW)
+        made.started(target, NOW)
+        chosen.append(target.upstream)
+    assert chosen == ["u3"] * 13 + ["u1"] * 3
--- /dev/null
+++ b/figford/tests/test_prediction.py
@@ -0,0 +1,37 @@
+"""First tokens are predicted from the figures of an engine."""
+
+import datetime
+
+import pytest
+
+from figford import prediction
+from figford import routes
+
+SECOND = datetime.timedelta(seconds=1)
+MODEL = routes.Model("small", 2, 0.33, 0.5, SECOND, SECOND)
+ENGINE = routes.Engine(
+    slots=13,
+    models=(MODEL,),
+    step_ms=6.0,
+    step_ms_per_sequence=0.5,
+    prefill_tokens_per_second=50000.0,
+    steps_per_pass=4,
+    usual_prompt=1000.0,
+)
+
+
+def test_a_request_alone_waits_for_its_prompt_and_passes() -> None:
+    found = prediction.first_token(ENGINE, None, 1.0)
+    assert found.alone_ms == pytest.approx(1.5 * 4 * 6.5 + 20)
+    assert found.after_ms(10) == pytest.approx(found.alone_ms + 30)
+
+
+def test_pace_and_span_of_members_count() -> None:
+    alone = prediction.first_token(ENGINE, None, 1.0).alone_ms
+    found = prediction.first_token(ENGINE, MODEL, 2.5)
+    assert found.alone_ms == pytest.approx(alone * 0.5 * 2.5)
+
+
+def test_an_engine_without_figures_predicts_nothing() -> None:
+    engine = routes.Engine(slots=13, models=())
+    assert prediction.first_token(engine, None, 1.0).after_ms(5) == 0
