Half-ordered groups of a planner before are freed

Ruled out: a lost order (the others were never sent).

Change: an adopted group whose members are ready and too few after 2.5 s is given up.

The test failed before.

--- a/figford/formations.py
+++ b/figford/formations.py
@@ -115,6 +115,8 @@
     loads: int = 0
     # Whether its work is lost anyway and need not be waited for.
     abort: bool = False
+    # Whether another planner formed it, so that its list is not known.
+    adopted: bool = False
 
     @property
     def head(self) -> str:
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -24,6 +24,9 @@
 TAKEOVER_WAIT = datetime.timedelta(milliseconds=600)
 # Loads are counted over this window against the weight store's rate.
 LOAD_WINDOW = datetime.timedelta(seconds=5)
+# Members of a group that another planner was forming report within this
+# time; reports come every 1.2 s.
+ADOPTION_WAIT = datetime.timedelta(milliseconds=2500)
 EPOCHS_PER_TERM = 1 << 20
 # What an upstream says of its orders is at most this old.
 COUNT_LAG = datetime.timedelta(milliseconds=400)
@@ -236,6 +239,7 @@
             deadline=round_.now
             + max(loads, default=datetime.timedelta(0))
             + formations.FORMING_SLACK,
+            adopted=True,
         )
 
     # ---- One group ------------------------------------------------------
@@ -271,6 +275,25 @@
         size = round_.size(formation)
         if size and len(formation.members) == size:
             self._order_missing(formation, size, round_)
+        elif self._never_whole(formation, size, round_):
+            self.give_up(formation, "not all were asked to join", round_)
+
+    def _never_whole(
+        self,
+        formation: formations.Formation,
+        size: int,
+        round_: planrounds.Round,
+    ) -> bool:
+        """Returns whether the planner before ended amid its orders.
+
+        Once some members are ready, the model and with it the size is
+        known, and the others would have reported by now.
+        """
+        return (
+            formation.adopted
+            and round_.now - formation.since >= ADOPTION_WAIT
+            and len(formation.members) < size
+        )
 
     def _order_missing(
         self,
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -209,6 +209,34 @@
     assert world.now - began < LARGE.warm
 
 
+def test_a_successor_frees_members_of_a_group_half_ordered() -> None:
+    """Its predecessor ended between its orders to join."""
+    world = World(seed=1)
+    world.run(40)
+    spare = next(e for e in world.spares() if e.staged == ["large"])
+    order = formations.GroupOrder(
+        upstream=spare.name,
+        incarnation=1,
+        address=spare.address,
+        action=formations.Action.JOIN,
+        fence=1,
+        expected=None,
+        group="half",
+        epoch=world.planner.next_epoch(),
+        model="large",
+        members=(spare.name, "x1", "x2", "x3"),
+    )
+    world.engines.order(order, world.now)
+    world.replace_planner()
+    world.run(5)
+    assert spare.name in {
+        name
+        for item in world.planner.by_key.values()
+        if item.phase is formations.Phase.FREED
+        for name in item.members.values()
+    } or spare.seat is None
+
+
 def test_a_spare_with_an_open_order_is_counted_as_one() -> None:
     world = World(seed=1)
     world.run(40)
