Fault soak: relays harm the ways to upstreams; mechanisms switched off

Connections to upstreams, and their reports, go by loopback relays that delay, reset, silence or cut them one way while processes are killed, paused and stopped. The stand-in has a second plain upstream, as a repeat needs one. The fakes of the experiments no longer have the name of a module of Python's own.

--- a/figford/tests/platform/faultsoak.py
+++ b/figford/tests/platform/faultsoak.py
@@ -2,9 +2,11 @@
 
 Controllers, entries and stand-in upstreams run as separate processes on
 loopback addresses. Callers and an operator keep working while processes are
-killed, paused, stopped and started again, in series that overlap. What the
-promises say is checked while it runs, by what callers and upstreams see.
-Same seed, same series of faults; the interleaving is the machine's.
+killed, paused, stopped and started again, in series that overlap, and while
+relays delay, reset, silence or cut one way what goes to upstreams and what
+they report. What the promises say is checked while it runs, by what callers
+and upstreams see. Same seed, same series of faults; the interleaving is the
+machine's.
 """
 
 import collections
@@ -19,6 +21,7 @@
 import attrs
 import typer
 
+from figford.tests.platform import relay
 from figford.tests.platform import test_processes
 
 ENTRIES = ("127.0.0.21", "127.0.0.22")
@@ -26,6 +29,9 @@
 STREAM = [b"id: %d" % number for number in range(1, 7)]
 PAUSE_SECONDS = (0.2, 4.0)
 BETWEEN_FAULTS_SECONDS = (0.3, 2.5)
+BETWEEN_HARMS_SECONDS = (0.1, 1.5)
+# One connection's way, some of them, or all.
+SHARES_HARMED = (0.15, 0.5, 1.0)
 # Repeats of a call wait this long, and entries take this long to notice.
 SETTLED_SECONDS = 12.0
 ACKNOWLEDGED_IN_FORCE_SECONDS = 5.0
@@ -62,12 +68,14 @@
     ledger: Ledger = attrs.field(factory=Ledger)
     rng: random.Random = attrs.field(init=False)
     over: threading.Event = attrs.field(factory=threading.Event)
+    relays: relay.Relays = attrs.field(init=False)
     disk_lost_at: float = -1e9
     _attempts: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Seeds the faults."""
         self.rng = random.Random(self.seed)
+        self.relays = relay.Relays(self.running.relays())
 
     # ---- Callers --------------------------------------------------------
 
@@ -184,6 +192,22 @@
             case _:
                 self.signal(name, signal.SIGHUP)
 
+    def harm_on(self) -> None:
+        """Harms connections to and from upstreams until the run is over."""
+        rng = random.Random(f"{self.seed}/relays")
+        while not self.over.wait(rng.uniform(*BETWEEN_HARMS_SECONDS)):
+            share = rng.choice(SHARES_HARMED)
+            harm = rng.choice([item for item in relay.Harm])
+            harmed = [
+                item for item in self.relays.relays if rng.random() < share
+            ]
+            for item in harmed:
+                self.relays.do(item, harm)
+            self.ledger.outcomes[f"relays {harm.value}"] += len(harmed)
+            self.over.wait(rng.uniform(*PAUSE_SECONDS))
+            for item in harmed:
+                self.relays.do(item, relay.Harm.NONE)
+
     def start(self, name: str) -> None:
         """Starts a process that ended."""
         self.running.start(name, founding=False)
@@ -207,6 +231,7 @@
         """Runs callers, operator and faults; raises PromiseBroken."""
         for name in (*CONTROLLERS, *ENTRIES):
             self.running.start(name)
+        self.relays.start()
         self.running.start_upstreams()
         self.running.submit(test_processes.manifest(3))
         self.running.served("/ask/x", Figford_Model="large")
@@ -215,6 +240,7 @@
             for number in range(4)
         ]
         workers.append(threading.Thread(target=self.operate))
+        workers.append(threading.Thread(target=self.harm_on))
         for worker in workers:
             worker.start()
         end = time.monotonic() + seconds
@@ -222,6 +248,7 @@
             while time.monotonic() < end and not self.ledger.broken:
                 time.sleep(self.rng.uniform(*BETWEEN_FAULTS_SECONDS))
                 self.fault()
+                self.look_for_repeats()
         finally:
             self.over.set()
             for worker in workers:
@@ -231,12 +258,17 @@
             raise PromiseBroken("; ".join(self.ledger.broken[:5]))
         return self.ledger
 
-    def check_end(self) -> None:
-        """Compares what was told with what upstreams ran and disks hold."""
+    def look_for_repeats(self) -> dict[str, int]:
+        """Returns what upstreams ran; no call may have run twice."""
         runs = self.running.runs()
         for attempt, count in runs.items():
             if count > 1:
                 self.ledger.fail(f"{attempt} ran {count} times")
+        return runs
+
+    def check_end(self) -> None:
+        """Compares what was told with what upstreams ran and disks hold."""
+        runs = self.look_for_repeats()
         for attempt in self.ledger.refused:
             if runs.get(attempt):
                 self.ledger.fail(f"{attempt} was called not run, and ran")
@@ -250,12 +282,24 @@
             self.ledger.fail("the newest acknowledged version is lost")
 
 
-def soak(seed: int, seconds: float, folder: pathlib.Path) -> Ledger:
-    """Runs one seed in a folder of its own."""
-    running = test_processes.Running(folder, entries=ENTRIES)
+def soak(
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    program: str = "figford.platform",
+) -> Ledger:
+    """Runs one seed in a folder of its own; `program` runs as each process.
+
+    Raises PromiseBroken.
+    """
+    running = test_processes.Running(
+        folder, entries=ENTRIES, program=program, relayed=True
+    )
+    made = Soak(seed, running)
     try:
-        return Soak(seed, running).run(seconds)
+        return made.run(seconds)
     finally:
+        made.relays.end()
         running.end()
 
 
--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -29,6 +29,9 @@
 
 BEAT_SECONDS = 0.3
 STEP_SECONDS = 0.05
+HOST = "127.0.0.1"
+ENGINES = 4
+PLAIN = 2
 EVENTS = 6
 EVENT_SECONDS = 0.02
 SECOND = datetime.timedelta(seconds=1)
@@ -211,13 +214,13 @@
     fleet: enginefleet.EngineFleet
     controllers: list[str]
     agent: client.Agent
+    port: int
     runs: list[str | None] = attrs.field(factory=list)
     turn: int = 0
 
     def start(self) -> None:
         """Listens and begins to report."""
-        host, _, port = self.engine.address.partition(":")
-        reactor.listenTCP(int(port), UpstreamFactory(self), interface=host)
+        reactor.listenTCP(self.port, UpstreamFactory(self), interface=HOST)
         task.LoopingCall(self.beat).start(BEAT_SECONDS)
 
     def beat(self) -> None:
@@ -237,27 +240,32 @@
         self.turn += 1
 
 
-def main(controllers: list[str]) -> None:
-    """Runs four engines in one domain and one plain upstream."""
+def main(arguments: list[str]) -> None:
+    """Runs four engines in one domain and two plain upstreams.
+
+    The arguments are the first port to listen on, the first that is
+    reported, which relays may pass on, and the controllers' addresses.
+    """
+    first_port, first_reported, *controllers = arguments
     fleet = enginefleet.EngineFleet(MODELS, random.Random(1))
     pool = client.HTTPConnectionPool(reactor)
     agent = client.Agent(reactor, connectTimeout=1, pool=pool)
     born = int(time.time() * 1000)
-    first_port = int(controllers.pop(0))
     ups = []
-    for index in range(5):
-        plain = index == 4
+    for index in range(ENGINES + PLAIN):
+        plain = index >= ENGINES
         engine = enginefleet.Engine(
             name=f"u{index}",
             service="app" if plain else "pool",
             domain="" if plain else "d1",
             data_centre="here",
-            address=f"127.0.0.1:{first_port + index}",
+            address=f"{HOST}:{int(first_reported) + index}",
             incarnation=born,
         )
         if not plain:
             fleet.add(engine)
-        ups.append(Upstream(engine, plain, fleet, controllers, agent))
+        port = int(first_port) + index
+        ups.append(Upstream(engine, plain, fleet, controllers, agent, port))
 
     def step() -> None:
         fleet.advance(now())
--- a/figford/tests/platform/test_faultsoak.py
+++ b/figford/tests/platform/test_faultsoak.py
@@ -4,8 +4,11 @@
 
 from figford.tests.platform import faultsoak
 from figford.tests.platform import test_processes
+from figford.tests.platform import unsafe
 
 SECONDS = 8.0
+# Far longer than a run takes to find what is wrong; it ends at the finding.
+LONGEST_SECONDS = 120.0
 
 
 def test_promises_hold_under_faults(tmp_path) -> None:
@@ -14,6 +17,15 @@
     assert ledger.outcomes["stream 200"] and ledger.outcomes["call 200"]
 
 
+@pytest.mark.parametrize("mechanism", ["run-once", "stored-first"])
+def test_a_mechanism_switched_off_is_found(
+    mechanism, tmp_path, monkeypatch
+) -> None:
+    monkeypatch.setenv(unsafe.MECHANISM_VARIABLE, mechanism)
+    with pytest.raises(faultsoak.PromiseBroken):
+        faultsoak.soak(1, LONGEST_SECONDS, tmp_path, unsafe.__name__)
+
+
 @pytest.fixture(name="soak")
 def fixture_soak(tmp_path, monkeypatch):
     running = test_processes.Running(tmp_path)
--- a/figford/tests/platform/test_processes.py
+++ b/figford/tests/platform/test_processes.py
@@ -1,5 +1,6 @@
 """Controllers, entries and stand-in upstreams as separate processes."""
 
+import collections
 import contextlib
 import http.client
 import json
@@ -15,6 +16,8 @@
 import attrs
 import pytest
 
+from figford.tests.platform import relay
+from figford.tests.platform import standin
 from figford.tests.platform import test_manifest
 from figford.tools import deployment
 
@@ -48,7 +51,7 @@
         "version": version,
         "routes": [
             route | {"path_prefix": "/ask/", "service": "pool"},
-            call | {"path_prefix": prefix},
+            call | {"path_prefix": prefix, "max_attempts": 2},
         ],
         "services": [base["services"][0] | {"engine": engine}]
         + base["services"][1:],
@@ -74,6 +77,10 @@
     by_ip: dict[str, subprocess.Popen] = attrs.field(factory=dict)
     attempts: int = 0
     entries: tuple[str, ...] = (ENTRY,)
+    # The module that runs as each process.
+    program: str = "figford.platform"
+    # Whether upstreams are reached, and report, by relays.
+    relayed: bool = False
 
     def start(self, ip: str, founding: bool = True) -> None:
         """Starts a controller or an entry."""
@@ -100,7 +107,7 @@
         environment = os.environ | {"FIGFORD_NODE_FILE": str(file)}
         with open(self.folder / f"{ip}.log", "ab") as log:
             self.by_ip[ip] = subprocess.Popen(
-                [sys.executable, "-m", "figford.platform", role],
+                [sys.executable, "-m", self.program, role],
                 stdout=log,
                 stderr=log,
                 env=environment,
@@ -108,7 +115,9 @@
 
     def start_upstreams(self) -> None:
         """Starts the stand-in upstreams."""
-        addresses = [f"{ip}:{self.ports[0]}" for ip in CONTROLLERS]
+        reported = self.ports[5] if self.relayed else self.ports[4]
+        control = self.ports[6] if self.relayed else self.ports[0]
+        addresses = [f"{ip}:{control}" for ip in CONTROLLERS]
         with open(self.folder / "standin.log", "ab") as log:
             self.by_ip["standin"] = subprocess.Popen(
                 [
@@ -116,12 +125,26 @@
                     "-m",
                     "figford.tests.platform.standin",
                     str(self.ports[4]),
+                    str(reported),
                     *addresses,
                 ],
                 stdout=log,
                 stderr=log,
             )
 
+    def relays(self) -> list[relay.Relay]:
+        """Returns relays to all upstreams and to the controllers' pages."""
+        upstreams = [
+            relay.Relay(
+                standin.HOST, self.ports[5] + index, self.ports[4] + index
+            )
+            for index in range(standin.ENGINES + standin.PLAIN)
+        ]
+        controllers = [
+            relay.Relay(ip, self.ports[6], self.ports[0]) for ip in CONTROLLERS
+        ]
+        return upstreams + controllers
+
     def kill(self, ip: str) -> None:
         """Kills one process at once."""
         process = self.by_ip.pop(ip)
@@ -179,9 +202,13 @@
         return json.loads(found.body) if served else None
 
     def runs(self) -> dict[str, int]:
-        """Returns how often the plain upstream ran each attempt."""
-        address = f"127.0.0.1:{self.ports[4] + 4}"
-        return json.loads(self.call(address, "GET", "/runs").body)
+        """Returns how often plain upstreams ran each attempt."""
+        total: collections.Counter[str] = collections.Counter()
+        for index in range(standin.PLAIN):
+            port = self.ports[4] + standin.ENGINES + index
+            answer = self.call(f"{standin.HOST}:{port}", "GET", "/runs")
+            total.update(json.loads(answer.body))
+        return total
 
     def ask(self, path: str, **headers: str) -> Answer | None:
         """Returns what a caller gets from the entry."""
--- /dev/null
+++ b/figford/tests/platform/unsafe.py
@@ -0,0 +1,50 @@
+"""The platform's programs with one mechanism switched off.
+
+The fault soak must find what breaks then.
+"""
+
+import os
+import sys
+
+from figford import controllerdaemon
+from figford.platform import __main__ as program
+from figford.platform import controlpages
+from figford import routes
+
+MECHANISM_VARIABLE = "FIGFORD_TEST_WITHOUT"
+# What a run of the soak submits before its faults begin.
+FIRST_VERSION = 3
+
+
+def repeat_everything() -> None:
+    """Repeats calls after failures though they may have run."""
+    routes.Route.repeatable = property(lambda self: True)
+
+
+def acknowledge_at_once() -> None:
+    """Acknowledges versions after the first, which never reach the log."""
+    store = controllerdaemon.ControllerDaemon.store
+
+    def acknowledge(
+        daemon: controllerdaemon.ControllerDaemon,
+        version: int,
+        packed: bytes,
+        reply: controlpages.Reply,
+    ) -> None:
+        if version <= FIRST_VERSION:
+            store(daemon, version, packed, reply)
+        else:
+            reply(None, b"")
+
+    controllerdaemon.ControllerDaemon.store = acknowledge
+
+
+WITHOUT = {
+    "run-once": repeat_everything,
+    "stored-first": acknowledge_at_once,
+}
+
+
+if __name__ == "__main__":
+    WITHOUT[os.environ[MECHANISM_VARIABLE]]()
+    sys.exit(program.main(sys.argv[1:]))
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -229,12 +229,16 @@
     world.engines.order(order, world.now)
     world.replace_planner()
     world.run(5)
-    assert spare.name in {
-        name
-        for item in world.planner.by_key.values()
-        if item.phase is formations.Phase.FREED
-        for name in item.members.values()
-    } or spare.seat is None
+    assert (
+        spare.name
+        in {
+            name
+            for item in world.planner.by_key.values()
+            if item.phase is formations.Phase.FREED
+            for name in item.members.values()
+        }
+        or spare.seat is None
+    )
 
 
 def test_a_spare_with_an_open_order_is_counted_as_one() -> None:
--- a/figford/tools/experiment.py
+++ b/figford/tools/experiment.py
@@ -23,7 +23,7 @@
 from figford import messages
 from figford import operators
 from figford import repair
-from figford.tools import platform
+from figford.tools import surroundings
 
 STEP_SECONDS = 0.5
 GROUP_SIZE = 4
@@ -210,8 +210,10 @@
     hold_seconds: float
     engines: dict[str, Engine] = attrs.field(factory=dict)
     tally: Tally = attrs.field(factory=Tally)
-    store: platform.FakeWeightStore = attrs.field(
-        factory=lambda: platform.FakeWeightStore(STORE_GIGABYTES_PER_SECOND)
+    store: surroundings.FakeWeightStore = attrs.field(
+        factory=lambda: surroundings.FakeWeightStore(
+            STORE_GIGABYTES_PER_SECOND
+        )
     )
     _loading_until: list[float] = attrs.field(factory=list)
     _started: int = 0
--- a/figford/tools/platform.py
+++ b/figford/tools/surroundings.py
@@ -1,4 +1,4 @@
-"""Fakes of what the platform gives: weight store, cache events, KV cache."""
+"""Fakes around an instance: weight store, cache events, KV cache."""
 
 import datetime
 import random
