--- a/figford/tests/platform/faultsoak.py
+++ b/figford/tests/platform/faultsoak.py
@@ -22,6 +22,7 @@
 import typer
 
 from figford.tests.platform import relay
+from figford.tests.platform import standin
 from figford.tests.platform import test_processes
 
 ENTRIES = ("127.0.0.21", "127.0.0.22")
@@ -249,6 +250,7 @@
                 time.sleep(self.rng.uniform(*BETWEEN_FAULTS_SECONDS))
                 self.fault()
                 self.look_for_repeats()
+                self.look_for_broken_groups()
         finally:
             self.over.set()
             for worker in workers:
@@ -266,8 +268,15 @@
                 self.ledger.fail(f"{attempt} ran {count} times")
         return runs
 
+    def look_for_broken_groups(self) -> None:
+        """Reads what upstreams say of orders that must never be."""
+        for line in self.running.said("standin"):
+            if line.startswith(standin.BROKEN):
+                self.ledger.fail(line)
+
     def check_end(self) -> None:
         """Compares what was told with what upstreams ran and disks hold."""
+        self.look_for_broken_groups()
         runs = self.look_for_repeats()
         for attempt in self.ledger.refused:
             if runs.get(attempt):
--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -30,6 +30,8 @@
 BEAT_SECONDS = 0.3
 STEP_SECONDS = 0.05
 HOST = "127.0.0.1"
+# Begins a line for an order that leads to what must never be.
+BROKEN = "invariant broken"
 ENGINES = 4
 PLAIN = 2
 EVENTS = 6
@@ -141,7 +143,11 @@
             model=item.get("model", ""),
             members=tuple(item.get("members", ())),
         )
-        result = upstream.fleet.order(order, now())
+        try:
+            result = upstream.fleet.order(order, now())
+        except enginefleet.InvariantBroken as error:
+            print(f"{BROKEN}: {error}", flush=True)
+            result = formations.Result.REFUSED
         self._answer(_STATUS[result], {})
 
     def _serve(self, upstream: "Upstream") -> None:
--- a/figford/tests/platform/test_faultsoak.py
+++ b/figford/tests/platform/test_faultsoak.py
@@ -3,6 +3,7 @@
 import pytest
 
 from figford.tests.platform import faultsoak
+from figford.tests.platform import standin
 from figford.tests.platform import test_processes
 from figford.tests.platform import unsafe
 
@@ -54,6 +55,13 @@
     assert "a3 was answered and did not run" in soak.ledger.broken
 
 
+def test_an_order_that_must_not_be_is_found(soak) -> None:
+    said = f"{standin.BROKEN}: e1 is taken from g1"
+    (soak.running.folder / "standin.log").write_text(f"started\n{said}\n")
+    soak.check_end()
+    assert said in soak.ledger.broken
+
+
 def test_a_lost_version_is_found(soak) -> None:
     soak.ledger.acknowledged = 9
     soak.check_end()
--- a/figford/tests/platform/test_processes.py
+++ b/figford/tests/platform/test_processes.py
@@ -145,6 +145,11 @@
         ]
         return upstreams + controllers
 
+    def said(self, name: str) -> list[str]:
+        """Returns the lines that a process wrote."""
+        file = self.folder / f"{name}.log"
+        return file.read_text().splitlines() if file.exists() else []
+
     def kill(self, ip: str) -> None:
         """Kills one process at once."""
         process = self.by_ip.pop(ip)
