--- /dev/null
+++ b/figford/tests/test_warming.py
@@ -0,0 +1,46 @@
+"""Spares that joined ahead shorten the repairs of a day with many losses."""
+
+import pytest
+
+from figford import warming
+from figford.tests import test_groupplanner
+
+SEEDS = (1, 2, 3, 4)
+# As on recorded days of high load: one loss every 3 s, a host for it later.
+LOSSES = 10
+BETWEEN_LOSSES_SECONDS = 3.0
+UNTIL_DOUBTED_SECONDS = 0.8
+STEP_SECONDS = 0.1
+
+
+def group_seconds(seed: int) -> float:
+    """Returns how long all large groups served together."""
+    world = test_groupplanner.World(seed=seed, domains=6)
+    world.run(50)
+    served = 0.0
+    steps = int(BETWEEN_LOSSES_SECONDS / STEP_SECONDS)
+    for number in range(LOSSES):
+        names = sorted(world.engines.by_name)
+        victim = world.engines.by_name[world.rng.choice(names)]
+        world.engines.crash(victim.name, world.now)
+        world.add(f"new{number:02}", victim.domain)
+        for step in range(steps):
+            world.run(STEP_SECONDS)
+            served += world.engines.serving("large") * STEP_SECONDS
+            if step * STEP_SECONDS >= UNTIL_DOUBTED_SECONDS and victim.seat:
+                world.doubted = {victim.seat.members[0]}
+    return served
+
+
+def test_a_day_of_losses_serves_longer_with_spares_that_joined(
+    monkeypatch,
+) -> None:
+    served = [group_seconds(seed) for seed in SEEDS]
+    monkeypatch.setattr(warming, "warm", lambda round_: None)
+    without = [group_seconds(seed) for seed in SEEDS]
+    assert sum(served) > sum(without)
+
+
+@pytest.mark.parametrize("group", ["g1", "warmer", ""])
+def test_other_groups_are_not_taken_for_warm_ups(group) -> None:
+    assert not warming.is_warm_up(group)
