--- a/figford/tests/test_warming.py
+++ b/figford/tests/test_warming.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from figford import warming
 from figford.tests import test_groupplanner
+from figford import warming
 
 SEEDS = (1, 2, 3, 4)
 # As on recorded days of high load: one loss every 3 s, a host for it later.
