Controller: log only orders that failed, closed or left

One line for each successful order fills most of what is kept of the planning controller's log, so that the time before a fault is lost. Orders to join, open and stage that succeeded are now only counted, since the events of groups tell of them. Orders to leave and to close are always logged: they change who may be moved.

The counter of orders names the action as well as the result, for example order-leave-held in place of order-held.

--- a/figford/controllerdaemon.py
+++ b/figford/controllerdaemon.py
@@ -40,6 +40,10 @@
 # After SIGTERM, this controller keeps answering for this long while
 # others take over.
 STOP_DELAY = datetime.timedelta(milliseconds=300)
+# Orders to join, open and stage are logged only if they did not succeed; the
+# events of groups tell of the others.
+LOGGED_ACTIONS = (formations.Action.CLOSE, formations.Action.LEAVE)
+SUCCESSES = (formations.Result.BEGUN, formations.Result.HELD)
 
 ReadTable = typing.Callable[[bytes], routes.RouteTable]
 Reply = typing.Callable[[errors.Refusal | None, bytes], None]
@@ -387,18 +391,19 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         order = self.order
-        _log.info(
-            "order ended",
-            upstream=order.upstream,
-            action=order.action.value,
-            group=order.group,
-            epoch=order.epoch,
-            fence=order.fence,
-            expected=order.expected,
-            status=self._status,
-            result=result.value,
-        )
-        self.daemon.metrics.event(f"order-{result.value}")
+        if order.action in LOGGED_ACTIONS or result not in SUCCESSES:
+            _log.info(
+                "order ended",
+                upstream=order.upstream,
+                action=order.action.value,
+                group=order.group,
+                epoch=order.epoch,
+                fence=order.fence,
+                expected=order.expected,
+                status=self._status,
+                result=result.value,
+            )
+        self.daemon.metrics.event(f"order-{order.action.value}-{result.value}")
         self.daemon.state.order_ended(order, result, self.daemon.clock.now())
 
 
--- /dev/null
+++ b/figford/tests/test_controllerdaemon.py
@@ -0,0 +1,106 @@
+"""What a controller logs and counts of orders."""
+
+import pathlib
+
+import attrs
+import logbook
+import pytest
+from twisted.internet import testing
+
+from figford import controller
+from figford import controllerdaemon
+from figford import exchanges
+from figford import formations
+from figford import nodesettings
+from figford.platform import dialect
+from figford.platform import ordering
+from figford import wire
+
+Action = formations.Action
+ORDER = formations.GroupOrder(
+    upstream="u1",
+    incarnation=1,
+    address="10.0.0.1:80",
+    action=Action.JOIN,
+    fence=4,
+    expected=2,
+    group="g7",
+    epoch=12,
+    model="m1",
+    members=("u1",),
+)
+
+
+@attrs.define(eq=False)
+class Pool:
+    """Answers every exchange with one status."""
+
+    status: int
+
+    def send(self, address: str, exchange: exchanges.Exchange) -> None:
+        """Answers an exchange at once."""
+        exchange.receiver.answer_began(wire.AnswerHead(self.status, []))
+        exchange.receiver.answer_ended()
+
+
+@pytest.fixture
+def daemon(tmp_path: pathlib.Path) -> controllerdaemon.ControllerDaemon:
+    config = nodesettings.NodeSettings(
+        instance="127.0.0.1",
+        name="c1",
+        data_centre="dc",
+        links_address="127.0.0.1:7342",
+        seeds=(),
+        links_port=7340,
+        data_folder=str(tmp_path / "data"),
+    )
+    return controllerdaemon.ControllerDaemon(
+        config,
+        pathlib.Path("boot.json"),
+        lambda path: config,
+        testing.MemoryReactorClock(),
+        dialect=dialect.PlatformDialect(),
+        orders=ordering,
+        read_table=lambda packed: None,
+        pages_factory=lambda state, reactor: None,
+    )
+
+
+def counted(daemon: controllerdaemon.ControllerDaemon) -> dict[str, float]:
+    """Returns the counts of all events."""
+    return {
+        labels["event"]: value
+        for labels, value in daemon.metrics.events.get_all()
+    }
+
+
+@pytest.mark.parametrize(
+    "action, status, event, logged",
+    [
+        (Action.JOIN, 202, "order-join-begun", False),
+        (Action.OPEN, 200, "order-open-held", False),
+        (Action.STAGE, 202, "order-stage-begun", False),
+        (Action.CLOSE, 202, "order-close-begun", True),
+        (Action.LEAVE, 200, "order-leave-held", True),
+        (Action.JOIN, 503, "order-join-unknown", True),
+        (Action.STAGE, 409, "order-stage-refused", True),
+    ],
+)
+def test_orders_are_counted_and_changes_and_failures_are_logged(
+    daemon: controllerdaemon.ControllerDaemon,
+    action: Action,
+    status: int,
+    event: str,
+    logged: bool,
+) -> None:
+    daemon.pool = Pool(status)
+    order = attrs.evolve(ORDER, action=action)
+    with logbook.TestHandler() as handler:
+        daemon.carry_out([controller.SendGroupOrder(order)])
+    assert counted(daemon) == {event: 1}
+    lines = [
+        record.kwargs
+        for record in handler.records
+        if record.msg == "order ended"
+    ]
+    assert [line["action"] for line in lines] == [action.value] * logged
