Planner: causes of changes of groups are an enum and are counted

figford_events_total counted changes of groups by event only. It now counts them by event and cause, for example group-freed-head-lost. The set of values is bounded: ids of lost members stay in the logged cause, whose text is as before, and are not part of what is counted.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -559,6 +559,7 @@
                     ("epoch", note.epoch),
                     ("cause", note.detail),
                 ),
+                note.cause.value if note.cause is not None else "",
             )
             for note in notes
         ]
--- a/figford/effects.py
+++ b/figford/effects.py
@@ -67,10 +67,11 @@
 
 @attrs.frozen
 class StateChanged:
-    """A change of state that is logged."""
+    """A change of state that is logged, and counted by event and kind."""
 
     event: str
     detail: tuple[tuple[str, object], ...] = ()
+    kind: str = ""
 
 
 @attrs.frozen
--- a/figford/formations.py
+++ b/figford/formations.py
@@ -99,6 +99,28 @@
     FREED = "freed"
 
 
+class Cause(enum.Enum):
+    """Why a group changed its phase; counted, so no value holds an id."""
+
+    OPEN = "open"
+    HEAD_REPORTS_AGAIN = "head reports again"
+    HEAD_BROKEN = "head broken"
+    HEAD_CLOSING = "head closing"
+    LOST_BEFORE_OPEN = "lost before open"
+    DEADLINE = "not open before the deadline"
+    NOT_ALL_ORDERED = "not all members were ordered to join"
+    HEAD_IS_SILENT = "head silent"
+    HEAD_NOT_OPEN = "head not open"
+    MEMBER_LEAVING = "member leaving"
+    MEMBER_LOST = "member lost"
+    HEAD_RETURNED = "head reports again after release"
+    FITS_IN_ONE_DOMAIN = "fits in one domain"
+    MODEL_IN_SURPLUS = "model in surplus"
+    HEAD_ENDED = "head ended"
+    BROKEN = "broken"
+    HEAD_LOST = "head lost"
+
+
 @attrs.define
 class Formation:
     """A group with one name and epoch; rank 0 in `members` is the head."""
@@ -112,7 +134,7 @@
     phase: Phase
     since: datetime.timedelta
     deadline: datetime.timedelta
-    reason: str = ""
+    cause: Cause | None = None
     spans_domains: bool = False
     loads: int = 0
     # Whether to close without waiting for requests in progress, which are
@@ -155,9 +177,13 @@
 
 @attrs.frozen
 class Note:
-    """A change of a group that is logged."""
+    """A change of a group that is logged and counted by event and cause.
+
+    `detail` is the text that is logged as the cause.
+    """
 
     event: str
     group: str
     epoch: int
     detail: str
+    cause: Cause | None = None
--- a/figford/forming.py
+++ b/figford/forming.py
@@ -21,7 +21,6 @@
 # A group that spans domains serves at least this long before it is dissolved
 # to form again within one domain.
 CONSOLIDATION_WAIT = datetime.timedelta(seconds=2)
-FITS_IN_ONE_DOMAIN = "fits in one domain"
 # A spare must be idle this long before it stages the weights of a model that
 # lacks a group.
 SPARE_CHANGE_WAIT = datetime.timedelta(seconds=2)
@@ -91,7 +90,8 @@
             if formation.service == service
         ]
         if any(
-            item.reason == FITS_IN_ONE_DOMAIN and _is_dissolving(item)
+            item.cause is formations.Cause.FITS_IN_ONE_DOMAIN
+            and _is_dissolving(item)
             for item in groups
         ):
             continue
@@ -103,7 +103,7 @@
         for formation in groups:
             if _fits_in_one_domain(formation, engine, ready, round_):
                 round_.planner.begin_dissolving(
-                    formation, FITS_IN_ONE_DOMAIN, round_
+                    formation, formations.Cause.FITS_IN_ONE_DOMAIN, round_
                 )
                 break
 
@@ -202,7 +202,9 @@
         lacking = by_shortfall(allocated, engine)[0].name
         for name in chosen.members.values():
             round_.planner.member_by_name[name].reserved_for = lacking
-        round_.planner.begin_dissolving(chosen, "model in surplus", round_)
+        round_.planner.begin_dissolving(
+            chosen, formations.Cause.MODEL_IN_SURPLUS, round_
+        )
 
 
 def _form_one(
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -31,7 +31,6 @@
 EPOCHS_PER_TERM = 1 << 20
 # An upstream's reported count of orders is at most this old.
 COUNT_LAG = datetime.timedelta(milliseconds=400)
-HEAD_IS_SILENT = "head silent"
 
 
 @attrs.define
@@ -268,27 +267,40 @@
         head = round_.seat_state(formation, 0)
         if head is SeatState.OPEN:
             self._set_phase(
-                formation, formations.Phase.SERVING, "open", round_
+                formation,
+                formations.Phase.SERVING,
+                formations.Cause.OPEN,
+                round_,
             )
             return
-        if head in (SeatState.BROKEN, SeatState.CLOSING):
-            self.begin_dissolving(formation, f"head {head.value}", round_)
+        if head is SeatState.BROKEN:
+            self.begin_dissolving(
+                formation, formations.Cause.HEAD_BROKEN, round_
+            )
+            return
+        if head is SeatState.CLOSING:
+            self.begin_dissolving(
+                formation, formations.Cause.HEAD_CLOSING, round_
+            )
             return
         lost = round_.lost_members(formation)
-        if lost or round_.now >= formation.deadline:
-            reason = (
-                f"lost {','.join(lost)}"
-                if lost
-                else "not open before the deadline"
+        if lost:
+            self.begin_dissolving(
+                formation,
+                formations.Cause.LOST_BEFORE_OPEN,
+                round_,
+                f"lost {','.join(lost)}",
             )
-            self.begin_dissolving(formation, reason, round_)
+            return
+        if round_.now >= formation.deadline:
+            self.begin_dissolving(formation, formations.Cause.DEADLINE, round_)
             return
         size = round_.size(formation)
         if size and len(formation.members) == size:
             self._order_missing(formation, size, round_)
         elif self._is_incomplete(formation, size, round_):
             self.begin_dissolving(
-                formation, "not all members were ordered to join", round_
+                formation, formations.Cause.NOT_ALL_ORDERED, round_
             )
 
     def _is_incomplete(
@@ -338,18 +350,30 @@
             registration.incarnation != formation.incarnations[0]
         ):
             self._set_phase(
-                formation, formations.Phase.FREED, "head ended", round_
+                formation,
+                formations.Phase.FREED,
+                formations.Cause.HEAD_ENDED,
+                round_,
             )
         elif round_.head_is_lost(name):
-            self.begin_dissolving(formation, HEAD_IS_SILENT, round_)
+            self.begin_dissolving(
+                formation, formations.Cause.HEAD_IS_SILENT, round_
+            )
         elif head is SeatState.BROKEN:
             self._set_phase(
-                formation, formations.Phase.FREED, "broken", round_
+                formation,
+                formations.Phase.FREED,
+                formations.Cause.BROKEN,
+                round_,
             )
         elif head is not SeatState.OPEN:
-            self.begin_dissolving(formation, "head not open", round_)
+            self.begin_dissolving(
+                formation, formations.Cause.HEAD_NOT_OPEN, round_
+            )
         elif round_.leaving_members(formation):
-            self.begin_dissolving(formation, "member leaving", round_)
+            self.begin_dissolving(
+                formation, formations.Cause.MEMBER_LEAVING, round_
+            )
         elif name in round_.view.doubted:
             self._check_for_lost_member(formation, round_)
 
@@ -364,7 +388,12 @@
         for rank, name in sorted(formation.members.items()):
             if rank and round_.is_lost(name, formation.head):
                 formation.abort = True
-                self.begin_dissolving(formation, f"member {name} lost", round_)
+                self.begin_dissolving(
+                    formation,
+                    formations.Cause.MEMBER_LOST,
+                    round_,
+                    f"member {name} lost",
+                )
                 return
         late_members = [
             name
@@ -394,11 +423,14 @@
     def begin_dissolving(
         self,
         formation: formations.Formation,
-        reason: str,
+        cause: formations.Cause,
         round_: planrounds.Round,
+        detail: str = "",
     ) -> None:
-        """Starts to dissolve a group."""
-        self._set_phase(formation, formations.Phase.DISSOLVING, reason, round_)
+        """Starts to dissolve a group; `detail` is logged as the cause."""
+        self._set_phase(
+            formation, formations.Phase.DISSOLVING, cause, round_, detail
+        )
         self._continue_dissolving(formation, round_)
 
     def _continue_dissolving(
@@ -414,18 +446,21 @@
             registration.incarnation != formation.incarnations.get(0)
         ):
             self._set_phase(
-                formation, formations.Phase.FREED, "head ended", round_
+                formation,
+                formations.Phase.FREED,
+                formations.Cause.HEAD_ENDED,
+                round_,
             )
             return
         if round_.head_is_lost(name):
             self._free_without_head(formation, round_)
             return
-        if formation.reason == HEAD_IS_SILENT:
+        if formation.cause is formations.Cause.HEAD_IS_SILENT:
             # The head was only partitioned from the controllers.
             self._set_phase(
                 formation,
                 formations.Phase.SERVING,
-                "head reports again",
+                formations.Cause.HEAD_REPORTS_AGAIN,
                 round_,
             )
             return
@@ -434,7 +469,10 @@
         match round_.seat_state(formation, 0):
             case SeatState.BROKEN:
                 self._set_phase(
-                    formation, formations.Phase.FREED, "broken", round_
+                    formation,
+                    formations.Phase.FREED,
+                    formations.Cause.BROKEN,
+                    round_,
                 )
             case SeatState.OPEN:
                 round_.order(formation, 0, formations.Action.CLOSE)
@@ -463,7 +501,7 @@
             SeatState.CLOSING,
         ):
             self.begin_dissolving(
-                formation, "head reports again after release", round_
+                formation, formations.Cause.HEAD_RETURNED, round_
             )
 
     def _free_without_head(
@@ -488,22 +526,30 @@
             round_.order(formation, rank, formations.Action.LEAVE)
         if heard and not seated:
             self._set_phase(
-                formation, formations.Phase.FREED, "head lost", round_
+                formation,
+                formations.Phase.FREED,
+                formations.Cause.HEAD_LOST,
+                round_,
             )
 
     def _set_phase(
         self,
         formation: formations.Formation,
         phase: formations.Phase,
-        reason: str,
+        cause: formations.Cause,
         round_: planrounds.Round,
+        detail: str = "",
     ) -> None:
         formation.phase = phase
         formation.since = self.changed_at = round_.now
-        formation.reason = reason
+        formation.cause = cause
         self.notes.append(
             formations.Note(
-                phase.value, formation.group, formation.epoch, reason
+                phase.value,
+                formation.group,
+                formation.epoch,
+                detail or cause.value,
+                cause,
             )
         )
 
--- a/figford/nodes.py
+++ b/figford/nodes.py
@@ -265,7 +265,8 @@
 
     def state_changed(self, change: effects.StateChanged) -> None:
         """Counts and logs a state change."""
-        self.metrics.event(change.event.replace(" ", "-"))
+        counted = f"{change.event} {change.kind}".strip()
+        self.metrics.event(counted.replace(" ", "-"))
         _log.info(change.event, **dict(change.detail))
 
     # ---- Metrics --------------------------------------------------------
--- a/figford/tests/test_controllerdaemon.py
+++ b/figford/tests/test_controllerdaemon.py
@@ -1,4 +1,4 @@
-"""What a controller logs and counts of orders."""
+"""What a controller logs and counts of orders and of changes of groups."""
 
 import pathlib
 
@@ -9,6 +9,7 @@
 
 from figford import controller
 from figford import controllerdaemon
+from figford import effects
 from figford import exchanges
 from figford import formations
 from figford import nodesettings
@@ -104,3 +105,23 @@
         if record.msg == "order ended"
     ]
     assert [line["action"] for line in lines] == [action.value] * logged
+
+
+def test_events_of_groups_are_counted_by_cause_without_ids(
+    daemon: controllerdaemon.ControllerDaemon,
+) -> None:
+    detail = (("group", "g7"), ("cause", "member i-1 lost"))
+    with logbook.TestHandler() as handler:
+        daemon.carry_out(
+            [
+                effects.StateChanged(
+                    "group dissolving", detail, "member lost"
+                ),
+                effects.StateChanged("upstream leaving"),
+            ]
+        )
+    assert counted(daemon) == {
+        "group-dissolving-member-lost": 1,
+        "upstream-leaving": 1,
+    }
+    assert handler.records[0].kwargs == dict(detail)
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -548,3 +548,32 @@
     assert sum(idle.values()) <= 7
     assert world.engines.serving("large") >= 2
     assert world.engines.serving("small") >= 2
+
+
+def notes_of(world: World, event: str) -> list[formations.Note]:
+    return [note for note in world.planner.notes if note.event == event]
+
+
+def test_the_id_of_a_lost_member_is_logged_but_not_counted() -> None:
+    world = World(seed=2)
+    world.run(40)
+    victim = world.member(1)
+    world.doubted = {victim.seat.members[0]}
+    world.planner.notes.clear()
+    world.engines.crash(victim.name, world.now)
+    world.run(3)
+    (note,) = notes_of(world, "dissolving")
+    assert note.detail == f"member {victim.name} lost"
+    assert note.cause is formations.Cause.MEMBER_LOST
+
+
+def test_the_id_of_a_member_lost_before_open_is_not_counted() -> None:
+    world = World(seed=2)
+    world.run(5)
+    victim = world.member(1)
+    assert victim.seat.state is enginefleet.SeatState.JOINING
+    world.engines.crash(victim.name, world.now)
+    world.run(5)
+    (note,) = notes_of(world, "dissolving")
+    assert note.detail == f"lost {victim.name}"
+    assert note.cause is formations.Cause.LOST_BEFORE_OPEN
