Planner: note each group that is freed, and who still has a seat in it

A group that was freed by its head's answer to an order to leave wrote no line. It is now noted with the cause "head left" in the next round; its phase changes as before, and the time of the last change, which decides on rebalancing, is left alone.

"group freed" names the upstreams whose last report still has a seat in the group, and the age of the report. A member that was not heard of when the others left can thus be told from one that left.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -558,6 +558,7 @@
                     ("group", note.group),
                     ("epoch", note.epoch),
                     ("cause", note.detail),
+                    *note.fields,
                 ),
                 note.cause.value if note.cause is not None else "",
             )
--- a/figford/formations.py
+++ b/figford/formations.py
@@ -119,6 +119,7 @@
     HEAD_ENDED = "head ended"
     BROKEN = "broken"
     HEAD_LOST = "head lost"
+    HEAD_LEFT = "head left"
 
 
 @attrs.define
@@ -179,7 +180,8 @@
 class Note:
     """A change of a group that is logged and counted by event and cause.
 
-    `detail` is the text that is logged as the cause.
+    `detail` is the text that is logged as the cause; `fields` are logged
+    beside it.
     """
 
     event: str
@@ -187,3 +189,4 @@
     epoch: int
     detail: str
     cause: Cause | None = None
+    fields: tuple[tuple[str, str], ...] = ()
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -45,6 +45,8 @@
     notes: list[formations.Note] = attrs.field(factory=list)
     # When a group was last formed, opened, dissolved or freed.
     changed_at: datetime.timedelta = datetime.timedelta(0)
+    # Groups freed by their heads' leaves since the last round.
+    _freed_by_leave: list[formations.Formation] = attrs.field(factory=list)
     _epochs: int = 0
     _plan_from: datetime.timedelta = datetime.timedelta(0)
     _loads: collections.deque[datetime.timedelta] = attrs.field(
@@ -60,6 +62,7 @@
         self._plan_from = now + TAKEOVER_WAIT
         self.formation_by_key.clear()
         self.member_by_name.clear()
+        self._freed_by_leave.clear()
         self._loads.clear()
 
     # ---- Results of orders ----------------------------------------------
@@ -104,8 +107,11 @@
 
     def _free_group_of_head(self, order: formations.GroupOrder) -> None:
         formation = self.formation_by_key.get((order.group, order.epoch))
-        if formation is not None and formation.head == order.upstream:
+        if formation is None or formation.head != order.upstream:
+            return
+        if formation.phase is not formations.Phase.FREED:
             formation.phase = formations.Phase.FREED
+            self._freed_by_leave.append(formation)
 
     def query_answered(
         self,
@@ -157,6 +163,7 @@
         if now < self._plan_from:
             return []
         round_ = planrounds.Round(self, view, now)
+        self._note_freed_by_leave(round_)
         self._update_members(view)
         self._adopt(round_)
         for formation in list(self.formation_by_key.values()):
@@ -246,6 +253,17 @@
             adopted=True,
         )
 
+    def _note_freed_by_leave(self, round_: planrounds.Round) -> None:
+        """Notes groups freed since the last round, with the new reports."""
+        for formation in self._freed_by_leave:
+            self._note_phase(
+                formation,
+                formations.Phase.FREED,
+                formations.Cause.HEAD_LEFT,
+                round_,
+            )
+        self._freed_by_leave.clear()
+
     # ---- One group ------------------------------------------------------
 
     def _advance(
@@ -543,6 +561,19 @@
         formation.phase = phase
         formation.since = self.changed_at = round_.now
         formation.cause = cause
+        self._note_phase(formation, phase, cause, round_, detail)
+
+    def _note_phase(
+        self,
+        formation: formations.Formation,
+        phase: formations.Phase,
+        cause: formations.Cause,
+        round_: planrounds.Round,
+        detail: str = "",
+    ) -> None:
+        fields: tuple[tuple[str, str], ...] = ()
+        if phase is formations.Phase.FREED:
+            fields = (("seated", round_.describe_seated(formation)),)
         self.notes.append(
             formations.Note(
                 phase.value,
@@ -550,6 +581,7 @@
                 formation.epoch,
                 detail or cause.value,
                 cause,
+                fields,
             )
         )
 
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -17,6 +17,8 @@
 
 SeatState = fleetmessages.SeatState
 
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
 # An order without a visible effect is repeated after this long.
 ORDER_REPEAT = datetime.timedelta(milliseconds=1200)
 # A head that is silent this long counts as lost; a head that was only
@@ -68,6 +70,20 @@
         """Returns the time since the last report of an upstream."""
         return self.now - self.view.heard_at.get(name, self.now)
 
+    def describe_seated(self, formation: formations.Formation) -> str:
+        """Returns who last reported a seat in a group, and how long ago.
+
+        Each upstream is followed by a slash and the time in milliseconds.
+        Answers to orders to leave are not considered.
+        """
+        key = (formation.group, formation.epoch)
+        return ",".join(
+            f"{name}/{self.silence_duration(name) // MILLISECOND}"
+            for name, registration in sorted(self.view.fleet.items())
+            if registration.seat is not None
+            and (registration.seat.group, registration.seat.epoch) == key
+        )
+
     def head_is_lost(self, name: str) -> bool:
         """Returns whether a head has been silent too long.
 
--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -17,6 +17,7 @@
 from figford import effects
 from figford import entry as entries
 from figford import fleetmessages
+from figford import formations
 from figford import membership
 from figford import messages
 from figford import routes
@@ -377,6 +378,29 @@
     assert planning == leading and len(leading) == 1
 
 
+def test_the_seats_of_a_freed_group_are_logged_beside_its_cause() -> None:
+    net = Net(seed=8)
+    state = net.process_by_name["c1"].state
+    state.planner.notes.append(
+        formations.Note(
+            "freed",
+            "g1",
+            7,
+            "head lost",
+            formations.Cause.HEAD_LOST,
+            (("seated", "u1/9000"),),
+        )
+    )
+    (change,) = state._notes()
+    assert change.event == "group freed" and change.kind == "head lost"
+    assert dict(change.detail) == {
+        "group": "g1",
+        "epoch": 7,
+        "cause": "head lost",
+        "seated": "u1/9000",
+    }
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_acknowledged_versions_survive_faults(seed: int) -> None:
     """Kills, partitions, restarts of all, and one lost disk at a time."""
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -554,6 +554,54 @@
     return [note for note in world.planner.notes if note.event == event]
 
 
+def test_a_group_freed_by_a_leave_of_its_head_is_noted_once() -> None:
+    world = World(seed=6)
+    world.run(40)
+    leaving = world.member(1)
+    group, epoch, members = leaving.seat.key
+    world.planner.notes.clear()
+    leaving.leaving = True
+    world.run(8)
+    (note,) = [
+        note
+        for note in notes_of(world, "freed")
+        if (note.group, note.epoch) == (group, epoch)
+    ]
+    assert note.cause is formations.Cause.HEAD_LEFT
+    assert note.detail == "head left"
+    seated = dict(note.fields)["seated"].split(",")
+    # The head has reported since that it left; the others still wait.
+    assert sorted(item.split("/")[0] for item in seated) == sorted(members[1:])
+
+
+def test_a_freed_group_names_the_silent_members_that_did_not_leave() -> None:
+    """They count as free once they report, with no order to leave."""
+    world = World(seed=3)
+    world.run(40)
+    head = world.member(0)
+    group, epoch, members = head.seat.key
+    silent = {members[0], members[1]}
+    for name in silent:
+        world.engines.by_name[name].partitioned = True
+    world.planner.notes.clear()
+    world.run(20)
+    (note,) = [
+        note
+        for note in notes_of(world, "freed")
+        if (note.group, note.epoch) == (group, epoch)
+    ]
+    assert note.cause is formations.Cause.HEAD_LOST
+    silence_ms = {
+        name: int(milliseconds)
+        for name, _, milliseconds in (
+            item.partition("/")
+            for item in dict(note.fields)["seated"].split(",")
+        )
+    }
+    assert silence_ms.keys() == silent
+    assert min(silence_ms.values()) >= 8000
+
+
 def test_the_id_of_a_lost_member_is_logged_but_not_counted() -> None:
     world = World(seed=2)
     world.run(40)
