Planner: tell and count joins of members that still have a seat elsewhere

"group forming" has a field "former" if the last report of a member names a seat in another group that is not a warm-up group: upstream, group, epoch, state, and the phase that the planner gives that group. member-joined-while-seated counts the orders to join to such members, repeats and joins of warm-up groups included. What is ordered, when and to whom is unchanged.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -21,6 +21,7 @@
 from figford import planrounds
 from figford import proposals
 from figford import routes
+from figford import warming
 
 HEARTBEAT_INTERVAL = datetime.timedelta(milliseconds=400)
 # Interval at which the upstreams' beats are sent to the other controllers, in
@@ -46,6 +47,13 @@
     order: formations.GroupOrder
 
 
+@attrs.frozen
+class EventCounted:
+    """Effect: count an event that is not logged."""
+
+    event: str
+
+
 @attrs.frozen
 class SendAll:
     """Effect: send a message, encoded once, to several processes."""
@@ -63,7 +71,9 @@
     address: str
 
 
-Effect = effects.Effect | SendAll | SendGroupOrder | QueryOrderCount
+Effect = (
+    effects.Effect | EventCounted | SendAll | SendGroupOrder | QueryOrderCount
+)
 
 
 @attrs.define
@@ -475,9 +485,11 @@
         view = self._planning_view(now)
         if not view.engines:
             return []
-        result: list[Effect] = [
-            SendGroupOrder(order) for order in self.planner.plan(view, now)
-        ]
+        result: list[Effect] = []
+        for order in self.planner.plan(view, now):
+            if _joins_while_seated(order, view):
+                result.append(EventCounted("member-joined-while-seated"))
+            result.append(SendGroupOrder(order))
         return result + self._query_order_counts(view, now) + self._notes()
 
     def _plan_soon(self) -> None:
@@ -566,5 +578,18 @@
         ]
 
 
+def _joins_while_seated(
+    order: formations.GroupOrder, view: formations.View
+) -> bool:
+    """Returns whether a member to join last reported another seat."""
+    return (
+        order.action is formations.Action.JOIN
+        and warming.former_seat(
+            view.fleet[order.upstream], order.group, order.epoch
+        )
+        is not None
+    )
+
+
 def _undecided(proposal: messages.Proposal) -> messages.ProposalResult:
     return messages.ProposalResult(proposal.proposal, messages.Undecided())
--- a/figford/controllerdaemon.py
+++ b/figford/controllerdaemon.py
@@ -180,6 +180,8 @@
                     self._configured()
                 case effects.StateChanged():
                     self.state_changed(effect)
+                case controllers.EventCounted(event):
+                    self.metrics.event(event)
                 case controllers.SendGroupOrder(order):
                     _OrderRequest(self, order).send()
                 case controllers.QueryOrderCount():
--- a/figford/forming.py
+++ b/figford/forming.py
@@ -8,6 +8,7 @@
 from figford import formations
 from figford import planrounds
 from figford import routes
+from figford import warming
 
 # Free hosts wait this long for hosts of their own fabric domain before they
 # form a slower group with hosts of other domains.
@@ -368,6 +369,7 @@
         member.had_group = True
         member.reserved_for = ""
     round_.planner.record_loads(loads, round_.now)
+    former = _describe_former_seats(formation, members, round_)
     round_.planner.notes.append(
         formations.Note(
             "forming",
@@ -375,12 +377,36 @@
             epoch,
             f"model={model.name} loads={loads}"
             f" members={','.join(formation.members.values())}",
+            fields=(("former", former),) if former else (),
         )
     )
     for rank in formation.members:
         round_.order(formation, rank, formations.Action.JOIN)
 
 
+def _describe_former_seats(
+    formation: formations.Formation,
+    members: list[fleetmessages.Registration],
+    round_: planrounds.Round,
+) -> str:
+    """Returns the seats in other groups that new members last reported.
+
+    Each is given as upstream, group, epoch, state and the planner's phase.
+    """
+    found = []
+    for item in members:
+        seat = warming.former_seat(item, formation.group, formation.epoch)
+        if seat is None:
+            continue
+        known = round_.planner.formation_by_key.get((seat.group, seat.epoch))
+        phase = known.phase.value if known is not None else "unknown"
+        found.append(
+            f"{item.upstream}/{seat.group}/{seat.epoch}"
+            f"/{seat.state.value}/{phase}"
+        )
+    return ",".join(found)
+
+
 # ---- Staging weights on spare hosts -------------------------------------
 
 
--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -18,6 +18,7 @@
 from figford import entry as entries
 from figford import fleetmessages
 from figford import formations
+from figford import groupplanner
 from figford import membership
 from figford import messages
 from figford import routes
@@ -36,6 +37,8 @@
     state: object
     unsynced: list = attrs.field(factory=list)
     outcomes: dict = attrs.field(factory=dict)
+    changes: list[effects.StateChanged] = attrs.field(factory=list)
+    counted: list[str] = attrs.field(factory=list)
     highest_seen: int = 0
 
 
@@ -197,6 +200,10 @@
                     process.unsynced.append(effect)
                 case effects.Decided(proposal, outcome):
                     process.outcomes[proposal] = outcome
+                case effects.StateChanged():
+                    process.changes.append(effect)
+                case controller.EventCounted(event):
+                    process.counted.append(event)
 
     # ---- Operators ------------------------------------------------------
 
@@ -378,6 +385,54 @@
     assert planning == leading and len(leading) == 1
 
 
+def planning_with_seat(group: str) -> Process:
+    """Returns a leader that gave a group of one to a member with a seat."""
+    net = Net(seed=8)
+    net.run(3)
+    process = next(
+        process
+        for process in net.process_by_name.values()
+        if process.name in CONTROLLERS
+        and process.state.control.agreement.leading
+    )
+    model = routes.Model("m", 1, 1.0, 1.0, SECOND, SECOND)
+    process.state.table = routes.RouteTable(
+        1, (), (routes.Service("s", 1, routes.Engine(1, (model,))),)
+    )
+    term = process.state.control.agreement.term
+    epoch = (term + 1) * groupplanner.EPOCHS_PER_TERM - 1
+    seat = fleetmessages.FleetSeat(
+        group, epoch, 0, fleetmessages.SeatState.READY
+    )
+    item = registration(1, staged=["m"], seat=seat)
+    net.carry_out(process, process.state.report(item, net.now))
+    net.run(1)
+    reply = formations.OrderCountReply(1, seat)
+    process.state.planner.query_answered("u1", 1, reply, net.now)
+    net.run(0.5)
+    return process
+
+
+def test_a_join_of_a_member_with_a_seat_elsewhere_is_counted() -> None:
+    process = planning_with_seat("former")
+    assert process.counted == ["member-joined-while-seated"]
+    (change,) = [
+        change for change in process.changes if change.event == "group forming"
+    ]
+    former = dict(change.detail)["former"]
+    assert former.startswith("u1/former/") and former.endswith("/ready/freed")
+    assert change.kind == ""
+
+
+def test_a_join_of_a_spare_that_warmed_up_is_not_counted() -> None:
+    process = planning_with_seat("warm-1")
+    assert process.counted == []
+    (change,) = [
+        change for change in process.changes if change.event == "group forming"
+    ]
+    assert "former" not in dict(change.detail)
+
+
 def test_the_seats_of_a_freed_group_are_logged_beside_its_cause() -> None:
     net = Net(seed=8)
     state = net.process_by_name["c1"].state
--- a/figford/tests/test_controllerdaemon.py
+++ b/figford/tests/test_controllerdaemon.py
@@ -125,3 +125,11 @@
         "upstream-leaving": 1,
     }
     assert handler.records[0].kwargs == dict(detail)
+
+
+def test_an_event_without_a_line_is_counted(
+    daemon: controllerdaemon.ControllerDaemon,
+) -> None:
+    with logbook.TestHandler() as handler:
+        daemon.carry_out([controller.EventCounted("some-event")])
+    assert counted(daemon) == {"some-event": 1} and not handler.records
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -602,6 +602,34 @@
     assert min(silence_ms.values()) >= 8000
 
 
+def test_a_forming_group_names_the_former_seats_of_its_members() -> None:
+    world = World(seed=6)
+    world.run(40)
+    leaving = world.member(1)
+    group, epoch, members = leaving.seat.key
+    world.planner.notes.clear()
+    leaving.leaving = True
+    world.run(8)
+    former = [
+        item
+        for note in notes_of(world, "forming")
+        for item in dict(note.fields).get("former", "").split(",")
+        if item
+    ]
+    # The head has reported that it left, and spares have no seat but in a
+    # warm-up group.
+    assert sorted(former) == [
+        f"{name}/{group}/{epoch}/ready/freed" for name in sorted(members[2:])
+    ]
+
+
+def test_a_group_of_members_without_a_seat_names_no_former_seats() -> None:
+    world = World(seed=1)
+    world.run(40)
+    forming = notes_of(world, "forming")
+    assert forming and not any(note.fields for note in forming)
+
+
 def test_the_id_of_a_lost_member_is_logged_but_not_counted() -> None:
     world = World(seed=2)
     world.run(40)
--- a/figford/warming.py
+++ b/figford/warming.py
@@ -19,6 +19,19 @@
     return group.startswith(PREFIX)
 
 
+def former_seat(
+    registration: fleetmessages.Registration, group: str, epoch: int
+) -> fleetmessages.FleetSeat | None:
+    """Returns the seat in another group that an upstream last reported.
+
+    Returns None if that is a warm-up group.
+    """
+    seat = registration.seat
+    if seat is None or is_warm_up(seat.group):
+        return None
+    return None if (seat.group, seat.epoch) == (group, epoch) else seat
+
+
 def warm(round_: planrounds.Round) -> None:
     """Orders spares to join warm-up groups of a model they have staged."""
     for service in sorted(round_.view.engines):
