--- a/figford/forming.py
+++ b/figford/forming.py
@@ -8,6 +8,7 @@
 from figford import formations
 from figford import planrounds
 from figford import routes
+from figford import warming
 
 # Free hosts wait this long for hosts of their own fabric domain before they
 # form a slower group with hosts of other domains.
@@ -21,7 +22,6 @@
 # A group that spans domains serves at least this long before it is dissolved
 # to form again within one domain.
 CONSOLIDATION_WAIT = datetime.timedelta(seconds=2)
-FITS_IN_ONE_DOMAIN = "fits in one domain"
 # A spare must be idle this long before it stages the weights of a model that
 # lacks a group.
 SPARE_CHANGE_WAIT = datetime.timedelta(seconds=2)
@@ -91,7 +91,8 @@
             if formation.service == service
         ]
         if any(
-            item.reason == FITS_IN_ONE_DOMAIN and _is_dissolving(item)
+            item.cause is formations.Cause.FITS_IN_ONE_DOMAIN
+            and _is_dissolving(item)
             for item in groups
         ):
             continue
@@ -103,7 +104,7 @@
         for formation in groups:
             if _fits_in_one_domain(formation, engine, ready, round_):
                 round_.planner.begin_dissolving(
-                    formation, FITS_IN_ONE_DOMAIN, round_
+                    formation, formations.Cause.FITS_IN_ONE_DOMAIN, round_
                 )
                 break
 
@@ -202,7 +203,9 @@
         lacking = by_shortfall(allocated, engine)[0].name
         for name in chosen.members.values():
             round_.planner.member_by_name[name].reserved_for = lacking
-        round_.planner.begin_dissolving(chosen, "model in surplus", round_)
+        round_.planner.begin_dissolving(
+            chosen, formations.Cause.MODEL_IN_SURPLUS, round_
+        )
 
 
 def _form_one(
@@ -366,6 +369,7 @@
         member.had_group = True
         member.reserved_for = ""
     round_.planner.record_loads(loads, round_.now)
+    former = _describe_former_seats(formation, members, round_)
     round_.planner.notes.append(
         formations.Note(
             "forming",
@@ -373,12 +377,36 @@
             epoch,
             f"model={model.name} loads={loads}"
             f" members={','.join(formation.members.values())}",
+            fields=(("former", former),) if former else (),
         )
     )
     for rank in formation.members:
         round_.order(formation, rank, formations.Action.JOIN)
 
 
+def _describe_former_seats(
+    formation: formations.Formation,
+    members: list[fleetmessages.Registration],
+    round_: planrounds.Round,
+) -> str:
+    """Returns the seats in other groups that new members last reported.
+
+    Each is given as upstream, group, epoch, state and the planner's phase.
+    """
+    found = []
+    for item in members:
+        seat = warming.former_seat(item, formation.group, formation.epoch)
+        if seat is None:
+            continue
+        known = round_.planner.formation_by_key.get((seat.group, seat.epoch))
+        phase = known.phase.value if known is not None else "unknown"
+        found.append(
+            f"{item.upstream}/{seat.group}/{seat.epoch}"
+            f"/{seat.state.value}/{phase}"
+        )
+    return ",".join(found)
+
+
 # ---- Staging weights on spare hosts -------------------------------------
 
 
