--- a/figford/tests/test_warming.py
+++ b/figford/tests/test_warming.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from figford.tests import test_groupplanner
+from figford.tests import plannerworld
 from figford import warming
 
 SEEDS = (1, 2, 3, 4)
@@ -18,7 +18,7 @@
 
 def group_seconds(seed: int) -> float:
     """Returns the serving time summed over all large groups."""
-    world = test_groupplanner.World(seed=seed, domains=6)
+    world = plannerworld.World(seed=seed, domains=6)
     world.run(50)
     # A generator of its own, so that the same hosts are lost regardless of
     # the orders.
