--- a/figford/tools/enginefleet.py
+++ b/figford/tools/enginefleet.py
@@ -38,6 +38,8 @@
     members: tuple[str, ...]
     state: SeatState
     ready_at: datetime.timedelta
+    # When the work in progress of a closing head ends.
+    closed_at: datetime.timedelta = datetime.timedelta(0)
 
     @property
     def key(self) -> tuple[str, int, tuple[str, ...]]:
@@ -117,6 +119,8 @@
     changed: list[Engine] = attrs.field(factory=list)
     loads: int = 0
     delayed_order_share: float = 0.0
+    # How long requests in progress keep a head closing.
+    work_time: datetime.timedelta = datetime.timedelta(0)
     _delayed_orders: list[_DelayedOrder] = attrs.field(factory=list)
 
     def add(self, engine: Engine) -> None:
@@ -268,9 +272,16 @@
         current_seat = engine.seat
         if current_seat is None or not _matches_seat(order, current_seat):
             return Result.REFUSED
+        if current_seat.state is SeatState.CLOSING and order.abort:
+            current_seat.state = SeatState.READY
+            return Result.BEGUN
         if current_seat.state is not SeatState.OPEN:
             return Result.HELD
-        current_seat.state = SeatState.READY
+        if order.abort or not self.work_time:
+            current_seat.state = SeatState.READY
+        else:
+            current_seat.state = SeatState.CLOSING
+            current_seat.closed_at = now + self.work_time
         return Result.BEGUN
 
     def _leave(
@@ -360,13 +371,21 @@
                 engine.name
             )
             self.changed.append(engine)
-        if engine.stalled_at is None:
-            return
-        if current_seat.state is not SeatState.OPEN:
-            engine.stalled_at = None
-        elif now - engine.stalled_at >= STALL_TIMEOUT:
+        self._advance_head(engine, current_seat, now)
+
+    def _advance_head(
+        self, engine: Engine, seat: _Seat, now: datetime.timedelta
+    ) -> None:
+        """Breaks a stalled head; its work makes no progress until then."""
+        if seat.state not in (SeatState.OPEN, SeatState.CLOSING):
             engine.stalled_at = None
-            current_seat.state = SeatState.BROKEN
+        elif engine.stalled_at is not None:
+            if now - engine.stalled_at >= STALL_TIMEOUT:
+                engine.stalled_at = None
+                seat.state = SeatState.BROKEN
+                self.changed.append(engine)
+        elif seat.state is SeatState.CLOSING and now >= seat.closed_at:
+            seat.state = SeatState.READY
             self.changed.append(engine)
 
     def crash(self, name: str, now: datetime.timedelta) -> None:
