Emulated engines: a head that opens without a member stalls

The protocol lets a head open without a check of its members, and a head that lost one breaks after the stall timeout. One that was lost before the open went unnoticed, and the head served on.

--- a/figford/tests/test_enginefleet.py
+++ b/figford/tests/test_enginefleet.py
@@ -93,3 +93,13 @@
     assert head_state(fleet) is SeatState.CLOSING
     fleet.advance(11 * SECOND + enginefleet.STALL_TIMEOUT)
     assert head_state(fleet) is SeatState.BROKEN
+
+
+def test_a_head_that_opens_after_it_lost_a_member_breaks() -> None:
+    fleet = started_fleet()
+    fleet.crash("e1", 10 * SECOND)
+    fleet.advance(11 * SECOND)
+    assert send(fleet, "e0", Action.OPEN, 12 * SECOND) is Result.BEGUN
+    assert not fleet.serving("m")
+    fleet.advance(12 * SECOND + enginefleet.STALL_TIMEOUT)
+    assert head_state(fleet) is SeatState.BROKEN
--- a/figford/tools/enginefleet.py
+++ b/figford/tools/enginefleet.py
@@ -261,8 +261,22 @@
                 f"size of {current_seat.group} differs from its model's"
             )
         current_seat.state = SeatState.OPEN
+        if not all(
+            self._holds(name, current_seat) for name in current_seat.members
+        ):
+            engine.stalled_at = now
         return Result.BEGUN
 
+    def _holds(self, name: str, seat: _Seat) -> bool:
+        """Returns whether an engine runs as a member of this group."""
+        engine = self.by_name.get(name)
+        return (
+            engine is not None
+            and engine.up
+            and engine.seat is not None
+            and engine.seat.key == seat.key
+        )
+
     def _close(
         self,
         engine: Engine,
