Tests: groups that are cut off in part or as a whole and return

The random test of faults cuts off one engine at a time, so that it never met a group whose members return one after the other. New: a seeded schedule of cuts of data centres and of parts of groups, with rebirths behind the cut, takeovers, doubts and late orders; and the two smallest cases, with and without a takeover.

--- /dev/null
+++ b/figford/tests/test_partitions.py
@@ -0,0 +1,278 @@
+"""No member is in two groups while parts of groups are cut off and return.
+
+The emulated engines raise InvariantViolation if a member joins another group
+while the head of its group serves, or if an incomplete group opens.
+"""
+
+import collections
+import datetime
+import random
+
+import attrs
+import pytest
+
+from figford import planrounds
+from figford.tests.plannerworld import BEAT
+from figford.tests.plannerworld import SECOND
+from figford.tests.plannerworld import STEP
+from figford.tests.plannerworld import World
+from figford.tools import enginefleet
+
+# Each schedule runs once per seed and share of late orders.
+SEEDS = range(3)
+DELAYED_ORDER_SHARES = (0.0, 0.3)
+START_SECONDS = 35
+FAULTS = 16
+CUT_SECONDS = (1.0, 14.0)
+REBIRTH_SECONDS = (0.0, 3.0)
+# A process that signed off serves on for this long before it exits.
+DRAIN_SECONDS = (2.0, 15.0)
+# How long requests in progress keep a head closing.
+WORK_SECONDS = (0.0, 3.0)
+BETWEEN_FAULTS_SECONDS = (0.5, 6.0)
+# From the begin of a cut to the takeover by another planner.
+TAKEOVER_SECONDS = 4
+# Longer than the waits for loads and for the balance of the models.
+SETTLE_SECONDS = 240
+
+
+@attrs.define
+class Schedule:
+    """Random faults in a world; the generator is its own."""
+
+    world: World
+    rng: random.Random
+    # When engines that are cut off return.
+    returns: dict[str, datetime.timedelta] = attrs.field(factory=dict)
+    # When engines exit, and when they start again.
+    exits: dict[str, datetime.timedelta] = attrs.field(factory=dict)
+    starts: dict[str, datetime.timedelta] = attrs.field(factory=dict)
+
+    def _after(
+        self, seconds: tuple[float, float], at: datetime.timedelta
+    ) -> datetime.timedelta:
+        return at + self.rng.uniform(*seconds) * SECOND
+
+    def heads(self) -> list[enginefleet.Engine]:
+        """Returns the heads of all groups of more than one member."""
+        return [
+            engine
+            for engine in self.world.engines.by_name.values()
+            if engine.up
+            and engine.seat
+            and len(engine.seat.members) > 1
+            and engine.seat.members[0] == engine.name
+        ]
+
+    def cut(self, names: list[str]) -> None:
+        """Cuts engines off; they return within a beat of each other."""
+        end = self._after(CUT_SECONDS, self.world.now)
+        for name in names:
+            engine = self.world.engines.by_name[name]
+            if not engine.partitioned:
+                engine.partitioned = True
+                self.returns[name] = end + self.rng.random() * BEAT
+
+    def cut_domains(self) -> None:
+        """Cuts off a data centre, which holds one domain or two."""
+        chosen = self.rng.sample(
+            ("d0", "d1", "d2"), self.rng.choice((1, 1, 2))
+        )
+        self.cut(
+            [
+                engine.name
+                for engine in self.world.engines.by_name.values()
+                if engine.domain in chosen
+            ]
+        )
+
+    def cut_group(self) -> None:
+        """Cuts off a random part of a group, more often with its head."""
+        heads = self.heads()
+        if not heads:
+            return
+        members = list(self.rng.choice(heads).seat.members)
+        names = [name for name in members[1:] if self.rng.random() < 0.6]
+        if self.rng.random() < 0.7:
+            names.append(members[0])
+        self.cut(names)
+
+    def crash_behind_cut(self) -> None:
+        """Ends an engine that is cut off; it starts again there."""
+        names = [
+            name
+            for name in self.returns
+            if self.world.engines.by_name[name].up
+        ]
+        if names:
+            name = self.rng.choice(names)
+            self.world.engines.crash(name, self.world.now)
+            self.starts[name] = self._after(REBIRTH_SECONDS, self.world.now)
+
+    def crash(self) -> None:
+        """Ends any engine; it starts again."""
+        name = self.rng.choice(sorted(self.world.engines.by_name))
+        if self.world.engines.by_name[name].up:
+            self.world.engines.crash(name, self.world.now)
+            self.starts[name] = self._after(REBIRTH_SECONDS, self.world.now)
+
+    def sign_off(self) -> None:
+        """Signs off an engine that isn't cut off."""
+        names = [
+            engine.name
+            for engine in self.world.engines.by_name.values()
+            if engine.up
+            and not engine.partitioned
+            and engine.name not in self.world.signed_off
+        ]
+        if names:
+            name = self.rng.choice(names)
+            self.world.sign_off(name)
+            self.exits[name] = self._after(DRAIN_SECONDS, self.world.now)
+
+    def replace_planner(self) -> None:
+        """Lets another controller take over."""
+        self.world.replace_planner()
+
+    def doubt(self) -> None:
+        """Lets entries doubt the heads that are stalled or cut off."""
+        self.world.doubted = {
+            head.name
+            for head in self.heads()
+            if head.stalled_at is not None or head.partitioned
+        }
+
+    def run(self, seconds: float) -> None:
+        """Advances time; engines return, exit and start when they are due."""
+        end = self.world.now + seconds * SECOND
+        while self.world.now < end:
+            now = self.world.now
+            for name in _due(self.returns, now):
+                self.world.engines.by_name[name].partitioned = False
+            for name in _due(self.exits, now):
+                if self.world.engines.by_name[name].up:
+                    self.world.engines.crash(name, now)
+                    self.starts[name] = self._after(REBIRTH_SECONDS, now)
+            for name in _due(self.starts, now):
+                if not self.world.engines.by_name[name].up:
+                    self.world.restart(name)
+            if self.rng.random() < 0.1:
+                self.doubt()
+            self.world.run(STEP.total_seconds())
+
+    def end(self) -> None:
+        """Ends all faults and waits until groups are formed again."""
+        self.returns.clear()
+        self.exits.clear()
+        self.starts.clear()
+        for name, engine in self.world.engines.by_name.items():
+            engine.partitioned = False
+            if not engine.up or name in self.world.signed_off:
+                self.world.restart(name)
+        self.world.doubted.clear()
+        self.world.engines.delayed_order_share = 0.0
+        self.world.run(SETTLE_SECONDS)
+
+
+def _due(
+    at_by_name: dict[str, datetime.timedelta], now: datetime.timedelta
+) -> list[str]:
+    """Removes and returns the names whose time has come."""
+    names = [name for name, at in at_by_name.items() if at <= now]
+    for name in names:
+        del at_by_name[name]
+    return names
+
+
+def run_schedule(seed: int, delayed_order_share: float) -> World:
+    """Runs one random schedule to its end; raises InvariantViolation."""
+    world = World(seed=seed)
+    world.run(START_SECONDS)
+    world.engines.delayed_order_share = delayed_order_share
+    schedule = Schedule(world, random.Random(seed))
+    world.engines.work_time = schedule.rng.uniform(*WORK_SECONDS) * SECOND
+    faults = (
+        [schedule.cut_domains, schedule.cut_group] * 3
+        + [schedule.crash_behind_cut, schedule.replace_planner] * 2
+        + [schedule.crash, schedule.sign_off]
+    )
+    for _ in range(FAULTS):
+        schedule.rng.choice(faults)()
+        schedule.run(schedule.rng.uniform(*BETWEEN_FAULTS_SECONDS))
+    schedule.end()
+    return world
+
+
+def assert_all_serve(world: World) -> None:
+    """Asserts that only spares and hosts too few for a group are idle."""
+    idle = collections.Counter(engine.domain for engine in world.spares())
+    assert all(idle[f"d{index}"] <= 3 for index in range(3))
+    assert sum(idle.values()) <= 7
+    assert world.engines.serving("large") >= 2
+    assert world.engines.serving("small") >= 2
+
+
+@pytest.mark.parametrize("delayed_order_share", DELAYED_ORDER_SHARES)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_member_of_a_cut_off_group_is_in_two_groups(
+    seed: int, delayed_order_share: float
+) -> None:
+    assert_all_serve(run_schedule(seed, delayed_order_share))
+
+
+def cut_for_longer_than_silence(
+    world: World, names: list[str], takeover: bool = False
+) -> None:
+    """Cuts engines off until the planner counts silent heads as lost."""
+    for name in names:
+        world.engines.by_name[name].partitioned = True
+    lost_at = world.now + planrounds.HEAD_SILENCE_TIMEOUT
+    world.run(TAKEOVER_SECONDS)
+    if takeover:
+        world.replace_planner()
+    world.run((lost_at - world.now).total_seconds())
+
+
+def return_one_by_one(world: World, names: list[str]) -> None:
+    """Lets engines report again within a beat, then waits for groups."""
+    for name in names:
+        world.engines.by_name[name].partitioned = False
+        world.run(BEAT.total_seconds() / len(names))
+    world.run(60)
+
+
+@pytest.mark.parametrize("takeover", [False, True])
+def test_members_do_not_join_while_a_cut_off_head_returns_last(
+    takeover: bool,
+) -> None:
+    """The whole data centre was cut off; its spares return first."""
+    world = World(seed=1)
+    world.run(40)
+    head = world.member(0, domain="d0")
+    others = list(head.seat.members[1:])
+    names = [
+        engine.name
+        for engine in world.engines.by_name.values()
+        if engine.domain == "d0" and engine.name not in head.seat.members
+    ]
+    cut_for_longer_than_silence(world, [head.name, *names, *others], takeover)
+    return_one_by_one(world, [*names, *others, head.name])
+    assert_all_serve(world)
+
+
+@pytest.mark.parametrize("takeover", [False, True])
+def test_members_do_not_join_after_only_another_member_left(
+    takeover: bool,
+) -> None:
+    """The head and two of four members were cut off; the head is last."""
+    world = World(seed=1)
+    world.run(40)
+    head = world.member(0, domain="d0")
+    first, second, heard = head.seat.members[1:]
+    cut_for_longer_than_silence(world, [head.name, first, second], takeover)
+    world.run(0.2)
+    assert head.seat.state is enginefleet.SeatState.OPEN
+    heard_seat = world.engines.by_name[heard].seat
+    assert heard_seat is None or heard_seat.key != head.seat.key
+    return_one_by_one(world, [first, second, head.name])
+    assert_all_serve(world)
