Emulated engines: a reply to an order may be lost

The protocol says that an order without a response may have been accepted. The emulator only had orders that are executed late, never one that is executed at once and whose reply does not arrive. The schedules of cuts use it.

--- a/figford/tests/test_enginefleet.py
+++ b/figford/tests/test_enginefleet.py
@@ -103,3 +103,10 @@
     assert not fleet.serving("m")
     fleet.advance(12 * SECOND + enginefleet.STALL_TIMEOUT)
     assert head_state(fleet) is SeatState.BROKEN
+
+
+def test_an_order_whose_reply_is_lost_takes_effect() -> None:
+    fleet = started_fleet()
+    fleet.lost_reply_share = 1.0
+    assert send(fleet, "e0", Action.OPEN, 10 * SECOND) is Result.UNKNOWN
+    assert head_state(fleet) is SeatState.OPEN
--- a/figford/tests/test_partitions.py
+++ b/figford/tests/test_partitions.py
@@ -18,7 +18,8 @@
 from figford.tests.plannerworld import World
 from figford.tools import enginefleet
 
-# Each schedule runs once per seed and share of late orders.
+# Each schedule runs once per seed and share of late orders; half as many
+# replies are lost.
 SEEDS = range(3)
 DELAYED_ORDER_SHARES = (0.0, 0.3)
 START_SECONDS = 35
@@ -171,6 +172,7 @@
                 self.world.restart(name)
         self.world.doubted.clear()
         self.world.engines.delayed_order_share = 0.0
+        self.world.engines.lost_reply_share = 0.0
         self.world.run(SETTLE_SECONDS)
 
 
@@ -189,6 +191,7 @@
     world = World(seed=seed)
     world.run(START_SECONDS)
     world.engines.delayed_order_share = delayed_order_share
+    world.engines.lost_reply_share = delayed_order_share / 2
     schedule = Schedule(world, random.Random(seed))
     world.engines.work_time = schedule.rng.uniform(*WORK_SECONDS) * SECOND
     faults = (
--- a/figford/tools/enginefleet.py
+++ b/figford/tools/enginefleet.py
@@ -119,6 +119,8 @@
     changed: list[Engine] = attrs.field(factory=list)
     loads: int = 0
     delayed_order_share: float = 0.0
+    # Share of the orders that are executed but whose reply is lost.
+    lost_reply_share: float = 0.0
     # How long requests in progress keep a head closing.
     work_time: datetime.timedelta = datetime.timedelta(0)
     _delayed_orders: list[_DelayedOrder] = attrs.field(factory=list)
@@ -144,7 +146,12 @@
                 _DelayedOrder(now + delay, engine.incarnation, order)
             )
             return Result.UNKNOWN
-        return self._execute(engine, order, now)
+        result = self._execute(engine, order, now)
+        if self.lost_reply_share and (
+            self.rng.random() < self.lost_reply_share
+        ):
+            return Result.UNKNOWN
+        return result
 
     def _execute(
         self,
