--- a/figford/tests/plannerworld.py
+++ b/figford/tests/plannerworld.py
@@ -106,11 +106,11 @@
         for name in self.planner.queries_due(self.now):
             engine = self.engines.by_name[name]
             if engine.up and not engine.partitioned:
-                reply = formations.OrderCountReply(
-                    engine.orders_begun, engine.report().seat
-                )
                 self.planner.query_answered(
-                    name, engine.incarnation, reply, self.now
+                    name,
+                    engine.incarnation,
+                    engine.reply(self.now),
+                    self.now,
                 )
             else:
                 self.planner.query_unanswered(
--- a/figford/tests/test_enginefleet.py
+++ b/figford/tests/test_enginefleet.py
@@ -110,3 +110,18 @@
     fleet.lost_reply_share = 1.0
     assert send(fleet, "e0", Action.OPEN, 10 * SECOND) is Result.UNKNOWN
     assert head_state(fleet) is SeatState.OPEN
+
+
+def test_a_reply_to_a_query_lags_behind_the_state() -> None:
+    fleet = started_fleet()
+    head = fleet.by_name["e0"]
+    fleet.advance(11 * SECOND)
+    send(fleet, "e0", Action.OPEN, 11 * SECOND)
+    fleet.advance(11 * SECOND + enginefleet.REPORT_LAG / 2)
+    reply = head.reply(11 * SECOND + enginefleet.REPORT_LAG / 2)
+    assert reply.orders_begun == 1
+    assert reply.seat is not None and reply.seat.state is SeatState.READY
+    fleet.advance(12 * SECOND)
+    reply = head.reply(12 * SECOND + enginefleet.REPORT_LAG)
+    assert reply.orders_begun == 2
+    assert reply.seat is not None and reply.seat.state is SeatState.OPEN
--- a/figford/tools/enginefleet.py
+++ b/figford/tools/enginefleet.py
@@ -23,6 +23,8 @@
 
 REJOIN_TIME = datetime.timedelta(milliseconds=200)
 STALL_TIMEOUT = datetime.timedelta(seconds=4)
+# A reply to a query shows the state of this long ago.
+REPORT_LAG = datetime.timedelta(milliseconds=200)
 DELAYED_ORDER_SECONDS = (2.0, 12.0)
 
 
@@ -73,18 +75,49 @@
     seat: _Seat | None = None
     stalled_at: datetime.timedelta | None = None
     staging: tuple[str, datetime.timedelta] | None = None
+    # States of the last `REPORT_LAG`, and the one before, by time.
+    _states: list[tuple[datetime.timedelta, formations.OrderCountReply]] = (
+        attrs.field(factory=list)
+    )
+
+    def fleet_seat(self) -> fleetmessages.FleetSeat | None:
+        """Returns the seat that the engine reports."""
+        if self.seat is None:
+            return None
+        return fleetmessages.FleetSeat(
+            self.seat.group,
+            self.seat.epoch,
+            self.seat.members.index(self.name),
+            self.seat.state,
+        )
+
+    def record_state(self, now: datetime.timedelta) -> None:
+        """Records the state for replies to later queries."""
+        state = formations.OrderCountReply(
+            self.orders_begun, self.fleet_seat()
+        )
+        self._states.append((now, state))
+        while len(self._states) > 1 and now - self._states[1][0] >= REPORT_LAG:
+            del self._states[0]
+
+    def reply(self, now: datetime.timedelta) -> formations.OrderCountReply:
+        """Returns the reply to a query, which lags behind the state."""
+        return next(
+            (
+                state
+                for at, state in reversed(self._states)
+                if now - at >= REPORT_LAG
+            ),
+            formations.OrderCountReply(0, None),
+        )
+
+    def forget(self) -> None:
+        """Forgets the states of the former life."""
+        self._states.clear()
 
     def report(self) -> fleetmessages.Registration:
         """Returns the registration that the engine reports."""
         self.sequence += 1
-        seat = None
-        if self.seat is not None:
-            seat = fleetmessages.FleetSeat(
-                self.seat.group,
-                self.seat.epoch,
-                self.seat.members.index(self.name),
-                self.seat.state,
-            )
         return fleetmessages.Registration(
             upstream=self.name,
             incarnation=self.incarnation,
@@ -97,7 +130,7 @@
             domain=self.domain,
             models=[self.seat.model] if self.seat else [],
             staged=list(self.staged),
-            seat=seat,
+            seat=self.fleet_seat(),
         )
 
 
@@ -373,6 +406,7 @@
         for engine in self.by_name.values():
             if engine.up:
                 self._advance(engine, now)
+                engine.record_state(now)
 
     def _advance(self, engine: Engine, now: datetime.timedelta) -> None:
         if engine.staging is not None and now >= engine.staging[1]:
@@ -428,6 +462,7 @@
         engine.stalled_at = None
         engine.staging = None
         engine.last_model = ""
+        engine.forget()
         self.changed.append(engine)
 
     def serving(self, model: str) -> int:
