--- a/figford/tools/enginefleet.py
+++ b/figford/tools/enginefleet.py
@@ -23,6 +23,8 @@
 
 REJOIN_TIME = datetime.timedelta(milliseconds=200)
 STALL_TIMEOUT = datetime.timedelta(seconds=4)
+# A reply to a query shows the state of this long ago.
+REPORT_LAG = datetime.timedelta(milliseconds=200)
 DELAYED_ORDER_SECONDS = (2.0, 12.0)
 
 
@@ -38,6 +40,8 @@
     members: tuple[str, ...]
     state: SeatState
     ready_at: datetime.timedelta
+    # When the work in progress of a closing head ends.
+    closed_at: datetime.timedelta = datetime.timedelta(0)
 
     @property
     def key(self) -> tuple[str, int, tuple[str, ...]]:
@@ -71,18 +75,49 @@
     seat: _Seat | None = None
     stalled_at: datetime.timedelta | None = None
     staging: tuple[str, datetime.timedelta] | None = None
+    # States of the last `REPORT_LAG`, and the one before, by time.
+    _states: list[tuple[datetime.timedelta, formations.OrderCountReply]] = (
+        attrs.field(factory=list)
+    )
+
+    def fleet_seat(self) -> fleetmessages.FleetSeat | None:
+        """Returns the seat that the engine reports."""
+        if self.seat is None:
+            return None
+        return fleetmessages.FleetSeat(
+            self.seat.group,
+            self.seat.epoch,
+            self.seat.members.index(self.name),
+            self.seat.state,
+        )
+
+    def record_state(self, now: datetime.timedelta) -> None:
+        """Records the state for replies to later queries."""
+        state = formations.OrderCountReply(
+            self.orders_begun, self.fleet_seat()
+        )
+        self._states.append((now, state))
+        while len(self._states) > 1 and now - self._states[1][0] >= REPORT_LAG:
+            del self._states[0]
+
+    def reply(self, now: datetime.timedelta) -> formations.OrderCountReply:
+        """Returns the reply to a query, which lags behind the state."""
+        return next(
+            (
+                state
+                for at, state in reversed(self._states)
+                if now - at >= REPORT_LAG
+            ),
+            formations.OrderCountReply(0, None),
+        )
+
+    def forget(self) -> None:
+        """Forgets the states of the former life."""
+        self._states.clear()
 
     def report(self) -> fleetmessages.Registration:
         """Returns the registration that the engine reports."""
         self.sequence += 1
-        seat = None
-        if self.seat is not None:
-            seat = fleetmessages.FleetSeat(
-                self.seat.group,
-                self.seat.epoch,
-                self.seat.members.index(self.name),
-                self.seat.state,
-            )
         return fleetmessages.Registration(
             upstream=self.name,
             incarnation=self.incarnation,
@@ -95,7 +130,7 @@
             domain=self.domain,
             models=[self.seat.model] if self.seat else [],
             staged=list(self.staged),
-            seat=seat,
+            seat=self.fleet_seat(),
         )
 
 
@@ -117,6 +152,10 @@
     changed: list[Engine] = attrs.field(factory=list)
     loads: int = 0
     delayed_order_share: float = 0.0
+    # Share of the orders that are executed but whose reply is lost.
+    lost_reply_share: float = 0.0
+    # How long requests in progress keep a head closing.
+    work_time: datetime.timedelta = datetime.timedelta(0)
     _delayed_orders: list[_DelayedOrder] = attrs.field(factory=list)
 
     def add(self, engine: Engine) -> None:
@@ -140,7 +179,12 @@
                 _DelayedOrder(now + delay, engine.incarnation, order)
             )
             return Result.UNKNOWN
-        return self._execute(engine, order, now)
+        result = self._execute(engine, order, now)
+        if self.lost_reply_share and (
+            self.rng.random() < self.lost_reply_share
+        ):
+            return Result.UNKNOWN
+        return result
 
     def _execute(
         self,
@@ -257,8 +301,22 @@
                 f"size of {current_seat.group} differs from its model's"
             )
         current_seat.state = SeatState.OPEN
+        if not all(
+            self._holds(name, current_seat) for name in current_seat.members
+        ):
+            engine.stalled_at = now
         return Result.BEGUN
 
+    def _holds(self, name: str, seat: _Seat) -> bool:
+        """Returns whether an engine runs as a member of this group."""
+        engine = self.by_name.get(name)
+        return (
+            engine is not None
+            and engine.up
+            and engine.seat is not None
+            and engine.seat.key == seat.key
+        )
+
     def _close(
         self,
         engine: Engine,
@@ -268,9 +326,16 @@
         current_seat = engine.seat
         if current_seat is None or not _matches_seat(order, current_seat):
             return Result.REFUSED
+        if current_seat.state is SeatState.CLOSING and order.abort:
+            current_seat.state = SeatState.READY
+            return Result.BEGUN
         if current_seat.state is not SeatState.OPEN:
             return Result.HELD
-        current_seat.state = SeatState.READY
+        if order.abort or not self.work_time:
+            current_seat.state = SeatState.READY
+        else:
+            current_seat.state = SeatState.CLOSING
+            current_seat.closed_at = now + self.work_time
         return Result.BEGUN
 
     def _leave(
@@ -341,6 +406,7 @@
         for engine in self.by_name.values():
             if engine.up:
                 self._advance(engine, now)
+                engine.record_state(now)
 
     def _advance(self, engine: Engine, now: datetime.timedelta) -> None:
         if engine.staging is not None and now >= engine.staging[1]:
@@ -360,13 +426,21 @@
                 engine.name
             )
             self.changed.append(engine)
-        if engine.stalled_at is None:
-            return
-        if current_seat.state is not SeatState.OPEN:
-            engine.stalled_at = None
-        elif now - engine.stalled_at >= STALL_TIMEOUT:
+        self._advance_head(engine, current_seat, now)
+
+    def _advance_head(
+        self, engine: Engine, seat: _Seat, now: datetime.timedelta
+    ) -> None:
+        """Breaks a stalled head; its work makes no progress until then."""
+        if seat.state not in (SeatState.OPEN, SeatState.CLOSING):
             engine.stalled_at = None
-            current_seat.state = SeatState.BROKEN
+        elif engine.stalled_at is not None:
+            if now - engine.stalled_at >= STALL_TIMEOUT:
+                engine.stalled_at = None
+                seat.state = SeatState.BROKEN
+                self.changed.append(engine)
+        elif seat.state is SeatState.CLOSING and now >= seat.closed_at:
+            seat.state = SeatState.READY
             self.changed.append(engine)
 
     def crash(self, name: str, now: datetime.timedelta) -> None:
@@ -388,6 +462,7 @@
         engine.stalled_at = None
         engine.staging = None
         engine.last_model = ""
+        engine.forget()
         self.changed.append(engine)
 
     def serving(self, model: str) -> int:
