Stand-in: groups of four and a relay per upstream's reports

Groups had at most two members, so a group could not return in parts while its head stayed silent. The stand-in now runs six engines: a group of four, a group of one and a spare. Each upstream reports through relays of its own, which lead to the controllers' relays, so that the reports of single engines can be cut. Answers to queries name weights and group, as the protocol says.

--- a/figford/tests/platform/faultsoak.py
+++ b/figford/tests/platform/faultsoak.py
@@ -22,7 +22,6 @@
 import typer
 
 from figford.tests.platform import relay
-from figford.tests.platform import standin
 from figford.tests.platform import test_processes
 
 ENTRIES = ("127.0.0.21", "127.0.0.22")
@@ -71,13 +70,19 @@
     rng: random.Random = attrs.field(init=False)
     finished: threading.Event = attrs.field(factory=threading.Event)
     relays: relay.Relays = attrs.field(init=False)
+    upstream_relays: list[list[relay.Relay]] = attrs.field(init=False)
+    shared_relays: list[relay.Relay] = attrs.field(init=False)
     disk_lost_at: float = -1e9
     _attempts: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Creates the seeded random generator and the relays."""
         self.rng = random.Random(self.seed)
-        self.relays = relay.Relays(self.cluster.relays())
+        self.upstream_relays = self.cluster.upstream_relays()
+        controllers = self.cluster.controller_relays()
+        self.shared_relays = [own[0] for own in self.upstream_relays]
+        self.shared_relays += controllers
+        self.relays = relay.Relays(sum(self.upstream_relays, controllers))
 
     # ---- Callers --------------------------------------------------------
 
@@ -209,7 +214,7 @@
             share = rng.choice(FAULTY_RELAY_SHARES)
             fault = rng.choice([item for item in relay.ConnectionFault])
             faulty = [
-                item for item in self.relays.relays if rng.random() < share
+                item for item in self.shared_relays if rng.random() < share
             ]
             for item in faulty:
                 self.relays.set_fault(item, fault)
@@ -279,9 +284,8 @@
 
     def check_invariants(self) -> None:
         """Records the broken invariants that the upstreams printed."""
-        for line in self.cluster.log_lines("standin"):
-            if line.startswith(standin.INVARIANT_BROKEN):
-                self.record.add_violation(line)
+        for line in self.cluster.broken_invariants():
+            self.record.add_violation(line)
 
     def check_end(self) -> None:
         """Compares answers with upstreams' runs and the stored version."""
--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -32,14 +32,14 @@
 HOST = "127.0.0.1"
 # Prefix of the line printed for an order that would break an invariant.
 INVARIANT_BROKEN = "invariant broken"
-ENGINE_COUNT = 4
+ENGINE_COUNT = 6
 PLAIN_COUNT = 2
 EVENTS_PER_STREAM = 6
 EVENT_INTERVAL_SECONDS = 0.02
 SECOND = datetime.timedelta(seconds=1)
 MODELS = {
-    "large": routes.Model("large", 2, 0.6, 1.0, 0.3 * SECOND, 0.1 * SECOND),
-    "small": routes.Model("small", 1, 0.4, 1.0, 0.3 * SECOND, 0.1 * SECOND),
+    "large": routes.Model("large", 4, 0.75, 1.0, 0.3 * SECOND, 0.1 * SECOND),
+    "small": routes.Model("small", 1, 0.25, 1.0, 0.3 * SECOND, 0.1 * SECOND),
 }
 _ACTION_BY_NAME = {action.value: action for action in formations.Action}
 _STATUS_BY_RESULT = {
@@ -70,22 +70,29 @@
         "born": report.incarnation,
     }
     if not plain:
-        item["domain"] = report.domain
-        item["models"] = [
-            {"name": name, "version": 1, "adapters": []}
-            for name in report.models
-        ]
-        item["staged"] = report.staged
-        if report.seat is not None:
-            item["group"] = {
-                "name": report.seat.group,
-                "epoch": report.seat.epoch,
-                "rank": report.seat.rank,
-                "state": report.seat.state.value,
-            }
+        item |= weights_and_group(engine)
     return json.dumps(item).encode()
 
 
+def weights_and_group(engine: enginefleet.Engine) -> dict[str, typing.Any]:
+    """Returns what heartbeats and answers to queries tell of an engine."""
+    seat = engine.seat
+    item: dict[str, typing.Any] = {
+        "domain": engine.domain,
+        "models": [],
+        "staged": engine.staged,
+    }
+    if seat is not None:
+        item["models"] = [{"name": seat.model, "version": 1, "adapters": []}]
+        item["group"] = {
+            "name": seat.group,
+            "epoch": seat.epoch,
+            "rank": seat.members.index(engine.name),
+            "state": seat.state.value,
+        }
+    return item
+
+
 @interface.implementer(iweb.IBodyProducer)
 class Body:
     """A request body held in memory."""
@@ -118,7 +125,8 @@
         if path == "/figford/order":
             self._order(upstream, json.loads(self.content.read()))
         elif path == "/figford/report":
-            self._answer(200, {"sequence": upstream.engine.orders_begun})
+            item = {"sequence": upstream.engine.orders_begun}
+            self._answer(200, item | weights_and_group(upstream.engine))
         elif path == "/runs":
             self._answer(200, collections.Counter(upstream.runs))
         else:
@@ -249,12 +257,13 @@
 
 
 def main(arguments: list[str]) -> None:
-    """Runs four engines in one domain and two plain upstreams.
+    """Runs engines in one domain and plain upstreams.
 
     The arguments are the first port to listen on, the first port to report,
-    which may belong to a relay, and the controllers' addresses.
+    which may belong to a relay, the controllers' port for the first upstream,
+    by how much that port increases per upstream, and the controllers' IPs.
     """
-    first_port, first_reported_port, *controllers = arguments
+    first_port, first_reported_port, control_port, port_step, *ips = arguments
     fleet = enginefleet.EngineFleet(MODELS, random.Random(1))
     pool = client.HTTPConnectionPool(reactor)
     agent = client.Agent(reactor, connectTimeout=1, pool=pool)
@@ -273,6 +282,8 @@
         if not plain:
             fleet.add(engine)
         port = int(first_port) + index
+        control = int(control_port) + int(port_step) * index
+        controllers = [f"{ip}:{control}" for ip in ips]
         upstreams.append(
             Upstream(engine, plain, fleet, controllers, agent, port)
         )
--- a/figford/tests/platform/test_processes.py
+++ b/figford/tests/platform/test_processes.py
@@ -36,14 +36,14 @@
     engine = base["services"][0]["engine"] | {
         "models": [
             {
-                "name": name,
-                "size": size,
-                "share": share,
+                "name": model.name,
+                "size": model.size,
+                "share": model.share,
                 "pace": 1.0,
                 "load_s": 0.3,
                 "warm_s": 0.1,
             }
-            for name, size, share in (("large", 2, 0.6), ("small", 1, 0.4))
+            for model in standin.MODELS.values()
         ]
     }
     route = {k: v for k, v in stream.items() if k != "traffic_split"}
@@ -115,9 +115,9 @@
 
     def start_upstreams(self) -> None:
         """Starts the stand-in upstreams."""
-        reported_port = self.ports[5] if self.uses_relays else self.ports[4]
-        control = self.ports[6] if self.uses_relays else self.ports[0]
-        addresses = [f"{ip}:{control}" for ip in CONTROLLERS]
+        reported_port, control, step = self.ports[4], self.ports[0], 0
+        if self.uses_relays:
+            reported_port, control, step = self.ports[5], self.ports[7], 1
         with open(self.folder / "standin.log", "ab") as log:
             self.process_by_name["standin"] = subprocess.Popen(
                 [
@@ -126,30 +126,63 @@
                     "figford.tests.platform.standin",
                     str(self.ports[4]),
                     str(reported_port),
-                    *addresses,
+                    str(control),
+                    str(step),
+                    *CONTROLLERS,
                 ],
                 stdout=log,
                 stderr=log,
             )
 
-    def relays(self) -> list[relay.Relay]:
-        """Returns relays to all upstreams and to the controllers' pages."""
-        upstreams = [
-            relay.Relay(
-                standin.HOST, self.ports[5] + index, self.ports[4] + index
-            )
-            for index in range(standin.ENGINE_COUNT + standin.PLAIN_COUNT)
-        ]
-        controllers = [
+    def controller_relays(self) -> list[relay.Relay]:
+        """Returns relays of all reports, one per controller."""
+        return [
             relay.Relay(ip, self.ports[6], self.ports[0]) for ip in CONTROLLERS
         ]
-        return upstreams + controllers
+
+    def upstream_relays(self) -> list[list[relay.Relay]]:
+        """Returns the relays of each upstream.
+
+        The first one forwards requests and orders, the others the upstream's
+        reports to the relay of each controller.
+        """
+        return [
+            [relay.Relay(standin.HOST, self.ports[5] + i, self.ports[4] + i)]
+            + [
+                relay.Relay(ip, self.ports[7] + i, self.ports[6])
+                for ip in CONTROLLERS
+            ]
+            for i in range(standin.ENGINE_COUNT + standin.PLAIN_COUNT)
+        ]
+
+    def members_by_group(self) -> dict[str, list[int]]:
+        """Returns the engines that are in each group, the head first."""
+        rank_by_engine: dict[str, dict[int, int]] = {}
+        for index in range(standin.ENGINE_COUNT):
+            address = f"{standin.HOST}:{self.ports[4] + index}"
+            answer = self.call(address, "GET", "/figford/report")
+            group = json.loads(answer.body).get("group")
+            if group is not None:
+                ranks = rank_by_engine.setdefault(group["name"], {})
+                ranks[index] = group["rank"]
+        return {
+            name: sorted(ranks, key=ranks.__getitem__)
+            for name, ranks in rank_by_engine.items()
+        }
 
     def log_lines(self, name: str) -> list[str]:
         """Returns the lines of a process's log."""
         file = self.folder / f"{name}.log"
         return file.read_text().splitlines() if file.exists() else []
 
+    def broken_invariants(self) -> list[str]:
+        """Returns the broken invariants that the upstreams printed."""
+        return [
+            line
+            for line in self.log_lines("standin")
+            if line.startswith(standin.INVARIANT_BROKEN)
+        ]
+
     def kill(self, ip: str) -> None:
         """Kills one process at once."""
         process = self.process_by_name.pop(ip)
