A member is free only once it has left, or its head is proven to have ended

A member was ordered to join a group while its former head was open and still took requests, so that those stalled.

Cause: whether an engine is free was concluded from the state of its group, and the state of the group from the members that were heard. A group counted as freed ('head lost') once all members heard so far had left; one that was silent then never left, and was free as soon as it reported again. Silence and absence were read as consent.

Now an engine that holds a seat is free only by its own report or answer, or when the head has left, is broken or was restarted. Without such proof the group is 'abandoned': members are ordered to leave as they report, and become free one by one. A head that reports again is closed.

--- a/figford/formations.py
+++ b/figford/formations.py
@@ -96,6 +96,10 @@
     OPENING = "opening"
     SERVING = "serving"
     DISSOLVING = "dissolving"
+    # The head may still serve, out of reach; each member is free once it
+    # has left.
+    ABANDONED = "abandoned"
+    # The head has left, is broken or was restarted, so all members are free.
     FREED = "freed"
 
 
@@ -117,6 +121,7 @@
     FITS_IN_ONE_DOMAIN = "fits in one domain"
     MODEL_IN_SURPLUS = "model in surplus"
     HEAD_ENDED = "head ended"
+    HEAD_GONE = "head gone"
     BROKEN = "broken"
     HEAD_LOST = "head lost"
     HEAD_LEFT = "head left"
@@ -150,6 +155,11 @@
         """Returns the upstream that serves requests for the group."""
         return self.members.get(0, "")
 
+    @property
+    def is_given_up(self) -> bool:
+        """Returns whether the planner keeps no members for the group."""
+        return self.phase in (Phase.ABANDONED, Phase.FREED)
+
 
 @attrs.frozen
 class OrderCountReply:
--- a/figford/forming.py
+++ b/figford/forming.py
@@ -176,8 +176,7 @@
         groups = [
             formation
             for formation in round_.planner.formation_by_key.values()
-            if formation.service == service
-            and formation.phase is not formations.Phase.FREED
+            if formation.service == service and not formation.is_given_up
         ]
         allocated = instances_by_model(groups, engine)
         model = surplus_model(allocated, engine)
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -2,7 +2,8 @@
 
 Reports of the upstreams are authoritative; the planner's own state only
 records what was ordered. A head is opened after all members reported ready.
-A member is freed only after its head has left, is broken or has ended.
+A member is given another group only after it has left itself, or after its
+head has left, is broken or was restarted; silence proves neither.
 """
 
 import collections
@@ -168,7 +169,7 @@
         self._adopt(round_)
         for formation in list(self.formation_by_key.values()):
             self._advance(formation, round_)
-        self._remove_freed(round_)
+        self._remove_given_up(round_)
         forming.form(round_)
         forming.consolidate_domains(round_)
         forming.rebalance(round_)
@@ -233,11 +234,14 @@
         first_seat = next(iter(seats.values()))
         engine = round_.engine(first_seat.service)
         loads = [model.load_time for model in engine.models] if engine else []
-        # A group of this term without a formation was freed before, and a
-        # late order made its member join again. It starts as freed, and so
-        # does a warm-up group, which no planner needs to keep.
-        of_this_term = key[1] // EPOCHS_PER_TERM == self.term
-        free = of_this_term or warming.is_warm_up(key[0])
+        # A group of this term without a formation was given up before, and a
+        # late order made its member join again. No planner needs to keep a
+        # warm-up group.
+        phase = formations.Phase.FORMING
+        if warming.is_warm_up(key[0]):
+            phase = formations.Phase.FREED
+        elif key[1] // EPOCHS_PER_TERM == self.term:
+            phase = formations.Phase.ABANDONED
         return formations.Formation(
             group=key[0],
             epoch=key[1],
@@ -245,7 +249,7 @@
             model="",
             members={},
             incarnations={},
-            phase=formations.Phase.FREED if free else formations.Phase.FORMING,
+            phase=phase,
             since=round_.now,
             deadline=round_.now
             + max(loads, default=datetime.timedelta(0))
@@ -276,6 +280,8 @@
                 self._check_serving(formation, round_)
             case formations.Phase.DISSOLVING:
                 self._continue_dissolving(formation, round_)
+            case formations.Phase.ABANDONED:
+                self._continue_abandoned(formation, round_)
             case formations.Phase.FREED:
                 self._close_returned_head(formation, round_)
 
@@ -363,17 +369,9 @@
     ) -> None:
         head = round_.seat_state(formation, 0)
         name = formation.head
-        registration = round_.view.fleet.get(name)
-        if registration is None or (
-            registration.incarnation != formation.incarnations[0]
-        ):
-            self._set_phase(
-                formation,
-                formations.Phase.FREED,
-                formations.Cause.HEAD_ENDED,
-                round_,
-            )
-        elif round_.head_is_lost(name):
+        if self._head_ended(formation, round_):
+            return
+        if round_.head_is_lost(name):
             self.begin_dissolving(
                 formation, formations.Cause.HEAD_IS_SILENT, round_
             )
@@ -456,22 +454,10 @@
     ) -> None:
         """Closes the head or orders it to leave, before members are freed."""
         name = formation.head
-        registration = round_.view.fleet.get(name)
-        if not name:
-            self._free_without_head(formation, round_)
+        if name and self._head_ended(formation, round_):
             return
-        if registration is None or (
-            registration.incarnation != formation.incarnations.get(0)
-        ):
-            self._set_phase(
-                formation,
-                formations.Phase.FREED,
-                formations.Cause.HEAD_ENDED,
-                round_,
-            )
-            return
-        if round_.head_is_lost(name):
-            self._free_without_head(formation, round_)
+        if not name or round_.head_is_lost(name):
+            self._abandon_if_left(formation, round_)
             return
         if formation.cause is formations.Cause.HEAD_IS_SILENT:
             # The head was only partitioned from the controllers.
@@ -482,7 +468,7 @@
                 round_,
             )
             return
-        if registration.signed_off:
+        if round_.view.fleet[name].signed_off:
             self._repeat_query(name, round_)
         match round_.seat_state(formation, 0):
             case SeatState.BROKEN:
@@ -522,34 +508,85 @@
                 formation, formations.Cause.HEAD_RETURNED, round_
             )
 
-    def _free_without_head(
+    def _head_ended(
         self, formation: formations.Formation, round_: planrounds.Round
-    ) -> None:
-        """Frees members whose head is unreachable, once they have left.
+    ) -> bool:
+        """Returns whether the head's process ended, and gives up its group.
 
-        A head that still serves stalls once its members have left, so that
-        no request runs in an incomplete group.
+        Only a report of a new incarnation proves the end. A head that is no
+        longer in the fleet may still serve, out of reach.
         """
+        registration = round_.view.fleet.get(formation.head)
+        if registration is None:
+            self._set_phase(
+                formation,
+                formations.Phase.ABANDONED,
+                formations.Cause.HEAD_GONE,
+                round_,
+            )
+            return True
+        if registration.incarnation != formation.incarnations[0]:
+            self._set_phase(
+                formation,
+                formations.Phase.FREED,
+                formations.Cause.HEAD_ENDED,
+                round_,
+            )
+            return True
+        return False
+
+    def _abandon_if_left(
+        self, formation: formations.Formation, round_: planrounds.Round
+    ) -> None:
+        """Gives up a group without its head, once heard members have left."""
         heard = [
             rank
-            for rank, name in sorted(formation.members.items())
+            for rank, name in formation.members.items()
             if rank and name not in round_.view.silent
         ]
-        seated = [
-            rank
-            for rank in heard
-            if round_.seat_state(formation, rank) is not None
-        ]
-        for rank in seated:
-            round_.order(formation, rank, formations.Action.LEAVE)
-        if heard and not seated:
+        self._order_to_leave(formation, round_)
+        if heard and all(
+            round_.seat_state(formation, rank) is None for rank in heard
+        ):
             self._set_phase(
                 formation,
-                formations.Phase.FREED,
+                formations.Phase.ABANDONED,
                 formations.Cause.HEAD_LOST,
                 round_,
             )
 
+    def _continue_abandoned(
+        self, formation: formations.Formation, round_: planrounds.Round
+    ) -> None:
+        """Releases members that report late; closes a head that does."""
+        name = formation.head
+        if name in round_.view.fleet:
+            if self._head_ended(formation, round_):
+                return
+            silence = round_.silence_duration(name)
+            if silence < planrounds.MEMBER_FRESHNESS:
+                self.begin_dissolving(
+                    formation, formations.Cause.HEAD_RETURNED, round_
+                )
+                return
+        self._order_to_leave(formation, round_)
+
+    def _order_to_leave(
+        self, formation: formations.Formation, round_: planrounds.Round
+    ) -> None:
+        """Orders the members that report, but not the head, to leave.
+
+        A head that still serves stalls once a member has left, so that no
+        request runs in an incomplete group.
+        """
+        for rank, name in sorted(formation.members.items()):
+            if (
+                rank
+                and name not in round_.view.silent
+                and round_.seat_state(formation, rank) is not None
+            ):
+                round_.order(formation, rank, formations.Action.LEAVE)
+
     def _set_phase(
         self,
         formation: formations.Formation,
@@ -572,7 +609,7 @@
         detail: str = "",
     ) -> None:
         fields: tuple[tuple[str, str], ...] = ()
-        if phase is formations.Phase.FREED:
+        if phase in (formations.Phase.ABANDONED, formations.Phase.FREED):
             fields = (("seated", round_.describe_seated(formation)),)
         self.notes.append(
             formations.Note(
@@ -585,9 +622,9 @@
             )
         )
 
-    def _remove_freed(self, round_: planrounds.Round) -> None:
+    def _remove_given_up(self, round_: planrounds.Round) -> None:
         for key, formation in list(self.formation_by_key.items()):
-            if formation.phase is formations.Phase.FREED and not any(
+            if formation.is_given_up and not any(
                 registration.seat is not None
                 and (registration.seat.group, registration.seat.epoch) == key
                 for registration in round_.view.fleet.values()
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -267,7 +267,7 @@
         """Returns the number of group members in a domain, by model."""
         count: collections.Counter[str] = collections.Counter()
         for formation in self.planner.formation_by_key.values():
-            if formation.phase is formations.Phase.FREED:
+            if formation.is_given_up:
                 continue
             for name in formation.members.values():
                 found = self.view.fleet.get(name)
@@ -292,13 +292,37 @@
         return self.now - (self.now if since is None else since)
 
     def busy(self) -> set[str]:
-        """Returns the members of all groups that are not freed."""
-        return {
+        """Returns the engines that can't be given a group.
+
+        These are the members of groups that the planner keeps, and engines
+        that hold a seat in any other group whose head may still serve.
+        """
+        kept = {
             name
             for formation in self.planner.formation_by_key.values()
-            if formation.phase is not formations.Phase.FREED
+            if not formation.is_given_up
             for name in formation.members.values()
         }
+        return kept | {
+            name for name in self.view.fleet if self.is_seated(name)
+        }
+
+    def is_seated(self, name: str) -> bool:
+        """Returns whether an engine holds a seat that it must leave first.
+
+        Only its own report or answer shows that it left; a seat is void once
+        the head of the group has left, is broken or was restarted.
+        """
+        seat = self.view.fleet[name].seat
+        if seat is None:
+            return False
+        key = (seat.group, seat.epoch)
+        if self.planner.member_by_name[name].left_group == key:
+            return False
+        formation = self.planner.formation_by_key.get(key)
+        return (
+            formation is None or formation.phase is not formations.Phase.FREED
+        )
 
     def idle(self, service: str) -> list[fleetmessages.Registration]:
         """Returns the engines without a group, even with orders pending."""
--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -385,8 +385,10 @@
     assert planning == leading and len(leading) == 1
 
 
-def planning_with_seat(group: str) -> Process:
-    """Returns a leader that gave a group of one to a member with a seat."""
+def planning_with_seat(
+    group: str, state: fleetmessages.SeatState = fleetmessages.SeatState.READY
+) -> Process:
+    """Returns a leader of which a member with a seat waits for a group."""
     net = Net(seed=8)
     net.run(3)
     process = next(
@@ -401,9 +403,7 @@
     )
     term = process.state.control.agreement.term
     epoch = (term + 1) * groupplanner.EPOCHS_PER_TERM - 1
-    seat = fleetmessages.FleetSeat(
-        group, epoch, 0, fleetmessages.SeatState.READY
-    )
+    seat = fleetmessages.FleetSeat(group, epoch, 0, state)
     item = registration(1, staged=["m"], seat=seat)
     net.carry_out(process, process.state.report(item, net.now))
     net.run(1)
@@ -414,16 +414,24 @@
 
 
 def test_a_join_of_a_member_with_a_seat_elsewhere_is_counted() -> None:
-    process = planning_with_seat("former")
+    """Its group is over, since its head is broken."""
+    process = planning_with_seat("former", fleetmessages.SeatState.BROKEN)
     assert process.counted == ["member-joined-while-seated"]
     (change,) = [
         change for change in process.changes if change.event == "group forming"
     ]
     former = dict(change.detail)["former"]
-    assert former.startswith("u1/former/") and former.endswith("/ready/freed")
+    assert former.startswith("u1/former/") and former.endswith("/broken/freed")
     assert change.kind == ""
 
 
+def test_a_member_with_a_seat_elsewhere_does_not_join() -> None:
+    """It has to leave first, and has not answered."""
+    process = planning_with_seat("former")
+    assert process.counted == []
+    assert "group forming" not in [item.event for item in process.changes]
+
+
 def test_a_join_of_a_spare_that_warmed_up_is_not_counted() -> None:
     process = planning_with_seat("warm-1")
     assert process.counted == []
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -401,8 +401,10 @@
     assert sorted(item.split("/")[0] for item in seated) == sorted(members[1:])
 
 
-def test_a_freed_group_names_the_silent_members_that_did_not_leave() -> None:
-    """They count as free once they report, with no order to leave."""
+def test_an_abandoned_group_names_the_silent_members_that_did_not_leave() -> (
+    None
+):
+    """They are ordered to leave once they report."""
     world = World(seed=3)
     world.run(40)
     head = world.member(0)
@@ -414,7 +416,7 @@
     world.run(20)
     (note,) = [
         note
-        for note in notes_of(world, "freed")
+        for note in notes_of(world, "abandoned")
         if (note.group, note.epoch) == (group, epoch)
     ]
     assert note.cause is formations.Cause.HEAD_LOST
--- a/figford/tests/test_partitions.py
+++ b/figford/tests/test_partitions.py
@@ -11,6 +11,7 @@
 import attrs
 import pytest
 
+from figford import fleet as fleets
 from figford import planrounds
 from figford.tests.plannerworld import BEAT
 from figford.tests.plannerworld import SECOND
@@ -279,3 +280,73 @@
     assert heard_seat is None or heard_seat.key != head.seat.key
     return_one_by_one(world, [first, second, head.name])
     assert_all_serve(world)
+
+
+def whole_group(world: World) -> list[enginefleet.Engine]:
+    """Returns the members of a group, the head first."""
+    names = world.member(0).seat.members
+    return [world.engines.by_name[name] for name in names]
+
+
+def test_a_member_first_heard_after_its_group_was_given_up_leaves() -> None:
+    """The planner that took over did not know it, and its head is cut off."""
+    world = World(seed=0)
+    world.run(40)
+    members = whole_group(world)
+    members[3].partitioned = True
+    world.replace_planner()
+    world.fleet = fleets.FleetTable()
+    world.run(1.3)
+    members[0].partitioned = True
+    world.run(10)
+    members[3].partitioned = False
+    world.run(20)
+    members[0].partitioned = False
+    world.run(20)
+    assert_all_serve(world)
+
+
+def test_members_leave_first_if_another_takes_the_heads_address() -> None:
+    """The head still serves under it."""
+    world = World(seed=0)
+    world.run(40)
+    head, *_ = whole_group(world)
+    other = attrs.evolve(
+        head.report(), upstream="other", service="plain", seat=None, staged=[]
+    )
+    world.fleet.report(other, world.now)
+    # The emulator raises InvariantViolation if a member joins without it.
+    world.run(20)
+
+
+def test_members_leave_first_if_their_head_signed_off_long_ago() -> None:
+    """It serves on out of reach, past `SIGNED_OFF_RETENTION`."""
+    world = World(seed=0)
+    world.run(40)
+    members = whole_group(world)
+    for engine in members:
+        engine.partitioned = True
+    world.sign_off(members[0].name)
+    world.run(fleets.SIGNED_OFF_RETENTION.total_seconds() + 2)
+    world.fleet.evict_ended(world.now)
+    for engine in members[1:]:
+        engine.partitioned = False
+    world.run(20)
+
+
+def test_members_leave_first_if_their_records_were_evicted() -> None:
+    """A group without records may still be open."""
+    world = World(seed=0)
+    world.run(40)
+    members = whole_group(world)
+    for engine in members:
+        engine.partitioned = True
+    world.run(4)
+    for engine in members:
+        del world.fleet.by_name[engine.name]
+    world.run(10)
+    for engine in reversed(members):
+        engine.partitioned = False
+        world.run(0.3)
+    world.run(20)
+    assert_all_serve(world)
