A sign-off is final, whatever the sequence of the report known

What is seen: an upstream deregisters at one controller and gets 200, but another controller, and entries that heard the next report from there, keep it as ready for good. If that controller leads, it goes on to give the upstream work or joins (DRAIN).

Cause: the table gave a sign-off the invented sequence "last one + 1". A controller that already had the upstream's real report or beat with that number dropped the sign-off as stale. The real report with that number was in turn dropped where the sign-off came first. A controller also forwarded a changed report as received, without the sign-off that it knew.

Evidence: on the code before, of the new tests, these fail: the sign-off merges into the same or a later sequence, it does not hide the next report, it keeps its retention, it is not lost to a beat of the same sequence, it crosses a cut, a change is forwarded with it. The last one also fails if only the forwarding of the stored record is taken out of this change.

Why this works: a sign-off has no sequence now. It is a property of the incarnation and is merged into whatever report of it is known; the content still goes by sequence. It does not count as a report, so a late one doesn't make an upstream count as heard. The time at which it became known is kept, so that the process counts as ended only SIGNED_OFF_RETENTION after that, also at entries, which receive no beats.

FleetTable.sign_off takes the time for this.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -209,9 +209,7 @@
         self._detect_pause(now)
         if self.fleet.report(registration, now):
             self._plan_soon()
-            return self._broadcast(
-                fleetmessages.FleetUpdate([registration]), None
-            )
+            return self._forward(registration.upstream)
         self._beats[registration.upstream] = (
             registration.incarnation,
             registration.sequence,
@@ -221,10 +219,9 @@
     def sign_off(self, upstream: str, now: datetime.timedelta) -> list[Effect]:
         """Processes an upstream's announcement that it leaves for good."""
         self._detect_pause(now)
-        if not self.fleet.sign_off(upstream):
+        if not self.fleet.sign_off(upstream, now):
             return []
-        registration = self.fleet.by_name[upstream].registration
-        return self._broadcast(fleetmessages.FleetUpdate([registration]), None)
+        return self._forward(upstream)
 
     def propose(
         self,
@@ -363,6 +360,11 @@
             if self.fleet.report(registration, now):
                 self._plan_soon()
 
+    def _forward(self, upstream: str) -> list[Effect]:
+        """Sends what is known of an upstream, a sign-off included."""
+        registration = self.fleet.by_name[upstream].registration
+        return self._broadcast(fleetmessages.FleetUpdate([registration]), None)
+
     def _on_beats(
         self, beats: fleetmessages.FleetBeats, now: datetime.timedelta
     ) -> None:
--- a/figford/fleet.py
+++ b/figford/fleet.py
@@ -3,7 +3,8 @@
 An upstream reports to any one of the controllers. Changes are forwarded
 immediately; reports that only show that an upstream is alive are exchanged in
 batches among controllers. The newest report by incarnation and sequence wins,
-whichever process forwarded it.
+whichever process forwarded it. A sign-off is final for its incarnation; it has
+no sequence and is merged into whatever report is known.
 """
 
 import datetime
@@ -28,10 +29,7 @@
     registration: fleetmessages.Registration
     heard_at: datetime.timedelta
     first_heard_at: datetime.timedelta
-
-
-def _recency(item: fleetmessages.Registration) -> tuple[int, int]:
-    return item.incarnation, item.sequence
+    signed_off_at: datetime.timedelta | None = None
 
 
 def _without_sequence(
@@ -56,25 +54,42 @@
     ) -> bool:
         """Applies a report; returns whether more than the sequence changed."""
         known = self.by_name.get(registration.upstream)
-        if known and _recency(registration) <= _recency(known.registration):
-            self.stale_reports += 1
-            return False
-        if self._address_was_taken_over(registration):
+        incarnation = known.registration.incarnation if known else None
+        if known is not None and incarnation == registration.incarnation:
+            return self._merge(known, registration, now)
+        if (
+            incarnation is not None and registration.incarnation < incarnation
+        ) or self._address_was_taken_over(registration):
             self.stale_reports += 1
             return False
-        if known is None or (
-            known.registration.incarnation != registration.incarnation
-        ):
-            self.by_name[registration.upstream] = UpstreamRecord(
-                registration, now, now
-            )
-            self._assign_address(registration, now)
-            self.revision += 1
-            return True
+        signed_off_at = now if registration.signed_off else None
+        self.by_name[registration.upstream] = UpstreamRecord(
+            registration, now, now, signed_off_at
+        )
+        self._assign_address(registration, now)
+        self.revision += 1
+        return True
+
+    def _merge(
+        self,
+        known: UpstreamRecord,
+        registration: fleetmessages.Registration,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Merges a report into the record of the same incarnation."""
         if known.registration.gone:
             # The end of an incarnation is final.
             self.stale_reports += 1
             return False
+        signed_off = registration.signed_off and self._mark_signed_off(
+            known, now
+        )
+        if (
+            registration.sequence <= known.registration.sequence
+            or self._address_was_taken_over(registration)
+        ):
+            self.stale_reports += 1
+            return signed_off
         if known.registration.signed_off:
             registration = attrs.evolve(
                 registration, leaving=True, signed_off=True
@@ -87,7 +102,7 @@
         if changed:
             self.revision += 1
             self._assign_address(registration, now)
-        return changed
+        return changed or signed_off
 
     def _address_was_taken_over(
         self, registration: fleetmessages.Registration
@@ -141,20 +156,23 @@
         known.registration = attrs.evolve(current, sequence=sequence)
         known.heard_at = now
 
-    def sign_off(self, upstream: str) -> bool:
+    def sign_off(self, upstream: str, now: datetime.timedelta) -> bool:
         """Marks an upstream as signed off; returns whether that is new.
 
         Its process may continue with work in progress for a while.
         """
         known = self.by_name.get(upstream)
-        if known is None or known.registration.signed_off:
+        return known is not None and self._mark_signed_off(known, now)
+
+    def _mark_signed_off(
+        self, known: UpstreamRecord, now: datetime.timedelta
+    ) -> bool:
+        if known.registration.signed_off:
             return False
         known.registration = attrs.evolve(
-            known.registration,
-            sequence=known.registration.sequence + 1,
-            leaving=True,
-            signed_off=True,
+            known.registration, leaving=True, signed_off=True
         )
+        known.signed_off_at = now
         self.revision += 1
         return True
 
@@ -178,15 +196,14 @@
     def evict_ended(self, now: datetime.timedelta) -> None:
         """Removes upstreams that have been silent for `ENDED_RETENTION`.
 
-        Signed-off ones count as ended after `SIGNED_OFF_RETENTION`.
+        Signed-off ones count as ended `SIGNED_OFF_RETENTION` after their
+        sign-off or their last report, whichever is later.
         """
         for name, known in list(self.by_name.items()):
-            silence = now - known.heard_at
-            if (
-                known.registration.signed_off
-                and silence > SIGNED_OFF_RETENTION
-            ):
-                self._mark_ended(known)
+            if known.signed_off_at is not None:
+                last_sign = max(known.heard_at, known.signed_off_at)
+                if now - last_sign > SIGNED_OFF_RETENTION:
+                    self._mark_ended(known)
             if now - known.heard_at > ENDED_RETENTION:
                 del self.by_name[name]
                 address = known.registration.address
--- a/figford/tests/plannerworld.py
+++ b/figford/tests/plannerworld.py
@@ -171,7 +171,7 @@
     def sign_off(self, name: str) -> None:
         """Signs an engine off; it keeps running for a while."""
         self.signed_off.add(name)
-        self.fleet.sign_off(name)
+        self.fleet.sign_off(name, self.now)
 
     def restart(self, name: str) -> None:
         """Restarts an engine under its name."""
--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -351,6 +351,69 @@
         assert state.fleet.by_name["u1"].registration.leaving
 
 
+def report_to(net: Net, name: str, item: object) -> None:
+    """Reports an upstream to a controller."""
+    process = net.process_by_name[name]
+    net.carry_out(process, process.state.report(item, net.now))
+
+
+def sign_off_at(net: Net, name: str) -> None:
+    """Signs the upstream off at a controller."""
+    process = net.process_by_name[name]
+    net.carry_out(process, process.state.sign_off("u1", net.now))
+
+
+def stored_at(net: Net, name: str) -> fleetmessages.Registration:
+    """Returns the upstream as a process knows it."""
+    return net.process_by_name[name].state.fleet.by_name["u1"].registration
+
+
+def test_a_sign_off_is_not_lost_to_a_beat_of_the_same_sequence() -> None:
+    net = Net(seed=6)
+    net.run(3)
+    report_to(net, "c1", registration(1))
+    net.run(1)
+    # The next report reaches another controller before the sign-off.
+    report_to(net, "c2", registration(2))
+    sign_off_at(net, "c1")
+    net.run(2)
+    for name in (*CONTROLLERS, *ENTRIES):
+        assert stored_at(net, name).signed_off, name
+        assert stored_at(net, name).leaving, name
+
+
+def test_a_sign_off_crosses_a_cut_that_hid_it() -> None:
+    net = Net(seed=6)
+    net.run(3)
+    report_to(net, "c1", registration(1))
+    net.run(1)
+    net.cut.add(frozenset(("c1", "c2")))
+    net.run(0.1)
+    sign_off_at(net, "c1")
+    for sequence in (2, 3):
+        report_to(net, "c2", registration(sequence))
+        net.run(1)
+    net.cut.clear()
+    net.run(1)
+    assert stored_at(net, "c2").signed_off
+
+
+def test_a_change_is_forwarded_with_the_sign_off_that_is_known() -> None:
+    """A controller that missed the sign-off learns of it from a third."""
+    net = Net(seed=6)
+    net.run(3)
+    report_to(net, "c1", registration(1))
+    net.run(1)
+    net.cut.add(frozenset(("c1", "c2")))
+    net.run(0.1)
+    sign_off_at(net, "c1")
+    net.run(0.1)
+    report_to(net, "c3", registration(2, staged=["m"]))
+    net.run(0.1)
+    assert stored_at(net, "c2").staged == ["m"]
+    assert stored_at(net, "c2").signed_off
+
+
 def test_a_restarted_entry_receives_the_whole_fleet() -> None:
     net = Net(seed=7)
     net.run(3)
--- a/figford/tests/test_fleet.py
+++ b/figford/tests/test_fleet.py
@@ -54,8 +54,8 @@
 def test_a_late_report_does_not_undo_a_sign_off() -> None:
     table = fleet.FleetTable()
     table.report(report(), NOW)
-    assert table.sign_off("u1")
-    assert not table.sign_off("u1")
+    assert table.sign_off("u1", NOW)
+    assert not table.sign_off("u1", NOW)
     table.report(report(sequence=9), LATER)
     stored = table.by_name["u1"].registration
     assert stored.leaving and stored.signed_off
@@ -65,7 +65,7 @@
     """Otherwise its group would be dissolved as if the process had ended."""
     table = fleet.FleetTable()
     table.report(report(), NOW)
-    table.sign_off("u1")
+    table.sign_off("u1", NOW)
     assert [item.upstream for item in table.present()] == ["u1"]
     table.evict_ended(NOW + fleet.SIGNED_OFF_RETENTION * 2)
     assert table.present() == []
@@ -97,8 +97,74 @@
 def test_ended_upstreams_are_evicted_after_their_retention() -> None:
     table = fleet.FleetTable()
     table.report(report(), NOW)
-    table.sign_off("u1")
+    table.sign_off("u1", NOW)
     table.evict_ended(NOW + fleet.ENDED_RETENTION / 2)
     assert "u1" in table.by_name
     table.evict_ended(NOW + fleet.ENDED_RETENTION * 2)
     assert table.by_name == {}
+
+
+def test_a_sign_off_merges_into_a_report_of_the_same_or_a_later_sequence() -> (
+    None
+):
+    """Otherwise an upstream that signed off would be given work again."""
+    sender = fleet.FleetTable()
+    sender.report(report(sequence=2), NOW)
+    sender.sign_off("u1", NOW)
+    forwarded = sender.by_name["u1"].registration
+    for sequence in (1, 2, 3, 9):
+        table = fleet.FleetTable()
+        table.report(report(sequence=sequence, slots=7), NOW)
+        assert table.report(forwarded, LATER)
+        stored = table.by_name["u1"].registration
+        assert stored.leaving and stored.signed_off
+        assert stored.sequence == max(2, sequence)
+        assert stored.slots == (4 if sequence == 1 else 7)
+        assert not table.report(forwarded, LATER)
+
+
+def test_a_sign_off_does_not_hide_the_next_report() -> None:
+    table = fleet.FleetTable()
+    table.report(report(), NOW)
+    table.sign_off("u1", NOW)
+    table.report(report(sequence=2, slots=7), LATER)
+    assert table.by_name["u1"].registration.slots == 7
+
+
+def test_a_late_sign_off_does_not_count_as_a_report() -> None:
+    """The upstream would count as heard although its seat is not known."""
+    table = fleet.FleetTable()
+    table.report(report(sequence=3), NOW)
+    table.report(report(sequence=2, leaving=True, signed_off=True), LATER)
+    assert table.by_name["u1"].heard_at == NOW
+
+
+def test_a_sign_off_of_an_upstream_long_unheard_keeps_its_retention() -> None:
+    """Its process may serve on; its group would be dissolved too early."""
+    late = NOW + fleet.SIGNED_OFF_RETENTION * 2
+    for sequence in (0, 1):
+        received = fleet.FleetTable()
+        received.report(report(), NOW)
+        received.report(
+            report(sequence=sequence, leaving=True, signed_off=True), late
+        )
+        received.evict_ended(late + fleet.SIGNED_OFF_RETENTION)
+        assert received.present() != []
+        received.evict_ended(late + fleet.SIGNED_OFF_RETENTION * 2)
+        assert received.present() == []
+    called = fleet.FleetTable()
+    called.report(report(), NOW)
+    called.sign_off("u1", late)
+    called.evict_ended(late + fleet.SIGNED_OFF_RETENTION)
+    assert called.present() != []
+
+
+def test_a_sign_off_does_not_outlast_its_incarnation() -> None:
+    table = fleet.FleetTable()
+    table.report(report(sequence=9), NOW)
+    signed_off = report(sequence=9, leaving=True, signed_off=True)
+    table.report(signed_off, NOW)
+    assert table.report(report(incarnation=6), LATER)
+    assert not table.report(signed_off, LATER)
+    stored = table.by_name["u1"].registration
+    assert not stored.leaving and not stored.signed_off
