A beat doesn't hide a change that was missed

What is seen: while the link between two controllers is down, an upstream changes (a seat, a staged model, draining) at one of them and reports its next beat to a third. When the link returns, the other controller keeps the old content until the next change, although it counts the upstream as heard. A planner then sees a member of a group without its seat. That controller also sends its old content to entries whose link to it comes up, which take a change back that they knew.

Cause: the table had one sequence for two things. A beat carries no content but raised the sequence of the content, so the missed change counted as stale, and old content was forwarded with the sequence of the beat.

Evidence: on the code before, these new tests fail: a beat does not hide a change that was missed, nor a seat that a cut hid; content is not forwarded with the sequence of a later beat; old content does not come back with a beat after a cut.

Why this works: the content keeps the sequence of the report that it came with, and `heard_sequence` is that of the newest report or beat. A report replaces the content if it is newer than the content; it counts as a sign of life only if it is newer than all that was heard. The end of a process is an assumption of its sender, not content of a report: as before, it is ignored if a later beat is known (that test fails if the check is taken out).

--- a/figford/fleet.py
+++ b/figford/fleet.py
@@ -3,8 +3,10 @@
 An upstream reports to any one of the controllers. Changes are forwarded
 immediately; reports that only show that an upstream is alive are exchanged in
 batches among controllers. The newest report by incarnation and sequence wins,
-whichever process forwarded it. A sign-off is final for its incarnation; it has
-no sequence and is merged into whatever report is known.
+whichever process forwarded it. A beat shows that an upstream is alive, but not
+what its reports said, so it leaves the sequence of the content as it is. A
+sign-off is final for its incarnation; it has no sequence and is merged into
+whatever report is known.
 """
 
 import datetime
@@ -24,12 +26,27 @@
 
 @attrs.define
 class UpstreamRecord:
-    """An upstream and when a report of it last reached this process."""
+    """An upstream and when a report of it last reached this process.
+
+    `registration` keeps the sequence of the report whose content it holds;
+    `heard_sequence` is that of the newest report or beat.
+    """
 
     registration: fleetmessages.Registration
     heard_at: datetime.timedelta
     first_heard_at: datetime.timedelta
     signed_off_at: datetime.timedelta | None = None
+    heard_sequence: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Starts with the sequence of the first report."""
+        self.heard_sequence = self.registration.sequence
+
+    def record_sequence(self, sequence: int, now: datetime.timedelta) -> None:
+        """Records a report or beat; only a newer one shows a live process."""
+        if sequence > self.heard_sequence:
+            self.heard_sequence = sequence
+            self.heard_at = now
 
 
 def _without_sequence(
@@ -84,8 +101,13 @@
         signed_off = registration.signed_off and self._mark_signed_off(
             known, now
         )
+        # The process ran on if a beat is newer than the report of its end.
+        outlived = (
+            registration.gone and registration.sequence < known.heard_sequence
+        )
         if (
             registration.sequence <= known.registration.sequence
+            or outlived
             or self._address_was_taken_over(registration)
         ):
             self.stale_reports += 1
@@ -98,7 +120,7 @@
             registration
         )
         known.registration = registration
-        known.heard_at = now
+        known.record_sequence(registration.sequence, now)
         if changed:
             self.revision += 1
             self._assign_address(registration, now)
@@ -150,11 +172,8 @@
         known = self.by_name.get(upstream)
         if known is None or known.registration.gone:
             return
-        current = known.registration
-        if current.incarnation != incarnation or current.sequence >= sequence:
-            return
-        known.registration = attrs.evolve(current, sequence=sequence)
-        known.heard_at = now
+        if known.registration.incarnation == incarnation:
+            known.record_sequence(sequence, now)
 
     def sign_off(self, upstream: str, now: datetime.timedelta) -> bool:
         """Marks an upstream as signed off; returns whether that is new.
--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -414,6 +414,45 @@
     assert stored_at(net, "c2").signed_off
 
 
+def test_a_beat_does_not_hide_a_seat_that_a_cut_hid() -> None:
+    """The planner would take the member of a group for free."""
+    seat = fleetmessages.FleetSeat("g", 1, 0, fleetmessages.SeatState.OPEN)
+    net = Net(seed=6)
+    net.run(3)
+    report_to(net, "c1", registration(1))
+    net.run(1)
+    net.cut.add(frozenset(("c1", "c2")))
+    net.run(0.1)
+    report_to(net, "c1", registration(2, seat=seat))
+    net.run(1)
+    report_to(net, "c3", registration(3, seat=seat))
+    net.run(1)
+    heard_at = net.process_by_name["c2"].state.fleet.by_name["u1"].heard_at
+    assert net.now - heard_at <= SECOND
+    net.cut.clear()
+    net.run(0.2)
+    for name in (*CONTROLLERS, *ENTRIES):
+        assert stored_at(net, name).seat == seat, name
+
+
+def test_old_content_does_not_come_back_with_a_beat_after_a_cut() -> None:
+    """An entry would take back a change that it knew."""
+    net = Net(seed=6)
+    net.run(3)
+    report_to(net, "c1", registration(1))
+    net.run(1)
+    net.cut.add(frozenset(("c1", "c2")))
+    net.cut.add(frozenset(("e1", "c2")))
+    net.run(0.1)
+    report_to(net, "c1", registration(2, leaving=True))
+    net.run(1)
+    report_to(net, "c3", registration(3, leaving=True))
+    net.run(1)
+    net.cut.discard(frozenset(("e1", "c2")))
+    net.run(0.2)
+    assert stored_at(net, "e1").leaving
+
+
 def test_a_restarted_entry_receives_the_whole_fleet() -> None:
     net = Net(seed=7)
     net.run(3)
--- a/figford/tests/test_fleet.py
+++ b/figford/tests/test_fleet.py
@@ -168,3 +168,54 @@
     assert not table.report(signed_off, LATER)
     stored = table.by_name["u1"].registration
     assert not stored.leaving and not stored.signed_off
+
+
+def test_a_beat_does_not_hide_a_change_that_was_missed() -> None:
+    """The seat would stay unknown while the upstream counts as heard."""
+    seat = fleetmessages.FleetSeat("g", 1, 0, fleetmessages.SeatState.OPEN)
+    table = fleet.FleetTable()
+    table.report(report(), NOW)
+    table.beat("u1", 5, 4, LATER)
+    assert table.report(report(sequence=2, seat=seat), LATER * 2)
+    known = table.by_name["u1"]
+    assert known.registration.seat == seat
+    assert known.heard_at == LATER
+    assert not table.report(report(sequence=1), LATER * 2)
+
+
+def test_content_is_not_forwarded_with_the_sequence_of_a_later_beat() -> None:
+    """It would replace the newer content of another process."""
+    behind = fleet.FleetTable()
+    behind.report(report(), NOW)
+    behind.beat("u1", 5, 4, LATER)
+    other = fleet.FleetTable()
+    other.report(report(sequence=2, staged=["m"]), NOW)
+    for item in behind.all_registrations():
+        assert not other.report(item, LATER)
+    assert other.by_name["u1"].registration.staged == ["m"]
+
+
+def test_only_a_newer_beat_shows_that_an_upstream_is_alive() -> None:
+    table = fleet.FleetTable()
+    table.report(report(sequence=2), NOW)
+    table.beat("u1", 5, 4, LATER)
+    for sequence in (2, 3, 4):
+        table.beat("u1", 5, sequence, LATER * 2)
+    table.beat("u1", 4, 9, LATER * 2)
+    table.report(report(sequence=3), LATER * 2)
+    assert table.by_name["u1"].heard_at == LATER
+    table.report(report(sequence=5), LATER * 2)
+    assert table.by_name["u1"].heard_at == LATER * 2
+
+
+def test_an_end_assumed_before_the_latest_beat_is_ignored() -> None:
+    """A controller that was cut off takes an upstream for ended too early."""
+    table = fleet.FleetTable()
+    table.report(report(), NOW)
+    table.beat("u1", 5, 4, LATER)
+    ended = report(sequence=2, leaving=True, signed_off=True, gone=True)
+    assert table.report(ended, LATER)
+    (present,) = table.present()
+    assert present.signed_off and present.leaving
+    table.report(attrs.evolve(ended, sequence=5), LATER)
+    assert table.present() == []
