Silent entries keep their parts of the retry budget

What is seen: while the leading controller is cut off from most entries, it tells the few that it hears that they alone share the retry budget. The entries behind the cut keep the count that they were told before. With eight of ten entries behind the cut, the parts of the reserve add up to 1.8 times the reserve; the safety factor covers 1.4 times (BUDGET).

Cause: the leader counted only the entries that it heard at that moment, and took silence for the end of an entry. A silent entry may serve on.

Why this works: a silent entry counts for as long as the peer table remembers it (MISSING_RETENTION), and the parts add up to the reserve during a cut, but for entries that start meanwhile. Growth is bounded: a restarted entry has one record; one that was stopping when last heard gives its part back after STOPPED_ENTRY_RETENTION; and no more silent entries count than were live at the same time. So replaced ones at most halve the parts of the others.

The status goes to all linked entries, silent ones too. Otherwise an entry that paused would miss a status that was sent meanwhile, now that its return doesn't change the count; the test of this fails if only live ones get it.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -36,6 +36,8 @@
 PAUSE_THRESHOLD = datetime.timedelta(seconds=1)
 # An entry's doubt about an upstream expires after this long.
 DOUBT_EXPIRY = datetime.timedelta(seconds=6)
+# An entry that was stopping when it was last heard has exited after this time.
+STOPPED_ENTRY_RETENTION = datetime.timedelta(seconds=30)
 # After the start or a pause, no upstream counts as silent for this long.
 SETTLE_TIME = fleets.SILENCE_TIMEOUT
 
@@ -108,6 +110,8 @@
     _settled_at: datetime.timedelta = attrs.field(init=False)
     _last_event: datetime.timedelta = attrs.field(init=False)
     _sent_status: fleetmessages.FleetStatus | None = None
+    # Largest number of entries that were live at the same time.
+    _most_entries: int = 0
     _proposals_made: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -135,10 +139,6 @@
             state.routes_version, state.routes_document
         )
 
-    def entries(self, now: datetime.timedelta) -> list[messages.Peer]:
-        """Returns the live entries, which have no vote."""
-        return [peer for peer in self.peers.live(now) if peer.voter is None]
-
     def controllers(self) -> list[messages.Peer]:
         """Returns all known controllers, this one first."""
         return [
@@ -403,21 +403,48 @@
 
     def _send_status(self, now: datetime.timedelta) -> list[Effect]:
         """Sends entries the status that only a leader knows, if it changed."""
+        sharing = self._count_entries_sharing(now)
         if not self.is_settled_leader:
             self._sent_status = None
             return []
-        entries = self.entries(now)
         status = fleetmessages.FleetStatus(
-            sorted(self.silent(now)), max(1, len(entries))
+            sorted(self.silent(now)), max(1, sharing)
         )
         if status == self._sent_status:
             return []
         self._sent_status = status
         linked = [
-            peer.instance for peer in entries if peer.instance in self.links
+            name for name in sorted(self._entries()) if name in self.links
         ]
         return [SendAll(linked, status)]
 
+    def _entries(self) -> dict[str, membership.KnownPeer]:
+        """Returns the remembered entries by instance; they have no vote."""
+        return {
+            name: known
+            for name, known in self.peers.by_instance.items()
+            if known.peer.voter is None
+        }
+
+    def _count_entries_sharing(self, now: datetime.timedelta) -> int:
+        """Counts the entries that may use a part of the retry budget.
+
+        An entry that fell silent may serve on behind a cut with the part
+        that it was told, so it counts for as long as it is remembered. Those
+        behind a cut were live together, so no more silent ones count.
+        """
+        live = silent = 0
+        for name, known in self._entries().items():
+            if self.peers.is_live(name, now):
+                live += 1
+            elif known.heard_at is not None and not (
+                known.peer.draining
+                and now - known.heard_at > STOPPED_ENTRY_RETENTION
+            ):
+                silent += 1
+        self._most_entries = max(self._most_entries, live)
+        return live + min(silent, self._most_entries)
+
     # ---- The log --------------------------------------------------------
 
     def _with_log_results(
--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -39,6 +39,7 @@
     outcomes: dict = attrs.field(factory=dict)
     changes: list[effects.StateChanged] = attrs.field(factory=list)
     counted: list[str] = attrs.field(factory=list)
+    status: fleetmessages.FleetStatus | None = None
     highest_seen: int = 0
 
 
@@ -47,6 +48,7 @@
     """All processes, their disks and the network between them."""
 
     seed: int
+    entries: tuple[str, ...] = ENTRIES
     now: datetime.timedelta = 10 * SECOND
     process_by_name: dict = attrs.field(factory=dict)
     disk_by_name: dict = attrs.field(factory=dict)
@@ -58,14 +60,14 @@
     rng: random.Random = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Creates three controllers with their disks; starts two entries."""
+        """Creates three controllers with their disks; starts the entries."""
         self.rng = random.Random(self.seed)
         for name in CONTROLLERS:
             others = [f"{other}.first" for other in CONTROLLERS]
             self.disk_by_name[name] = control.bootstrap_records(
                 f"{name}.first", others
             )
-        for name in (*CONTROLLERS, *ENTRIES):
+        for name in (*CONTROLLERS, *self.entries):
             self.start(name)
 
     # ---- Processes ------------------------------------------------------
@@ -204,6 +206,8 @@
                     process.changes.append(effect)
                 case controller.EventCounted(event):
                     process.counted.append(event)
+                case entries.FleetStatusReceived(status):
+                    process.status = status
 
     # ---- Operators ------------------------------------------------------
 
@@ -487,6 +491,107 @@
     assert planning == leading and len(leading) == 1
 
 
+TEN_ENTRIES = tuple(f"e{number}" for number in range(10))
+
+
+def leader_of(net: Net) -> str:
+    """Returns the controller that leads."""
+    (name,) = [
+        name
+        for name in CONTROLLERS
+        if net.process_by_name[name].state.is_settled_leader
+    ]
+    return name
+
+
+def told(net: Net) -> dict[str, int]:
+    """Returns by entry how many entries share the budget, as it was told."""
+    return {
+        name: process.status.entries
+        for name, process in net.process_by_name.items()
+        if name not in CONTROLLERS
+    }
+
+
+@pytest.mark.parametrize("near", [1, 2, 5, 9])
+def test_parts_of_the_budget_add_up_to_no_more_behind_a_cut(near: int) -> None:
+    """Entries that the leader no longer hears keep their parts."""
+    net = Net(seed=1, entries=TEN_ENTRIES)
+    net.run(5)
+    assert set(told(net).values()) == {10}
+    leader = leader_of(net)
+    for name in TEN_ENTRIES[near:]:
+        net.cut.add(frozenset((leader, name)))
+    for _ in range(12):
+        net.run(5)
+        assert leader_of(net) == leader
+        assert sum(1 / count for count in told(net).values()) < 1.001
+    # An entry that starts meanwhile gets its part of the same budget.
+    net.start("new")
+    net.run(5)
+    assert sum(1 / count for count in told(net).values()) < 1.1
+    assert told(net)["new"] == 11
+    net.cut.clear()
+    net.run(5)
+    assert set(told(net).values()) == {11}
+
+
+def test_a_restarted_entry_takes_its_part_back() -> None:
+    net = Net(seed=1, entries=TEN_ENTRIES)
+    net.run(5)
+    for _ in range(3):
+        net.kill("e1")
+        net.run(5)
+        net.start("e1")
+        net.run(5)
+    assert set(told(net).values()) == {10}
+
+
+def test_an_entry_that_stopped_gives_its_part_back() -> None:
+    net = Net(seed=1, entries=TEN_ENTRIES)
+    net.run(5)
+    for name in ("e1", "e2", "e3"):
+        net.process_by_name[name].state.stopping = True
+        net.run(1)
+        net.kill(name)
+        net.start(f"{name}-new")
+    net.run(5)
+    assert set(told(net).values()) == {13}
+    net.run(controller.STOPPED_ENTRY_RETENTION / SECOND)
+    assert set(told(net).values()) == {10}
+
+
+def test_replaced_entries_take_no_more_than_half_of_the_budget() -> None:
+    """Entries that crash again and again start under new names each time."""
+    net = Net(seed=1, entries=("e0",))
+    net.run(5)
+    for number in range(12):
+        net.kill(f"e{number}")
+        net.run(4)
+        net.start(f"e{number + 1}")
+        net.run(2)
+    assert told(net) == {"e12": 2}
+    for name in CONTROLLERS:
+        for known in net.process_by_name[
+            name
+        ].state.peers.by_instance.values():
+            if known.peer.instance not in net.process_by_name:
+                known.heard_at -= membership.MISSING_RETENTION
+    net.run(1)
+    assert told(net) == {"e12": 1}
+
+
+def test_an_entry_that_paused_gets_the_status_sent_meanwhile() -> None:
+    net = Net(seed=1)
+    net.run(5)
+    report_to(net, "c1", registration(1))
+    paused = net.process_by_name["e1"]
+    paused.state._heartbeat_due = net.now + 8 * SECOND
+    net.run(10)
+    assert net.process_by_name["e2"].status.silent == ["u1"]
+    assert paused.status == net.process_by_name["e2"].status
+
+
 def planning_with_seat(group: str) -> Process:
     """Returns a leader that gave a group of one to a member with a seat."""
     net = Net(seed=8)
