--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -39,6 +39,7 @@
     outcomes: dict = attrs.field(factory=dict)
     changes: list[effects.StateChanged] = attrs.field(factory=list)
     counted: list[str] = attrs.field(factory=list)
+    status: fleetmessages.FleetStatus | None = None
     highest_seen: int = 0
 
 
@@ -47,6 +48,7 @@
     """All processes, their disks and the network between them."""
 
     seed: int
+    entries: tuple[str, ...] = ENTRIES
     now: datetime.timedelta = 10 * SECOND
     process_by_name: dict = attrs.field(factory=dict)
     disk_by_name: dict = attrs.field(factory=dict)
@@ -58,14 +60,14 @@
     rng: random.Random = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Creates three controllers with their disks; starts two entries."""
+        """Creates three controllers with their disks; starts the entries."""
         self.rng = random.Random(self.seed)
         for name in CONTROLLERS:
             others = [f"{other}.first" for other in CONTROLLERS]
             self.disk_by_name[name] = control.bootstrap_records(
                 f"{name}.first", others
             )
-        for name in (*CONTROLLERS, *ENTRIES):
+        for name in (*CONTROLLERS, *self.entries):
             self.start(name)
 
     # ---- Processes ------------------------------------------------------
@@ -204,6 +206,8 @@
                     process.changes.append(effect)
                 case controller.EventCounted(event):
                     process.counted.append(event)
+                case entries.FleetStatusReceived(status):
+                    process.status = status
 
     # ---- Operators ------------------------------------------------------
 
@@ -351,6 +355,108 @@
         assert state.fleet.by_name["u1"].registration.leaving
 
 
+def report_to(net: Net, name: str, item: object) -> None:
+    """Reports an upstream to a controller."""
+    process = net.process_by_name[name]
+    net.carry_out(process, process.state.report(item, net.now))
+
+
+def sign_off_at(net: Net, name: str) -> None:
+    """Signs the upstream off at a controller."""
+    process = net.process_by_name[name]
+    net.carry_out(process, process.state.sign_off("u1", net.now))
+
+
+def stored_at(net: Net, name: str) -> fleetmessages.Registration:
+    """Returns the upstream as a process knows it."""
+    return net.process_by_name[name].state.fleet.by_name["u1"].registration
+
+
+def test_a_sign_off_is_not_lost_to_a_beat_of_the_same_sequence() -> None:
+    net = Net(seed=6)
+    net.run(3)
+    report_to(net, "c1", registration(1))
+    net.run(1)
+    # The next report reaches another controller before the sign-off.
+    report_to(net, "c2", registration(2))
+    sign_off_at(net, "c1")
+    net.run(2)
+    for name in (*CONTROLLERS, *ENTRIES):
+        assert stored_at(net, name).signed_off, name
+        assert stored_at(net, name).leaving, name
+
+
+def test_a_sign_off_crosses_a_cut_that_hid_it() -> None:
+    net = Net(seed=6)
+    net.run(3)
+    report_to(net, "c1", registration(1))
+    net.run(1)
+    net.cut.add(frozenset(("c1", "c2")))
+    net.run(0.1)
+    sign_off_at(net, "c1")
+    for sequence in (2, 3):
+        report_to(net, "c2", registration(sequence))
+        net.run(1)
+    net.cut.clear()
+    net.run(1)
+    assert stored_at(net, "c2").signed_off
+
+
+def test_a_change_is_forwarded_with_the_sign_off_that_is_known() -> None:
+    """A controller that missed the sign-off learns of it from a third."""
+    net = Net(seed=6)
+    net.run(3)
+    report_to(net, "c1", registration(1))
+    net.run(1)
+    net.cut.add(frozenset(("c1", "c2")))
+    net.run(0.1)
+    sign_off_at(net, "c1")
+    net.run(0.1)
+    report_to(net, "c3", registration(2, staged=["m"]))
+    net.run(0.1)
+    assert stored_at(net, "c2").staged == ["m"]
+    assert stored_at(net, "c2").signed_off
+
+
+def test_a_beat_does_not_hide_a_seat_that_a_cut_hid() -> None:
+    """The planner would take the member of a group for free."""
+    seat = fleetmessages.FleetSeat("g", 1, 0, fleetmessages.SeatState.OPEN)
+    net = Net(seed=6)
+    net.run(3)
+    report_to(net, "c1", registration(1))
+    net.run(1)
+    net.cut.add(frozenset(("c1", "c2")))
+    net.run(0.1)
+    report_to(net, "c1", registration(2, seat=seat))
+    net.run(1)
+    report_to(net, "c3", registration(3, seat=seat))
+    net.run(1)
+    heard_at = net.process_by_name["c2"].state.fleet.by_name["u1"].heard_at
+    assert net.now - heard_at <= SECOND
+    net.cut.clear()
+    net.run(0.2)
+    for name in (*CONTROLLERS, *ENTRIES):
+        assert stored_at(net, name).seat == seat, name
+
+
+def test_old_content_does_not_come_back_with_a_beat_after_a_cut() -> None:
+    """An entry would take back a change that it knew."""
+    net = Net(seed=6)
+    net.run(3)
+    report_to(net, "c1", registration(1))
+    net.run(1)
+    net.cut.add(frozenset(("c1", "c2")))
+    net.cut.add(frozenset(("e1", "c2")))
+    net.run(0.1)
+    report_to(net, "c1", registration(2, leaving=True))
+    net.run(1)
+    report_to(net, "c3", registration(3, leaving=True))
+    net.run(1)
+    net.cut.discard(frozenset(("e1", "c2")))
+    net.run(0.2)
+    assert stored_at(net, "e1").leaving
+
+
 def test_a_restarted_entry_receives_the_whole_fleet() -> None:
     net = Net(seed=7)
     net.run(3)
@@ -385,6 +491,107 @@
     assert planning == leading and len(leading) == 1
 
 
+TEN_ENTRIES = tuple(f"e{number}" for number in range(10))
+
+
+def leader_of(net: Net) -> str:
+    """Returns the controller that leads."""
+    (name,) = [
+        name
+        for name in CONTROLLERS
+        if net.process_by_name[name].state.is_settled_leader
+    ]
+    return name
+
+
+def told(net: Net) -> dict[str, int]:
+    """Returns by entry how many entries share the budget, as it was told."""
+    return {
+        name: process.status.entries
+        for name, process in net.process_by_name.items()
+        if name not in CONTROLLERS
+    }
+
+
+@pytest.mark.parametrize("near", [1, 2, 5, 9])
+def test_parts_of_the_budget_add_up_to_no_more_behind_a_cut(near: int) -> None:
+    """Entries that the leader no longer hears keep their parts."""
+    net = Net(seed=1, entries=TEN_ENTRIES)
+    net.run(5)
+    assert set(told(net).values()) == {10}
+    leader = leader_of(net)
+    for name in TEN_ENTRIES[near:]:
+        net.cut.add(frozenset((leader, name)))
+    for _ in range(12):
+        net.run(5)
+        assert leader_of(net) == leader
+        assert sum(1 / count for count in told(net).values()) < 1.001
+    # An entry that starts meanwhile gets its part of the same budget.
+    net.start("new")
+    net.run(5)
+    assert sum(1 / count for count in told(net).values()) < 1.1
+    assert told(net)["new"] == 11
+    net.cut.clear()
+    net.run(5)
+    assert set(told(net).values()) == {11}
+
+
+def test_a_restarted_entry_takes_its_part_back() -> None:
+    net = Net(seed=1, entries=TEN_ENTRIES)
+    net.run(5)
+    for _ in range(3):
+        net.kill("e1")
+        net.run(5)
+        net.start("e1")
+        net.run(5)
+    assert set(told(net).values()) == {10}
+
+
+def test_an_entry_that_stopped_gives_its_part_back() -> None:
+    net = Net(seed=1, entries=TEN_ENTRIES)
+    net.run(5)
+    for name in ("e1", "e2", "e3"):
+        net.process_by_name[name].state.stopping = True
+        net.run(1)
+        net.kill(name)
+        net.start(f"{name}-new")
+    net.run(5)
+    assert set(told(net).values()) == {13}
+    net.run(controller.STOPPED_ENTRY_RETENTION / SECOND)
+    assert set(told(net).values()) == {10}
+
+
+def test_replaced_entries_take_no_more_than_half_of_the_budget() -> None:
+    """Entries that crash again and again start under new names each time."""
+    net = Net(seed=1, entries=("e0",))
+    net.run(5)
+    for number in range(12):
+        net.kill(f"e{number}")
+        net.run(4)
+        net.start(f"e{number + 1}")
+        net.run(2)
+    assert told(net) == {"e12": 2}
+    for name in CONTROLLERS:
+        for known in net.process_by_name[
+            name
+        ].state.peers.by_instance.values():
+            if known.peer.instance not in net.process_by_name:
+                known.heard_at -= membership.MISSING_RETENTION
+    net.run(1)
+    assert told(net) == {"e12": 1}
+
+
+def test_an_entry_that_paused_gets_the_status_sent_meanwhile() -> None:
+    net = Net(seed=1)
+    net.run(5)
+    report_to(net, "c1", registration(1))
+    paused = net.process_by_name["e1"]
+    paused.state._heartbeat_due = net.now + 8 * SECOND
+    net.run(10)
+    assert net.process_by_name["e2"].status.silent == ["u1"]
+    assert paused.status == net.process_by_name["e2"].status
+
+
 def planning_with_seat(
     group: str, state: fleetmessages.SeatState = fleetmessages.SeatState.READY
 ) -> Process:
