Tests: a head that opens late, after its group was freed

The order to open it was on its way when the group counted as freed, and its members were ordered to join another group. The orders to join are repeated while the former head is open or closing.

--- a/figford/tests/test_partitions.py
+++ b/figford/tests/test_partitions.py
@@ -279,3 +279,26 @@
     assert heard_seat is None or heard_seat.key != head.seat.key
     return_one_by_one(world, [first, second, head.name])
     assert_all_serve(world)
+
+
+def test_a_join_is_not_repeated_after_the_former_head_opened_late() -> None:
+    """The group was freed while the order to open it was still on its way."""
+    world = World(seed=1)
+    world.run(40)
+    head = world.member(0, domain="d0")
+    key = head.seat.key
+    first, second, _ = head.seat.members[1:]
+    cut_for_longer_than_silence(world, [head.name, first, second])
+    head.seat.state = enginefleet.SeatState.READY
+    world.engines.work_time = 3 * SECOND
+    # Only late orders, so that no join takes effect.
+    world.engines.delayed_order_share = 1.0
+    for name in (first, second, head.name):
+        world.engines.by_name[name].partitioned = False
+    world.run(0.4)
+    world.engines.delayed_order_share = 0.0
+    assert head.seat.key == key
+    head.seat.state = enginefleet.SeatState.OPEN
+    world.engines.changed.append(head)
+    world.run(60)
+    assert_all_serve(world)
