Fault soak: cut a whole group or half of the engines off for long

Cuts last 8.5 to 12 s, longer than a head's silence until it counts as lost; the engines return one after the other, the head of a whole group last. The series of faults that a seed gives differs from before.

--- a/figford/tests/platform/faultsoak.py
+++ b/figford/tests/platform/faultsoak.py
@@ -4,9 +4,10 @@
 loopback addresses. Callers and an operator send requests while processes are
 killed, paused, stopped and restarted, and while relays delay, reset, block
 both directions or block one direction of the connections to upstreams and of
-their reports. Both series of faults overlap. The guarantees are checked during
-the run against what callers and upstreams observe. The same seed gives the
-same series of faults, but the interleaving depends on the machine.
+their reports, or cut a whole group off for long. Both series of faults
+overlap. The guarantees are checked during the run against what callers and
+upstreams observe. The same seed gives the same series of faults, but the
+interleaving depends on the machine.
 """
 
 import collections
@@ -22,6 +23,7 @@
 import typer
 
 from figford.tests.platform import relay
+from figford.tests.platform import standin
 from figford.tests.platform import test_processes
 
 ENTRIES = ("127.0.0.21", "127.0.0.22")
@@ -32,6 +34,11 @@
 BETWEEN_RELAY_FAULTS_SECONDS = (0.1, 1.5)
 # Shares of the relays that a fault affects: about one, half or all.
 FAULTY_RELAY_SHARES = (0.15, 0.5, 1.0)
+# Cuts last longer than a head's silence until it counts as lost, and the
+# engines return one after the other.
+CUT_SHARE = 0.2
+CUT_SECONDS = (8.5, 12.0)
+BETWEEN_RETURNS_SECONDS = (0.05, 1.0)
 # Retries of a call wait this long, and entries take this long to notice a
 # fault.
 SETTLE_SECONDS = 12.0
@@ -211,6 +218,9 @@
         while not self.finished.wait(
             rng.uniform(*BETWEEN_RELAY_FAULTS_SECONDS)
         ):
+            if rng.random() < CUT_SHARE:
+                self.cut_engines(rng)
+                continue
             share = rng.choice(FAULTY_RELAY_SHARES)
             fault = rng.choice([item for item in relay.ConnectionFault])
             faulty = [
@@ -223,6 +233,24 @@
             for item in faulty:
                 self.relays.set_fault(item, relay.ConnectionFault.NONE)
 
+    def cut_engines(self, rng: random.Random) -> None:
+        """Cuts the largest group or half of the engines off for long."""
+        engines = range(standin.ENGINE_COUNT)
+        cut = rng.sample(engines, standin.ENGINE_COUNT // 2)
+        if rng.random() < 0.5:
+            groups = self.cluster.members_by_group().values()
+            # The head returns last.
+            cut = max(groups, key=len, default=cut)[::-1]
+        for engine in cut:
+            for item in self.upstream_relays[engine]:
+                self.relays.set_fault(item, relay.ConnectionFault.SILENT)
+        self.record.outcomes["engines cut"] += len(cut)
+        self.finished.wait(rng.uniform(*CUT_SECONDS))
+        for engine in cut:
+            for item in self.upstream_relays[engine]:
+                self.relays.set_fault(item, relay.ConnectionFault.NONE)
+            self.finished.wait(rng.uniform(*BETWEEN_RETURNS_SECONDS))
+
     def start(self, name: str) -> None:
         """Restarts a process that ended."""
         self.cluster.start(name, bootstrap=False)
