A newer reply to a query counts against a stale report of no seat

Cause: a controller that missed reports knew of no seat. Its own query was answered with the seat, and the planner used the count of orders from that reply, but not the seat: the reply supplied just the count that made the wrong order valid.

Now a reply that is newer than the last report binds an engine to its seat as a report does.

Evidence: test_a_member_of_which_a_new_planner_missed_reports_does_not_join fails without it ('e06 is taken from g10000d while its head e00 is open').

--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -30,8 +30,6 @@
 # time; reports come every 1.2 s.
 ADOPTION_WAIT = datetime.timedelta(milliseconds=2500)
 EPOCHS_PER_TERM = 1 << 20
-# An upstream's reported count of orders is at most this old.
-COUNT_LAG = datetime.timedelta(milliseconds=400)
 
 
 @attrs.define
@@ -152,7 +150,7 @@
             for name, member in sorted(self.member_by_name.items())
             if member.query_due
             and member.pending is None
-            and now - member.last_order_at >= COUNT_LAG
+            and now - member.last_order_at >= planrounds.REPLY_LAG
         ]
 
     # ---- A round --------------------------------------------------------
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -34,6 +34,8 @@
 # Only hosts that reported within this time are given a group; reports come
 # every 1.2 s.
 MEMBER_FRESHNESS = datetime.timedelta(seconds=2)
+# An upstream's reply to a query tells its state of at most this long ago.
+REPLY_LAG = datetime.timedelta(milliseconds=400)
 # A report counts as missed after this long.
 MISSED_REPORT = datetime.timedelta(milliseconds=1350)
 
@@ -330,13 +332,26 @@
         """Returns whether an engine holds a seat that it must leave first.
 
         Only its own report or answer shows that it left; a seat is void once
-        the head of the group has left, is broken or was restarted.
+        the head of the group has left, is broken or was restarted. A reply
+        that is newer than the last report counts as well: a controller that
+        missed reports may know of no seat.
         """
-        seat = self.view.fleet[name].seat
-        if seat is None:
-            return False
+        member = self.planner.member_by_name[name]
+        seats = [self.view.fleet[name].seat]
+        if member.has_replied and (
+            member.replied_at - REPLY_LAG > self.view.heard_at[name]
+        ):
+            seats.append(member.reported_seat)
+        return any(
+            seat is not None and self._is_binding(seat, member)
+            for seat in seats
+        )
+
+    def _is_binding(
+        self, seat: fleetmessages.FleetSeat, member: formations.Member
+    ) -> bool:
         key = (seat.group, seat.epoch)
-        if self.planner.member_by_name[name].left_group == key:
+        if member.left_group == key:
             return False
         formation = self.planner.formation_by_key.get(key)
         return (
--- a/figford/tests/plannerworld.py
+++ b/figford/tests/plannerworld.py
@@ -173,6 +173,10 @@
         self.signed_off.add(name)
         self.fleet.sign_off(name, self.now)
 
+    def stop_reports(self, name: str) -> None:
+        """Stops an engine's reports until it changes; orders arrive."""
+        self._beat_at[name] = self.now + MAX_WAIT
+
     def restart(self, name: str) -> None:
         """Restarts an engine under its name."""
         self.signed_off.discard(name)
--- a/figford/tests/test_partitions.py
+++ b/figford/tests/test_partitions.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import copy
 import datetime
 import random
 
@@ -412,3 +413,34 @@
         engine.seat is None or engine.seat.members[0] != head.name
         for engine in others
     )
+
+
+@pytest.mark.parametrize("heard_seconds_ago", [0.9, 1.2])
+def test_a_member_of_which_a_new_planner_missed_reports_does_not_join(
+    heard_seconds_ago: float,
+) -> None:
+    """It was a spare when the new planner heard it last."""
+    world = World(seed=1)
+    world.run(40)
+    spare = next(
+        engine
+        for engine in world.spares()
+        if engine.domain == "d0" and engine.staged == ["large"]
+    )
+    record = copy.deepcopy(world.fleet.by_name[spare.name])
+    world.engines.crash(world.member(1, domain="d0").name, world.now)
+    world.run_until(
+        lambda: spare.seat is not None
+        and len(spare.seat.members) > 1
+        and world.member(0, domain="d0").seat.state
+        is enginefleet.SeatState.OPEN
+    )
+    world.run(1)
+    world.replace_planner()
+    record.heard_at = world.now - heard_seconds_ago * SECOND
+    record.registration = attrs.evolve(record.registration, seat=None)
+    world.fleet.by_name[spare.name] = record
+    world.stop_reports(spare.name)
+    # The emulator raises InvariantViolation if it joins another group.
+    world.run(8)
+    assert len(spare.seat.members) > 1
