A start or a pause of a controller does not make old reports new

What callers would see: after a pause or a start of the leading controller, an engine that was last heard long ago could be given a group in the first 3.2 s, whatever it had been ordered since.

Cause: so that nobody counted as lost after a pause, all reports were given the present time. 'Not heard yet' was read as 'heard now', and only hosts that reported lately may join a group.

Now reports keep their times. The planner is told that they are not settled, and takes no silence for a loss until they are.

Evidence: test_a_pause_does_not_make_old_reports_new failed before: a report of 13 s was taken for one of 15.5 s.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -537,10 +537,8 @@
             for item in self.fleet.present()
             if item.service in engines
         }
-        settled = now >= self._settled_at
         heard_at = {
-            name: self.fleet.by_name[name].heard_at if settled else now
-            for name in present
+            name: self.fleet.by_name[name].heard_at for name in present
         }
         return formations.View(
             present,
@@ -549,6 +547,7 @@
             engines,
             self._doubted(present, now),
             warming_up=not self.callers_seen,
+            settled=now >= self._settled_at,
         )
 
     def _doubted(
--- a/figford/formations.py
+++ b/figford/formations.py
@@ -178,7 +178,8 @@
 
     `doubted` holds the upstreams that entries recently saw failing. Before
     the first request of the deployment (`warming_up`) the weight store has
-    no rate limit.
+    no rate limit. After a start or a pause of this process its reports are
+    not `settled`, so that no one's silence means a loss yet.
     """
 
     fleet: dict[str, fleetmessages.Registration]
@@ -187,6 +188,7 @@
     engines: dict[str, routes.Engine]
     doubted: frozenset[str] = frozenset()
     warming_up: bool = False
+    settled: bool = True
 
 
 @attrs.frozen
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -97,6 +97,8 @@
         fail: a head that is only partitioned from the controllers still
         serves them.
         """
+        if not self.view.settled:
+            return False
         doubted = name in self.view.doubted
         limit = (
             DOUBTED_HEAD_SILENCE_TIMEOUT if doubted else HEAD_SILENCE_TIMEOUT
@@ -129,7 +131,7 @@
         heard_at = self.view.heard_at.get(name)
         if member is None or heard_at is None:
             return True
-        if member.unanswered_at is None:
+        if member.unanswered_at is None or not self.view.settled:
             return False
         return (
             self.now - heard_at >= MISSED_REPORT
--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -21,6 +21,7 @@
 from figford import groupplanner
 from figford import membership
 from figford import messages
+from figford import planrounds
 from figford import routes
 
 STEP = datetime.timedelta(milliseconds=20)
@@ -592,6 +593,26 @@
     assert paused.status == net.process_by_name["e2"].status
 
 
+def test_a_pause_does_not_make_old_reports_new() -> None:
+    """Only those heard lately may be given a group, and no one is lost."""
+    net = Net(seed=8)
+    net.run(3)
+    state = net.process_by_name[leader_of(net)].state
+    model = routes.Model("m", 1, 1.0, 1.0, SECOND, SECOND)
+    state.table = routes.RouteTable(
+        1, (), (routes.Service("s", 1, routes.Engine(1, (model,))),)
+    )
+    heard_at = net.now
+    state.report(registration(1), heard_at)
+    now = heard_at + planrounds.MEMBER_FRESHNESS + SECOND / 2
+    state.tick(now)
+    view = state._planning_view(now)
+    state.planner.start(99, heard_at)
+    assert state.planner.plan(view, now) == []
+    assert view.heard_at["u1"] == heard_at
+    assert view.silent == frozenset() and not view.settled
+
+
 def planning_with_seat(
     group: str, state: fleetmessages.SeatState = fleetmessages.SeatState.READY
 ) -> Process:
