A new planner opens an adopted group after its members accepted its orders

Cause: the fencing number of a new planner reached only the upstreams that it gave an order. It opened a group that its predecessor had formed with one order to the head; the other members still executed a late order of the predecessor, whose fence and count were not outdated for them. No sign of such an order was taken for there being none.

Now every member of an adopted group accepts its join again under the new term before the head is opened, so that older orders are refused.

--- a/figford/formations.py
+++ b/figford/formations.py
@@ -85,6 +85,9 @@
     staging: str = ""
     # The model that this member's group, in surplus, was dissolved for.
     reserved_for: str = ""
+    # Whether it has accepted an order of this term, so that it refuses those
+    # of earlier terms that are still on their way.
+    accepted_order: bool = False
     # Whether it has been in a group other than a warm-up group, unlike a
     # host that has only been a spare.
     had_group: bool = False
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -93,6 +93,7 @@
             case _:
                 pass
         done = result in (formations.Result.BEGUN, formations.Result.HELD)
+        member.accepted_order = member.accepted_order or done
         if order.action is formations.Action.STAGE and not done:
             member.staging = ""
         if order.action is formations.Action.LEAVE and done:
@@ -362,13 +363,33 @@
             if round_.seat_state(formation, rank)
             not in (SeatState.READY, SeatState.OPEN)
         ]
-        if not waiting:
-            formation.phase = formations.Phase.OPENING
-            round_.order(formation, 0, formations.Action.OPEN)
-            return
         for rank in waiting:
             if round_.seat_state(formation, rank) is None:
                 round_.order(formation, rank, formations.Action.JOIN)
+        if waiting or self._order_adopted_members(formation, round_):
+            return
+        formation.phase = formations.Phase.OPENING
+        round_.order(formation, 0, formations.Action.OPEN)
+
+    def _order_adopted_members(
+        self, formation: formations.Formation, round_: planrounds.Round
+    ) -> bool:
+        """Repeats the joins of an adopted group under this term.
+
+        Returns whether a member has not accepted one yet. Until then it
+        would still execute an order of the previous planner to join another
+        group, after its head has opened.
+        """
+        unconfirmed = [
+            rank
+            for rank, name in formation.members.items()
+            if not self.member_by_name[name].accepted_order
+        ]
+        if not formation.adopted or not unconfirmed:
+            return False
+        for rank in unconfirmed:
+            round_.order(formation, rank, formations.Action.JOIN)
+        return True
 
     def _check_serving(
         self, formation: formations.Formation, round_: planrounds.Round
--- a/figford/tests/test_partitions.py
+++ b/figford/tests/test_partitions.py
@@ -13,6 +13,7 @@
 import pytest
 
 from figford import fleet as fleets
+from figford import formations
 from figford import planrounds
 from figford.tests.plannerworld import BEAT
 from figford.tests.plannerworld import SECOND
@@ -444,3 +445,34 @@
     # The emulator raises InvariantViolation if it joins another group.
     world.run(8)
     assert len(spare.seat.members) > 1
+
+
+def test_a_late_order_of_the_previous_planner_takes_no_member() -> None:
+    """It arrives after a new planner has opened the member's group."""
+    world = World(seed=1)
+    world.run(40)
+    head, *others = whole_group(world)
+    head.seat.state = enginefleet.SeatState.READY
+    world.fleet.report(head.report(), world.now)
+    member = others[-1]
+    epoch = world.planner.next_epoch()
+    order = formations.GroupOrder(
+        upstream=member.name,
+        incarnation=member.incarnation,
+        address=member.address,
+        action=formations.Action.JOIN,
+        fence=world.planner.term,
+        expected=member.orders_begun,
+        group=f"g{epoch:x}",
+        epoch=epoch,
+        model="large",
+        members=(member.name, "x1", "x2", "x3"),
+    )
+    world.engines.delayed_order_share = 1.0
+    assert world.engines.order(order, world.now) is formations.Result.UNKNOWN
+    world.engines.delayed_order_share = 0.0
+    world.replace_planner()
+    # The emulator raises InvariantViolation if the member joins.
+    world.run(enginefleet.DELAYED_ORDER_SECONDS[1] + 1)
+    assert head.seat.state is enginefleet.SeatState.OPEN
+    assert member.seat.key == head.seat.key
