An adopted group needs the ranks of its model, not only as many members

What operators would see: the leading controller ends with KeyError: 0, and so does its successor, if a planner adopts a group of which it knows other ranks than those of the model's present size.

Cause: the number of members was compared with the model's size, and ranks were then taken for granted.

Evidence: test_a_group_of_other_ranks_than_its_models_is_dissolved failed before with KeyError: 0.

--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -327,7 +327,7 @@
             self.begin_dissolving(formation, formations.Cause.DEADLINE, round_)
             return
         size = round_.size(formation)
-        if size and len(formation.members) == size:
+        if size and set(formation.members) == set(range(size)):
             self._order_missing(formation, size, round_)
         elif self._is_incomplete(formation, size, round_):
             self.begin_dissolving(
@@ -348,7 +348,7 @@
         return (
             formation.adopted
             and round_.now - formation.since >= ADOPTION_WAIT
-            and len(formation.members) < size
+            and set(formation.members) != set(range(size))
         )
 
     def _order_missing(
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -3,10 +3,12 @@
 import collections
 import random
 
+import attrs
 import pytest
 
 from figford import fleet as fleets
 from figford import formations
+from figford import groupplanner
 from figford.tests.plannerworld import BEAT
 from figford.tests.plannerworld import LARGE
 from figford.tests.plannerworld import SECOND
@@ -483,3 +485,22 @@
     (note,) = notes_of(world, "dissolving")
     assert note.detail == f"lost {victim.name}"
     assert note.cause is formations.Cause.LOST_BEFORE_OPEN
+
+
+def test_a_group_of_other_ranks_than_its_models_is_dissolved() -> None:
+    """A new planner knows ranks 1 and 2 of a model that has two members."""
+    world = World(seed=1)
+    world.run(40)
+    head = world.member(0)
+    for name in (head.name, head.seat.members[3]):
+        world.fleet.by_name[name].registration = attrs.evolve(
+            world.fleet.by_name[name].registration, seat=None
+        )
+        world.stop_reports(name)
+    for name in head.seat.members[1:3]:
+        world.engines.by_name[name].seat.model = "small"
+        world.fleet.report(world.engines.by_name[name].report(), world.now)
+    key = head.seat.key[:2]
+    world.replace_planner()
+    world.run(groupplanner.ADOPTION_WAIT.total_seconds() + 2)
+    assert key not in world.planner.formation_by_key
