A second claim to a rank does not hide the member that has it

What callers would see: an open head is ordered to leave within 0.1 s, without a close, and its group is taken apart, after one report of another writer that names the head's group and rank.

Cause: of two reports that name one rank the last one counted, so that the member seemed to have left.

Now the member that the planner knows keeps its rank while it is in the fleet.

Evidence: test_a_second_claim_to_a_rank_does_not_hide_its_member failed before: a serving group was formed anew.

--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -53,14 +53,19 @@
     ] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        """Indexes the reports by group."""
-        for registration in self.view.fleet.values():
+        """Indexes the reports by group.
+
+        A known member keeps its rank if another upstream claims it, too.
+        """
+        for name, registration in self.view.fleet.items():
             seat = registration.seat
-            if seat is not None:
-                seats = self.seats_by_key.setdefault(
-                    (seat.group, seat.epoch), {}
-                )
-                seats[seat.rank] = registration
+            if seat is None:
+                continue
+            key = (seat.group, seat.epoch)
+            formation = self.planner.formation_by_key.get(key)
+            known = formation.members.get(seat.rank) if formation else None
+            if known in (None, name) or known not in self.view.fleet:
+                self.seats_by_key.setdefault(key, {})[seat.rank] = registration
 
     def engine(self, service: str) -> routes.Engine | None:
         """Returns the engine settings of a service; None if it has none."""
--- a/figford/tests/plannerworld.py
+++ b/figford/tests/plannerworld.py
@@ -104,18 +104,14 @@
             self.planner.record_result(order, result, self.now)
         self._results = []
         for name in self.planner.queries_due(self.now):
-            engine = self.engines.by_name[name]
-            if engine.up and not engine.partitioned:
+            incarnation = present[name].incarnation
+            engine = self.engines.by_name.get(name)
+            if engine and engine.up and not engine.partitioned:
                 self.planner.query_answered(
-                    name,
-                    engine.incarnation,
-                    engine.reply(self.now),
-                    self.now,
+                    name, engine.incarnation, engine.reply(self.now), self.now
                 )
             else:
-                self.planner.query_unanswered(
-                    name, engine.incarnation, self.now
-                )
+                self.planner.query_unanswered(name, incarnation, self.now)
         for order in self.planner.plan(view, self.now):
             engine = self.engines.by_name[order.upstream]
             result = formations.Result.UNSENT
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -504,3 +504,18 @@
     world.replace_planner()
     world.run(groupplanner.ADOPTION_WAIT.total_seconds() + 2)
     assert key not in world.planner.formation_by_key
+
+
+@pytest.mark.parametrize("rank", [0, 1])
+def test_a_second_claim_to_a_rank_does_not_hide_its_member(rank: int) -> None:
+    """Another writer reports the seat of a member that serves."""
+    world = World(seed=1)
+    world.run(40)
+    seats = world.seats()
+    claimed = world.member(rank).report()
+    other = attrs.evolve(
+        claimed, upstream="z", address="10.0.0.2:80", domain=""
+    )
+    world.fleet.report(other, world.now)
+    world.run(20)
+    assert world.seats() == seats
