Entries keep upstreams that are healthy and don't change

Callers would get errors, or wait, while healthy upstreams were idle: an entry removed an upstream that had not changed for 10 minutes at the next update of any other upstream, and sent it no more requests until it changed or a controller linked up again. With its record, the entry also forgot a sign-off it had just been told, so that a report that was late restored the upstream and it was sent requests again.

Entries used the eviction of the controllers, which takes silence for an end. Only controllers exchange beats; to an entry, an upstream that does not change is always silent.

An entry now removes only an upstream that it was told has ended or signed off, `ENDED_RETENTION` after it was told. It does not count a signed-off upstream as ended after 30 s without reports either, since it would not receive them; the upstream is leaving and gets no requests in any case. A crashed upstream may never be reported as ended: its record remains until its name or address is used again. So that such records can't accumulate without limit, those with the oldest news are removed above 10,000.

--- a/figford/entry.py
+++ b/figford/entry.py
@@ -161,5 +161,5 @@
         before = self.fleet.revision
         for registration in registrations:
             self.fleet.report(registration, now)
-        self.fleet.evict_ended(now)
+        self.fleet.evict_told_ended(now)
         return [FleetChanged()] if self.fleet.revision != before else []
--- a/figford/fleet.py
+++ b/figford/fleet.py
@@ -22,6 +22,9 @@
 ENDED_RETENTION = datetime.timedelta(minutes=10)
 # A process that signed off has exited after this time.
 SIGNED_OFF_RETENTION = datetime.timedelta(seconds=30)
+# The number of upstreams not known to have ended that a process without beats
+# keeps.
+MAX_PRESENT = 10_000
 
 
 @attrs.define
@@ -215,16 +218,46 @@
     def evict_ended(self, now: datetime.timedelta) -> None:
         """Removes upstreams that have been silent for `ENDED_RETENTION`.
 
-        Signed-off ones count as ended `SIGNED_OFF_RETENTION` after their
-        sign-off or their last report, whichever is later.
+        For a process that receives all beats. Signed-off ones count as ended
+        `SIGNED_OFF_RETENTION` after their sign-off or their last report,
+        whichever is later.
         """
-        for name, known in list(self.by_name.items()):
+        for known in list(self.by_name.values()):
             if known.signed_off_at is not None:
                 last_sign = max(known.heard_at, known.signed_off_at)
                 if now - last_sign > SIGNED_OFF_RETENTION:
                     self._mark_ended(known)
             if now - known.heard_at > ENDED_RETENTION:
-                del self.by_name[name]
-                address = known.registration.address
-                if self._name_by_address.get(address) == name:
-                    del self._name_by_address[address]
+                self._remove(known)
+
+    def evict_told_ended(self, now: datetime.timedelta) -> None:
+        """Removes upstreams whose end this process was told long ago.
+
+        For a process that receives changes but no beats: to it, an upstream
+        that is alive and does not change is silent. Upstreams that crash may
+        never be reported as ended; above `MAX_PRESENT`, those with the
+        oldest news are removed.
+        """
+        not_ended = []
+        for known in list(self.by_name.values()):
+            if not (known.registration.gone or known.registration.signed_off):
+                not_ended.append(known)
+                continue
+            told_at = max(
+                known.heard_at, known.signed_off_at or known.heard_at
+            )
+            if now - told_at > ENDED_RETENTION:
+                self._remove(known)
+        excess = len(not_ended) - MAX_PRESENT
+        if excess > 0:
+            not_ended.sort(key=lambda known: known.heard_at)
+            for known in not_ended[:excess]:
+                self._remove(known)
+            self.revision += 1
+
+    def _remove(self, known: UpstreamRecord) -> None:
+        registration = known.registration
+        del self.by_name[registration.upstream]
+        address = registration.address
+        if self._name_by_address.get(address) == registration.upstream:
+            del self._name_by_address[address]
