Rebalancing tolerates a member that is no longer in the fleet

The leading controller's process would end: `rebalance` looked up all members of the group it dissolves, and a member whose end is known is no longer among the planner's members, while the group serves until its head notices. A member is gone at once when another upstream takes over its address.

Callers would lose a model's groups for longer, as a new leader settles and finds the same group in surplus; it fails in the same way while the member is missing and the head is open.

Only members that are present are now reserved for the other model. The group is dissolved as before, since its head is closed first.

The test takes over the addresses of the second members of all groups of a model that exceeds its share. Before the fix, it failed with KeyError: 'e17' in `rebalance`.

--- a/figford/forming.py
+++ b/figford/forming.py
@@ -201,7 +201,10 @@
             continue
         lacking = by_shortfall(allocated, engine)[0].name
         for name in chosen.members.values():
-            round_.planner.member_by_name[name].reserved_for = lacking
+            member = round_.planner.member_by_name.get(name)
+            # A member may have ended while the head still serves.
+            if member is not None:
+                member.reserved_for = lacking
         round_.planner.begin_dissolving(
             chosen, formations.Cause.MODEL_IN_SURPLUS, round_
         )
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -3,10 +3,13 @@
 import collections
 import random
 
+import attrs
 import pytest
 
 from figford import fleet as fleets
 from figford import formations
+from figford import forming
+from figford.tests import plannerworld
 from figford.tests.plannerworld import BEAT
 from figford.tests.plannerworld import LARGE
 from figford.tests.plannerworld import SECOND
@@ -482,3 +485,48 @@
     (note,) = notes_of(world, "dissolving")
     assert note.detail == f"lost {victim.name}"
     assert note.cause is formations.Cause.LOST_BEFORE_OPEN
+
+
+def test_a_model_in_surplus_is_reduced_though_a_member_is_gone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An upstream took over its address; its former group still serves."""
+    world = World(seed=1)
+    world.run(40 + forming.REBALANCE_WAIT.total_seconds())
+    heads = [
+        engine
+        for engine in world.engines.by_name.values()
+        if engine.seat
+        and engine.seat.model == "large"
+        and len(engine.seat.members) > 1
+        and engine.seat.members[0] == engine.name
+    ]
+    gone = {head.seat.members[1] for head in heads}
+    for name in gone:
+        victim = world.engines.by_name[name]
+        other = attrs.evolve(
+            victim.report(),
+            upstream=f"other-{name}",
+            service="plain",
+            seat=None,
+            staged=[],
+        )
+        world.engines.crash(name, world.now)
+        world.fleet.report(other, world.now)
+    models = (
+        attrs.evolve(LARGE, share=SMALL.share),
+        attrs.evolve(SMALL, share=LARGE.share),
+    )
+    engine = attrs.evolve(plannerworld.ENGINE, models=models)
+    monkeypatch.setattr(plannerworld, "ENGINE", engine)
+    world.planner.notes.clear()
+    world.run(0.1)
+    (note,) = notes_of(world, "dissolving")
+    assert note.cause is formations.Cause.MODEL_IN_SURPLUS
+    (chosen,) = [head for head in heads if head.seat.key[0] == note.group]
+    reserved = {
+        name
+        for name, member in world.planner.member_by_name.items()
+        if member.reserved_for == "small"
+    }
+    assert reserved == set(chosen.seat.members) - gone
