An upstream that moved holds its former address no longer

Callers would lose a healthy upstream: if u1 reported another address and u2 then used the former one, u1 was marked as ended for as long as its process runs. If the record of u1 had been removed before, the report of u2 raised KeyError in `_assign_address` instead.

The table kept the name of u1 for its former address, and neither a new address nor the removal of the record released that.

A changed report and a removal now release the address first, so that every address in the index is the present one of a known upstream.

Before the fix, the new tests failed, each with a change in the same and in a new incarnation: u1 was missing from the present upstreams, and KeyError: 'u1'.

--- a/figford/fleet.py
+++ b/figford/fleet.py
@@ -82,6 +82,8 @@
         ) or self._address_was_taken_over(registration):
             self.stale_reports += 1
             return False
+        if known is not None:
+            self._release_address(known)
         signed_off_at = now if registration.signed_off else None
         self.by_name[registration.upstream] = UpstreamRecord(
             registration, now, now, signed_off_at
@@ -122,6 +124,8 @@
         changed = _without_sequence(known.registration) != _without_sequence(
             registration
         )
+        if changed:
+            self._release_address(known)
         known.registration = registration
         known.record_sequence(registration.sequence, now)
         if changed:
@@ -156,6 +160,12 @@
             self._mark_ended(known)
             known.heard_at = now
 
+    def _release_address(self, known: UpstreamRecord) -> None:
+        """Forgets who has an address, before its upstream changes or goes."""
+        address = known.registration.address
+        if self._name_by_address.get(address) == known.registration.upstream:
+            del self._name_by_address[address]
+
     def _mark_ended(self, known: UpstreamRecord) -> None:
         """Marks the process of an upstream as ended."""
         if not known.registration.gone:
@@ -256,8 +266,5 @@
             self.revision += 1
 
     def _remove(self, known: UpstreamRecord) -> None:
-        registration = known.registration
-        del self.by_name[registration.upstream]
-        address = registration.address
-        if self._name_by_address.get(address) == registration.upstream:
-            del self._name_by_address[address]
+        self._release_address(known)
+        del self.by_name[known.registration.upstream]
--- a/figford/tests/test_fleet.py
+++ b/figford/tests/test_fleet.py
@@ -3,6 +3,7 @@
 import datetime
 
 import attrs
+import pytest
 
 from figford import fleet
 from figford import fleetmessages
@@ -219,3 +220,29 @@
     assert present.signed_off and present.leaving
     table.report(attrs.evolve(ended, sequence=5), LATER)
     assert table.present() == []
+
+
+@pytest.mark.parametrize("changes", [{"incarnation": 6}, {"sequence": 2}])
+def test_an_upstream_that_moved_is_not_ended_at_its_former_address(
+    changes: dict[str, int],
+) -> None:
+    """It would get no more requests although it is healthy."""
+    table = fleet.FleetTable()
+    table.report(report(), NOW)
+    table.report(report(address="10.0.0.2:80", **changes), NOW)
+    table.report(report(upstream="u2", incarnation=9), LATER)
+    assert [item.upstream for item in table.present()] == ["u1", "u2"]
+
+
+@pytest.mark.parametrize("changes", [{"incarnation": 6}, {"sequence": 2}])
+def test_a_former_address_of_an_evicted_upstream_can_be_used(
+    changes: dict[str, int],
+) -> None:
+    """The process would end with KeyError."""
+    table = fleet.FleetTable()
+    table.report(report(), NOW)
+    table.report(report(address="10.0.0.2:80", **changes), NOW)
+    late = NOW + fleet.ENDED_RETENTION * 2
+    table.evict_ended(late)
+    table.report(report(upstream="u2", incarnation=9), late)
+    assert [item.upstream for item in table.present()] == ["u2"]
