--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -8,7 +8,9 @@
 
 from figford import fleet as fleets
 from figford import formations
+from figford import forming
 from figford import groupplanner
+from figford.tests import plannerworld
 from figford.tests.plannerworld import BEAT
 from figford.tests.plannerworld import LARGE
 from figford.tests.plannerworld import SECOND
@@ -519,3 +521,48 @@
     world.fleet.report(other, world.now)
     world.run(20)
     assert world.seats() == seats
+
+
+def test_a_model_in_surplus_is_reduced_though_a_member_is_gone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An upstream took over its address; its former group still serves."""
+    world = World(seed=1)
+    world.run(40 + forming.REBALANCE_WAIT.total_seconds())
+    heads = [
+        engine
+        for engine in world.engines.by_name.values()
+        if engine.seat
+        and engine.seat.model == "large"
+        and len(engine.seat.members) > 1
+        and engine.seat.members[0] == engine.name
+    ]
+    gone = {head.seat.members[1] for head in heads}
+    for name in gone:
+        victim = world.engines.by_name[name]
+        other = attrs.evolve(
+            victim.report(),
+            upstream=f"other-{name}",
+            service="plain",
+            seat=None,
+            staged=[],
+        )
+        world.engines.crash(name, world.now)
+        world.fleet.report(other, world.now)
+    models = (
+        attrs.evolve(LARGE, share=SMALL.share),
+        attrs.evolve(SMALL, share=LARGE.share),
+    )
+    engine = attrs.evolve(plannerworld.ENGINE, models=models)
+    monkeypatch.setattr(plannerworld, "ENGINE", engine)
+    world.planner.notes.clear()
+    world.run(0.1)
+    (note,) = notes_of(world, "dissolving")
+    assert note.cause is formations.Cause.MODEL_IN_SURPLUS
+    (chosen,) = [head for head in heads if head.seat.key[0] == note.group]
+    reserved = {
+        name
+        for name, member in world.planner.member_by_name.items()
+        if member.reserved_for == "small"
+    }
+    assert reserved == set(chosen.seat.members) - gone
