--- a/figford/formations.py
+++ b/figford/formations.py
@@ -73,6 +73,9 @@
     queried_at: datetime.timedelta = datetime.timedelta(0)
     replied_at: datetime.timedelta = datetime.timedelta(0)
     unanswered_at: datetime.timedelta | None = None
+    # The last report, and since when no report before it was missing.
+    heard_at: datetime.timedelta = datetime.timedelta(0)
+    in_touch_since: datetime.timedelta = datetime.timedelta(0)
     last_order: GroupOrder | None = None
     last_order_at: datetime.timedelta = datetime.timedelta(0)
     free_since: datetime.timedelta | None = None
@@ -82,6 +85,9 @@
     staging: str = ""
     # The model that this member's group, in surplus, was dissolved for.
     reserved_for: str = ""
+    # Whether it has accepted an order of this term, so that it refuses those
+    # of earlier terms that are still on their way.
+    accepted_order: bool = False
     # Whether it has been in a group other than a warm-up group, unlike a
     # host that has only been a spare.
     had_group: bool = False
@@ -175,7 +181,8 @@
 
     `doubted` holds the upstreams that entries recently saw failing. Before
     the first request of the deployment (`warming_up`) the weight store has
-    no rate limit.
+    no rate limit. After a start or a pause of this process its reports are
+    not `settled`, so that no one's silence means a loss yet.
     """
 
     fleet: dict[str, fleetmessages.Registration]
@@ -184,6 +191,7 @@
     engines: dict[str, routes.Engine]
     doubted: frozenset[str] = frozenset()
     warming_up: bool = False
+    settled: bool = True
 
 
 @attrs.frozen
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -30,8 +30,6 @@
 # time; reports come every 1.2 s.
 ADOPTION_WAIT = datetime.timedelta(milliseconds=2500)
 EPOCHS_PER_TERM = 1 << 20
-# An upstream's reported count of orders is at most this old.
-COUNT_LAG = datetime.timedelta(milliseconds=400)
 
 
 @attrs.define
@@ -95,6 +93,7 @@
             case _:
                 pass
         done = result in (formations.Result.BEGUN, formations.Result.HELD)
+        member.accepted_order = member.accepted_order or done
         if order.action is formations.Action.STAGE and not done:
             member.staging = ""
         if order.action is formations.Action.LEAVE and done:
@@ -152,7 +151,7 @@
             for name, member in sorted(self.member_by_name.items())
             if member.query_due
             and member.pending is None
-            and now - member.last_order_at >= COUNT_LAG
+            and now - member.last_order_at >= planrounds.REPLY_LAG
         ]
 
     # ---- A round --------------------------------------------------------
@@ -193,10 +192,18 @@
         for name, member in self.member_by_name.items():
             if member.staging and member.staging in view.fleet[name].staged:
                 member.staging = ""
+            self._record_contact(member, view.heard_at[name])
             unanswered_at = member.unanswered_at
             if unanswered_at and unanswered_at < view.heard_at[name]:
                 member.unanswered_at = None
 
+    def _record_contact(
+        self, member: formations.Member, heard_at: datetime.timedelta
+    ) -> None:
+        if heard_at - member.heard_at >= planrounds.MEMBER_FRESHNESS:
+            member.in_touch_since = heard_at
+        member.heard_at = max(member.heard_at, heard_at)
+
     def _adopt(self, round_: planrounds.Round) -> None:
         """Adopts groups that other planners formed, from members' reports."""
         for key, seats in round_.seats_by_key.items():
@@ -320,7 +327,7 @@
             self.begin_dissolving(formation, formations.Cause.DEADLINE, round_)
             return
         size = round_.size(formation)
-        if size and len(formation.members) == size:
+        if size and set(formation.members) == set(range(size)):
             self._order_missing(formation, size, round_)
         elif self._is_incomplete(formation, size, round_):
             self.begin_dissolving(
@@ -341,7 +348,7 @@
         return (
             formation.adopted
             and round_.now - formation.since >= ADOPTION_WAIT
-            and len(formation.members) < size
+            and set(formation.members) != set(range(size))
         )
 
     def _order_missing(
@@ -356,13 +363,33 @@
             if round_.seat_state(formation, rank)
             not in (SeatState.READY, SeatState.OPEN)
         ]
-        if not waiting:
-            formation.phase = formations.Phase.OPENING
-            round_.order(formation, 0, formations.Action.OPEN)
-            return
         for rank in waiting:
             if round_.seat_state(formation, rank) is None:
                 round_.order(formation, rank, formations.Action.JOIN)
+        if waiting or self._order_adopted_members(formation, round_):
+            return
+        formation.phase = formations.Phase.OPENING
+        round_.order(formation, 0, formations.Action.OPEN)
+
+    def _order_adopted_members(
+        self, formation: formations.Formation, round_: planrounds.Round
+    ) -> bool:
+        """Repeats the joins of an adopted group under this term.
+
+        Returns whether a member has not accepted one yet. Until then it
+        would still execute an order of the previous planner to join another
+        group, after its head has opened.
+        """
+        unconfirmed = [
+            rank
+            for rank, name in formation.members.items()
+            if not self.member_by_name[name].accepted_order
+        ]
+        if not formation.adopted or not unconfirmed:
+            return False
+        for rank in unconfirmed:
+            round_.order(formation, rank, formations.Action.JOIN)
+        return True
 
     def _check_serving(
         self, formation: formations.Formation, round_: planrounds.Round
@@ -457,7 +484,7 @@
         if name and self._head_ended(formation, round_):
             return
         if not name or round_.head_is_lost(name):
-            self._abandon_if_left(formation, round_)
+            self._abandon_without_head(formation, round_)
             return
         if formation.cause is formations.Cause.HEAD_IS_SILENT:
             # The head was only partitioned from the controllers.
@@ -535,25 +562,18 @@
             return True
         return False
 
-    def _abandon_if_left(
+    def _abandon_without_head(
         self, formation: formations.Formation, round_: planrounds.Round
     ) -> None:
-        """Gives up a group without its head, once heard members have left."""
-        heard = [
-            rank
-            for rank, name in formation.members.items()
-            if rank and name not in round_.view.silent
-        ]
-        self._order_to_leave(formation, round_)
-        if heard and all(
-            round_.seat_state(formation, rank) is None for rank in heard
-        ):
+        """Gives up a group whose members report, but not its head."""
+        if round_.members_miss_head(formation):
             self._set_phase(
                 formation,
                 formations.Phase.ABANDONED,
                 formations.Cause.HEAD_LOST,
                 round_,
             )
+            self._order_to_leave(formation, round_)
 
     def _continue_abandoned(
         self, formation: formations.Formation, round_: planrounds.Round
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -27,9 +27,15 @@
 # The same limit if entries see the head fail; more than one report is missing
 # by then.
 DOUBTED_HEAD_SILENCE_TIMEOUT = datetime.timedelta(milliseconds=2600)
+# After a partition a head has this long to report, counted from when another
+# member of its group was heard again; it may report to another controller,
+# whose link comes back later.
+HEAD_RETURN_WAIT = datetime.timedelta(milliseconds=2600)
 # Only hosts that reported within this time are given a group; reports come
 # every 1.2 s.
 MEMBER_FRESHNESS = datetime.timedelta(seconds=2)
+# An upstream's reply to a query tells its state of at most this long ago.
+REPLY_LAG = datetime.timedelta(milliseconds=400)
 # A report counts as missed after this long.
 MISSED_REPORT = datetime.timedelta(milliseconds=1350)
 
@@ -47,14 +53,19 @@
     ] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        """Indexes the reports by group."""
-        for registration in self.view.fleet.values():
+        """Indexes the reports by group.
+
+        A known member keeps its rank if another upstream claims it, too.
+        """
+        for name, registration in self.view.fleet.items():
             seat = registration.seat
-            if seat is not None:
-                seats = self.seats_by_key.setdefault(
-                    (seat.group, seat.epoch), {}
-                )
-                seats[seat.rank] = registration
+            if seat is None:
+                continue
+            key = (seat.group, seat.epoch)
+            formation = self.planner.formation_by_key.get(key)
+            known = formation.members.get(seat.rank) if formation else None
+            if known in (None, name) or known not in self.view.fleet:
+                self.seats_by_key.setdefault(key, {})[seat.rank] = registration
 
     def engine(self, service: str) -> routes.Engine | None:
         """Returns the engine settings of a service; None if it has none."""
@@ -91,12 +102,29 @@
         fail: a head that is only partitioned from the controllers still
         serves them.
         """
+        if not self.view.settled:
+            return False
         doubted = name in self.view.doubted
         limit = (
             DOUBTED_HEAD_SILENCE_TIMEOUT if doubted else HEAD_SILENCE_TIMEOUT
         )
         return self.silence_duration(name) >= limit
 
+    def members_miss_head(self, formation: formations.Formation) -> bool:
+        """Returns whether a member reports, and has for a while.
+
+        Until then a silent head may just be the last one to report after a
+        partition of the whole group.
+        """
+        return any(
+            rank
+            and name in self.planner.member_by_name
+            and self.silence_duration(name) < MEMBER_FRESHNESS
+            and self.now - self.planner.member_by_name[name].in_touch_since
+            >= HEAD_RETURN_WAIT
+            for rank, name in formation.members.items()
+        )
+
     def is_lost(self, name: str, head: str) -> bool:
         """Returns whether a member is unreachable while its head is not.
 
@@ -108,7 +136,7 @@
         heard_at = self.view.heard_at.get(name)
         if member is None or heard_at is None:
             return True
-        if member.unanswered_at is None:
+        if member.unanswered_at is None or not self.view.settled:
             return False
         return (
             self.now - heard_at >= MISSED_REPORT
@@ -311,13 +339,26 @@
         """Returns whether an engine holds a seat that it must leave first.
 
         Only its own report or answer shows that it left; a seat is void once
-        the head of the group has left, is broken or was restarted.
+        the head of the group has left, is broken or was restarted. A reply
+        that is newer than the last report counts as well: a controller that
+        missed reports may know of no seat.
         """
-        seat = self.view.fleet[name].seat
-        if seat is None:
-            return False
+        member = self.planner.member_by_name[name]
+        seats = [self.view.fleet[name].seat]
+        if member.has_replied and (
+            member.replied_at - REPLY_LAG > self.view.heard_at[name]
+        ):
+            seats.append(member.reported_seat)
+        return any(
+            seat is not None and self._is_binding(seat, member)
+            for seat in seats
+        )
+
+    def _is_binding(
+        self, seat: fleetmessages.FleetSeat, member: formations.Member
+    ) -> bool:
         key = (seat.group, seat.epoch)
-        if self.planner.member_by_name[name].left_group == key:
+        if member.left_group == key:
             return False
         formation = self.planner.formation_by_key.get(key)
         return (
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -3,10 +3,14 @@
 import collections
 import random
 
+import attrs
 import pytest
 
 from figford import fleet as fleets
 from figford import formations
+from figford import forming
+from figford import groupplanner
+from figford.tests import plannerworld
 from figford.tests.plannerworld import BEAT
 from figford.tests.plannerworld import LARGE
 from figford.tests.plannerworld import SECOND
@@ -427,8 +431,9 @@
             for item in dict(note.fields)["seated"].split(",")
         )
     }
-    assert silence_ms.keys() == silent
-    assert min(silence_ms.values()) >= 8000
+    assert silence_ms.keys() == set(members)
+    assert {name for name in members if silence_ms[name] >= 8000} == silent
+    assert all(silence_ms[name] < 2000 for name in set(members) - silent)
 
 
 def test_a_forming_group_names_the_former_seats_of_its_members() -> None:
@@ -482,3 +487,82 @@
     (note,) = notes_of(world, "dissolving")
     assert note.detail == f"lost {victim.name}"
     assert note.cause is formations.Cause.LOST_BEFORE_OPEN
+
+
+def test_a_group_of_other_ranks_than_its_models_is_dissolved() -> None:
+    """A new planner knows ranks 1 and 2 of a model that has two members."""
+    world = World(seed=1)
+    world.run(40)
+    head = world.member(0)
+    for name in (head.name, head.seat.members[3]):
+        world.fleet.by_name[name].registration = attrs.evolve(
+            world.fleet.by_name[name].registration, seat=None
+        )
+        world.stop_reports(name)
+    for name in head.seat.members[1:3]:
+        world.engines.by_name[name].seat.model = "small"
+        world.fleet.report(world.engines.by_name[name].report(), world.now)
+    key = head.seat.key[:2]
+    world.replace_planner()
+    world.run(groupplanner.ADOPTION_WAIT.total_seconds() + 2)
+    assert key not in world.planner.formation_by_key
+
+
+@pytest.mark.parametrize("rank", [0, 1])
+def test_a_second_claim_to_a_rank_does_not_hide_its_member(rank: int) -> None:
+    """Another writer reports the seat of a member that serves."""
+    world = World(seed=1)
+    world.run(40)
+    seats = world.seats()
+    claimed = world.member(rank).report()
+    other = attrs.evolve(
+        claimed, upstream="z", address="10.0.0.2:80", domain=""
+    )
+    world.fleet.report(other, world.now)
+    world.run(20)
+    assert world.seats() == seats
+
+
+def test_a_model_in_surplus_is_reduced_though_a_member_is_gone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An upstream took over its address; its former group still serves."""
+    world = World(seed=1)
+    world.run(40 + forming.REBALANCE_WAIT.total_seconds())
+    heads = [
+        engine
+        for engine in world.engines.by_name.values()
+        if engine.seat
+        and engine.seat.model == "large"
+        and len(engine.seat.members) > 1
+        and engine.seat.members[0] == engine.name
+    ]
+    gone = {head.seat.members[1] for head in heads}
+    for name in gone:
+        victim = world.engines.by_name[name]
+        other = attrs.evolve(
+            victim.report(),
+            upstream=f"other-{name}",
+            service="plain",
+            seat=None,
+            staged=[],
+        )
+        world.engines.crash(name, world.now)
+        world.fleet.report(other, world.now)
+    models = (
+        attrs.evolve(LARGE, share=SMALL.share),
+        attrs.evolve(SMALL, share=LARGE.share),
+    )
+    engine = attrs.evolve(plannerworld.ENGINE, models=models)
+    monkeypatch.setattr(plannerworld, "ENGINE", engine)
+    world.planner.notes.clear()
+    world.run(0.1)
+    (note,) = notes_of(world, "dissolving")
+    assert note.cause is formations.Cause.MODEL_IN_SURPLUS
+    (chosen,) = [head for head in heads if head.seat.key[0] == note.group]
+    reserved = {
+        name
+        for name, member in world.planner.member_by_name.items()
+        if member.reserved_for == "small"
+    }
+    assert reserved == set(chosen.seat.members) - gone
--- a/figford/tests/test_partitions.py
+++ b/figford/tests/test_partitions.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import copy
 import datetime
 import random
 
@@ -12,6 +13,7 @@
 import pytest
 
 from figford import fleet as fleets
+from figford import formations
 from figford import planrounds
 from figford.tests.plannerworld import BEAT
 from figford.tests.plannerworld import SECOND
@@ -373,3 +375,104 @@
         world.run(0.3)
     world.run(20)
     assert_all_serve(world)
+
+
+@pytest.mark.parametrize("cut_seconds", [5, 9, 14])
+def test_whole_groups_are_kept_if_their_heads_report_last(
+    cut_seconds: float,
+) -> None:
+    """The data centre's members return within a beat of each other."""
+    world = World(seed=1)
+    world.run(40)
+    seats = world.seats("d0")
+    heads = {members[0] for _, _, members in seats.values()}
+    names = sorted(seats, key=lambda name: (name in heads, name))
+    for name in names:
+        world.engines.by_name[name].partitioned = True
+    world.run(1)
+    world.doubted.update(heads)
+    world.run(cut_seconds - 1)
+    return_one_by_one(world, names)
+    assert world.seats("d0") == seats
+    assert all(
+        world.engines.by_name[name].seat.state is enginefleet.SeatState.OPEN
+        for name in heads
+    )
+
+
+def test_a_head_that_does_not_return_with_its_members_is_lost() -> None:
+    world = World(seed=1)
+    world.run(40)
+    head, *others = whole_group(world)
+    for engine in (head, *others):
+        engine.partitioned = True
+    world.run(9)
+    for engine in others:
+        engine.partitioned = False
+    world.run(planrounds.HEAD_RETURN_WAIT.total_seconds() + 3)
+    assert all(
+        engine.seat is None or engine.seat.members[0] != head.name
+        for engine in others
+    )
+
+
+@pytest.mark.parametrize("heard_seconds_ago", [0.9, 1.2])
+def test_a_member_of_which_a_new_planner_missed_reports_does_not_join(
+    heard_seconds_ago: float,
+) -> None:
+    """It was a spare when the new planner heard it last."""
+    world = World(seed=1)
+    world.run(40)
+    spare = next(
+        engine
+        for engine in world.spares()
+        if engine.domain == "d0" and engine.staged == ["large"]
+    )
+    record = copy.deepcopy(world.fleet.by_name[spare.name])
+    world.engines.crash(world.member(1, domain="d0").name, world.now)
+    world.run_until(
+        lambda: spare.seat is not None
+        and len(spare.seat.members) > 1
+        and world.member(0, domain="d0").seat.state
+        is enginefleet.SeatState.OPEN
+    )
+    world.run(1)
+    world.replace_planner()
+    record.heard_at = world.now - heard_seconds_ago * SECOND
+    record.registration = attrs.evolve(record.registration, seat=None)
+    world.fleet.by_name[spare.name] = record
+    world.stop_reports(spare.name)
+    # The emulator raises InvariantViolation if it joins another group.
+    world.run(8)
+    assert len(spare.seat.members) > 1
+
+
+def test_a_late_order_of_the_previous_planner_takes_no_member() -> None:
+    """It arrives after a new planner has opened the member's group."""
+    world = World(seed=1)
+    world.run(40)
+    head, *others = whole_group(world)
+    head.seat.state = enginefleet.SeatState.READY
+    world.fleet.report(head.report(), world.now)
+    member = others[-1]
+    epoch = world.planner.next_epoch()
+    order = formations.GroupOrder(
+        upstream=member.name,
+        incarnation=member.incarnation,
+        address=member.address,
+        action=formations.Action.JOIN,
+        fence=world.planner.term,
+        expected=member.orders_begun,
+        group=f"g{epoch:x}",
+        epoch=epoch,
+        model="large",
+        members=(member.name, "x1", "x2", "x3"),
+    )
+    world.engines.delayed_order_share = 1.0
+    assert world.engines.order(order, world.now) is formations.Result.UNKNOWN
+    world.engines.delayed_order_share = 0.0
+    world.replace_planner()
+    # The emulator raises InvariantViolation if the member joins.
+    world.run(enginefleet.DELAYED_ORDER_SECONDS[1] + 1)
+    assert head.seat.state is enginefleet.SeatState.OPEN
+    assert member.seat.key == head.seat.key
