--- a/figford/tests/plannerworld.py
+++ b/figford/tests/plannerworld.py
@@ -104,6 +104,9 @@
             self.planner.record_result(order, result, self.now)
         self._results = []
         for name in self.planner.queries_due(self.now):
+            if name not in present:
+                # The controller knows no address of it.
+                continue
             incarnation = present[name].incarnation
             engine = self.engines.by_name.get(name)
             if engine and engine.up and not engine.partitioned:
