How long a member has been in touch outlives its planner

The fleet table, which all controllers keep, now records since when there was no gap between the reports of an upstream.

Evidence: test_a_takeover_does_not_delay_the_release_of_a_lost_head failed before.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -543,6 +543,10 @@
         return formations.View(
             present,
             heard_at,
+            {
+                name: self.fleet.by_name[name].in_touch_since
+                for name in present
+            },
             self.silent(now),
             engines,
             self._doubted(present, now),
--- a/figford/fleet.py
+++ b/figford/fleet.py
@@ -17,6 +17,8 @@
 
 # Upstreams report every 1.2 s; one report may be lost and the next late.
 SILENCE_TIMEOUT = datetime.timedelta(seconds=3.2)
+# A longer gap between two reports ends the contact with an upstream.
+CONTACT_GAP = datetime.timedelta(seconds=2)
 # How long an ended upstream stays in the table, so that a report that was
 # delayed in the network does not restore it.
 ENDED_RETENTION = datetime.timedelta(minutes=10)
@@ -32,12 +34,13 @@
     """An upstream and when a report of it last reached this process.
 
     `registration` keeps the sequence of the report whose content it holds;
-    `heard_sequence` is that of the newest report or beat.
+    `heard_sequence` is that of the newest report or beat. Since
+    `in_touch_since` there was no gap between them.
     """
 
     registration: fleetmessages.Registration
     heard_at: datetime.timedelta
-    first_heard_at: datetime.timedelta
+    in_touch_since: datetime.timedelta
     signed_off_at: datetime.timedelta | None = None
     heard_sequence: int = attrs.field(init=False)
 
@@ -49,6 +52,8 @@
         """Records a report or beat; only a newer one shows a live process."""
         if sequence > self.heard_sequence:
             self.heard_sequence = sequence
+            if now - self.heard_at >= CONTACT_GAP:
+                self.in_touch_since = now
             self.heard_at = now
 
 
--- a/figford/formations.py
+++ b/figford/formations.py
@@ -73,9 +73,6 @@
     queried_at: datetime.timedelta = datetime.timedelta(0)
     replied_at: datetime.timedelta = datetime.timedelta(0)
     unanswered_at: datetime.timedelta | None = None
-    # The last report, and since when no report before it was missing.
-    heard_at: datetime.timedelta = datetime.timedelta(0)
-    in_touch_since: datetime.timedelta = datetime.timedelta(0)
     last_order: GroupOrder | None = None
     last_order_at: datetime.timedelta = datetime.timedelta(0)
     free_since: datetime.timedelta | None = None
@@ -179,6 +176,8 @@
 class View:
     """The input of one planning round.
 
+    `heard_at` is the time of an upstream's last report; since
+    `in_touch_since` none was missing.
     `doubted` holds the upstreams that entries recently saw failing. Before
     the first request of the deployment (`warming_up`) the weight store has
     no rate limit. After a start or a pause of this process its reports are
@@ -187,6 +186,7 @@
 
     fleet: dict[str, fleetmessages.Registration]
     heard_at: dict[str, datetime.timedelta]
+    in_touch_since: dict[str, datetime.timedelta]
     silent: frozenset[str]
     engines: dict[str, routes.Engine]
     doubted: frozenset[str] = frozenset()
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -192,18 +192,10 @@
         for name, member in self.member_by_name.items():
             if member.staging and member.staging in view.fleet[name].staged:
                 member.staging = ""
-            self._record_contact(member, view.heard_at[name])
             unanswered_at = member.unanswered_at
             if unanswered_at and unanswered_at < view.heard_at[name]:
                 member.unanswered_at = None
 
-    def _record_contact(
-        self, member: formations.Member, heard_at: datetime.timedelta
-    ) -> None:
-        if heard_at - member.heard_at >= planrounds.MEMBER_FRESHNESS:
-            member.in_touch_since = heard_at
-        member.heard_at = max(member.heard_at, heard_at)
-
     def _adopt(self, round_: planrounds.Round) -> None:
         """Adopts groups that other planners formed, from members' reports."""
         for key, seats in round_.seats_by_key.items():
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -118,10 +118,9 @@
         """
         return any(
             rank
-            and name in self.planner.member_by_name
+            and name in self.view.fleet
             and self.silence_duration(name) < MEMBER_FRESHNESS
-            and self.now - self.planner.member_by_name[name].in_touch_since
-            >= HEAD_RETURN_WAIT
+            and self.now - self.view.in_touch_since[name] >= HEAD_RETURN_WAIT
             for rank, name in formation.members.items()
         )
 
--- a/figford/tests/plannerworld.py
+++ b/figford/tests/plannerworld.py
@@ -91,6 +91,10 @@
         view = formations.View(
             present,
             {name: self.fleet.by_name[name].heard_at for name in present},
+            {
+                name: self.fleet.by_name[name].in_touch_since
+                for name in present
+            },
             frozenset(
                 name
                 for name in present
--- a/figford/tests/test_partitions.py
+++ b/figford/tests/test_partitions.py
@@ -476,3 +476,19 @@
     world.run(enginefleet.DELAYED_ORDER_SECONDS[1] + 1)
     assert head.seat.state is enginefleet.SeatState.OPEN
     assert member.seat.key == head.seat.key
+
+
+def test_a_takeover_does_not_delay_the_release_of_a_lost_head() -> None:
+    """How long members have been in touch outlives the planner."""
+    world = World(seed=1)
+    world.run(40)
+    head, *others = whole_group(world)
+    world.engines.crash(head.name, world.now)
+    lost_at = world.now + planrounds.HEAD_SILENCE_TIMEOUT
+    world.run(planrounds.HEAD_SILENCE_TIMEOUT.total_seconds() - 2)
+    world.replace_planner()
+    world.run((lost_at - world.now).total_seconds() + 0.5)
+    assert all(
+        engine.seat is None or engine.seat.members[0] != head.name
+        for engine in others
+    )
