A refused join is not repeated to a member that holds another seat

What callers would see: TWO after a change of leader, if the new leader takes an upstream for a host without weights and orders.

Cause: only the choice of members asked whether an upstream holds a seat. A join was refused for its count; the query after it told the seat and the true count, and the join was repeated with that count.

Evidence: test_a_refused_join_is_not_repeated_to_a_member_of_another_group failed before.

--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -358,7 +358,10 @@
             not in (SeatState.READY, SeatState.OPEN)
         ]
         for rank in waiting:
-            if round_.seat_state(formation, rank) is None:
+            # A refused join may have told the seat that a member holds.
+            if round_.seat_state(
+                formation, rank
+            ) is None and not round_.is_seated(formation.members[rank]):
                 round_.order(formation, rank, formations.Action.JOIN)
         if waiting or self._order_adopted_members(formation, round_):
             return
--- a/figford/tests/test_partitions.py
+++ b/figford/tests/test_partitions.py
@@ -480,6 +480,19 @@
     assert len(member.seat.members) > 1
 
 
+def test_a_refused_join_is_not_repeated_to_a_member_of_another_group() -> None:
+    """The new planner takes it for a host without weights and orders."""
+    world = World(seed=1)
+    world.run(40)
+    member = member_with_stale_record(
+        world, 0, seat=None, staged=[], models=[]
+    )
+    for number in range(5):
+        world.add(f"new{number}", "d0")
+    run_with_beats(world, member, 8)
+    assert len(member.seat.members) > 1
+
+
 def test_a_late_order_of_the_previous_planner_takes_no_member() -> None:
     """It arrives after a new planner has opened the member's group."""
     world = World(seed=1)
