A join that is refused for its epoch does not fence an upstream for good

Cause: an upstream answers a join alike if its fence is outdated and if its epoch is lower than one that the upstream has seen, as after a late order of the previous planner. Both were taken for a newer planner.

Now the upstream is queried after such a join; its report or reply tells what it holds. Other orders carry no epoch that is compared, so for them the answer still means a newer planner.

Evidence: test_a_member_that_a_late_order_took_is_ordered_again failed before.

--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -87,9 +87,14 @@
             case formations.Result.UNKNOWN:
                 member.query_due = True
             case formations.Result.FENCED:
-                # Another planner used a higher fencing number: this one
-                # must not send orders to the upstream any more.
-                member.is_fenced = True
+                if order.action is formations.Action.JOIN:
+                    # Its epoch may be lower than that of another group that
+                    # the upstream joined on a late order.
+                    member.query_due = True
+                else:
+                    # Another planner used a higher fencing number: this one
+                    # must not send orders to the upstream any more.
+                    member.is_fenced = True
             case _:
                 pass
         done = result in (formations.Result.BEGUN, formations.Result.HELD)
--- a/figford/tests/test_partitions.py
+++ b/figford/tests/test_partitions.py
@@ -14,6 +14,7 @@
 
 from figford import fleet as fleets
 from figford import formations
+from figford import groupplanner
 from figford import planrounds
 from figford.tests.plannerworld import BEAT
 from figford.tests.plannerworld import SECOND
@@ -493,16 +494,12 @@
     assert len(member.seat.members) > 1
 
 
-def test_a_late_order_of_the_previous_planner_takes_no_member() -> None:
-    """It arrives after a new planner has opened the member's group."""
-    world = World(seed=1)
-    world.run(40)
-    head, *others = whole_group(world)
-    head.seat.state = enginefleet.SeatState.READY
-    world.fleet.report(head.report(), world.now)
-    member = others[-1]
+def order_of_another_group(
+    world: World, member: enginefleet.Engine
+) -> formations.GroupOrder:
+    """Returns an order to a member of a group to join a new one."""
     epoch = world.planner.next_epoch()
-    order = formations.GroupOrder(
+    return formations.GroupOrder(
         upstream=member.name,
         incarnation=member.incarnation,
         address=member.address,
@@ -514,6 +511,17 @@
         model="large",
         members=(member.name, "x1", "x2", "x3"),
     )
+
+
+def test_a_late_order_of_the_previous_planner_takes_no_member() -> None:
+    """It arrives after a new planner has opened the member's group."""
+    world = World(seed=1)
+    world.run(40)
+    head, *others = whole_group(world)
+    head.seat.state = enginefleet.SeatState.READY
+    world.fleet.report(head.report(), world.now)
+    member = others[-1]
+    order = order_of_another_group(world, member)
     world.engines.delayed_order_share = 1.0
     assert world.engines.order(order, world.now) is formations.Result.UNKNOWN
     world.engines.delayed_order_share = 0.0
@@ -524,6 +532,22 @@
     assert member.seat.key == head.seat.key
 
 
+def test_a_member_that_a_late_order_took_is_ordered_again() -> None:
+    """The new planner's join has a lower epoch and is refused like a fence."""
+    world = World(seed=1)
+    world.run(40)
+    head, *others = whole_group(world)
+    head.seat.state = enginefleet.SeatState.READY
+    world.fleet.report(head.report(), world.now)
+    order = order_of_another_group(world, others[-1])
+    world.replace_planner()
+    world.run(groupplanner.TAKEOVER_WAIT.total_seconds())
+    assert world.engines.order(order, world.now) is formations.Result.BEGUN
+    world.run(60)
+    assert not world.planner.member_by_name[others[-1].name].is_fenced
+    assert_all_serve(world)
+
+
 def test_a_takeover_does_not_delay_the_release_of_a_lost_head() -> None:
     """How long members have been in touch outlives the planner."""
     world = World(seed=1)
