--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -87,9 +87,14 @@
             case formations.Result.UNKNOWN:
                 member.query_due = True
             case formations.Result.FENCED:
-                # Another planner used a higher fencing number: this one
-                # must not send orders to the upstream any more.
-                member.is_fenced = True
+                if order.action is formations.Action.JOIN:
+                    # Its epoch may be lower than that of another group that
+                    # the upstream joined on a late order.
+                    member.query_due = True
+                else:
+                    # Another planner used a higher fencing number: this one
+                    # must not send orders to the upstream any more.
+                    member.is_fenced = True
             case _:
                 pass
         done = result in (formations.Result.BEGUN, formations.Result.HELD)
@@ -129,6 +134,7 @@
         member.reported_seat = reply.seat
         member.has_replied = True
         member.replied_at = now
+        member.replied_sequence = member.content_sequence
         member.unanswered_at = None
 
     def query_unanswered(
@@ -192,18 +198,11 @@
         for name, member in self.member_by_name.items():
             if member.staging and member.staging in view.fleet[name].staged:
                 member.staging = ""
-            self._record_contact(member, view.heard_at[name])
+            member.content_sequence = view.fleet[name].sequence
             unanswered_at = member.unanswered_at
             if unanswered_at and unanswered_at < view.heard_at[name]:
                 member.unanswered_at = None
 
-    def _record_contact(
-        self, member: formations.Member, heard_at: datetime.timedelta
-    ) -> None:
-        if heard_at - member.heard_at >= planrounds.MEMBER_FRESHNESS:
-            member.in_touch_since = heard_at
-        member.heard_at = max(member.heard_at, heard_at)
-
     def _adopt(self, round_: planrounds.Round) -> None:
         """Adopts groups that other planners formed, from members' reports."""
         for key, seats in round_.seats_by_key.items():
@@ -364,7 +363,10 @@
             not in (SeatState.READY, SeatState.OPEN)
         ]
         for rank in waiting:
-            if round_.seat_state(formation, rank) is None:
+            # A refused join may have told the seat that a member holds.
+            if round_.seat_state(
+                formation, rank
+            ) is None and not round_.is_seated(formation.members[rank]):
                 round_.order(formation, rank, formations.Action.JOIN)
         if waiting or self._order_adopted_members(formation, round_):
             return
--- a/figford/tests/test_partitions.py
+++ b/figford/tests/test_partitions.py
@@ -14,6 +14,7 @@
 
 from figford import fleet as fleets
 from figford import formations
+from figford import groupplanner
 from figford import planrounds
 from figford.tests.plannerworld import BEAT
 from figford.tests.plannerworld import SECOND
@@ -416,13 +417,13 @@
     )
 
 
-@pytest.mark.parametrize("heard_seconds_ago", [0.9, 1.2])
-def test_a_member_of_which_a_new_planner_missed_reports_does_not_join(
-    heard_seconds_ago: float,
-) -> None:
-    """It was a spare when the new planner heard it last."""
-    world = World(seed=1)
-    world.run(40)
+def member_with_stale_record(
+    world: World, heard_seconds_ago: float, **content: object
+) -> enginefleet.Engine:
+    """Returns a member of an open group that a new planner takes for free.
+
+    Its record has other content, as of before it joined the group.
+    """
     spare = next(
         engine
         for engine in world.spares()
@@ -439,24 +440,66 @@
     world.run(1)
     world.replace_planner()
     record.heard_at = world.now - heard_seconds_ago * SECOND
-    record.registration = attrs.evolve(record.registration, seat=None)
+    record.registration = attrs.evolve(record.registration, **content)
     world.fleet.by_name[spare.name] = record
     world.stop_reports(spare.name)
+    return spare
+
+
+def run_with_beats(
+    world: World, engine: enginefleet.Engine, seconds: float
+) -> None:
+    """Advances time; another controller sends the engine's beats."""
+    end = world.now + seconds * SECOND
+    while world.now < end:
+        engine.sequence += 1
+        world.fleet.beat(
+            engine.name, engine.incarnation, engine.sequence, world.now
+        )
+        world.run(BEAT.total_seconds())
+
+
+@pytest.mark.parametrize("heard_seconds_ago", [0.9, 1.2])
+def test_a_member_of_which_a_new_planner_missed_reports_does_not_join(
+    heard_seconds_ago: float,
+) -> None:
+    """It was a spare when the new planner heard it last."""
+    world = World(seed=1)
+    world.run(40)
+    member = member_with_stale_record(world, heard_seconds_ago, seat=None)
     # The emulator raises InvariantViolation if it joins another group.
     world.run(8)
-    assert len(spare.seat.members) > 1
+    assert len(member.seat.members) > 1
 
 
-def test_a_late_order_of_the_previous_planner_takes_no_member() -> None:
-    """It arrives after a new planner has opened the member's group."""
+def test_beats_do_not_outdate_a_reply_that_names_a_seat() -> None:
+    """The new planner hears beats, but missed the report of the seat."""
     world = World(seed=1)
     world.run(40)
-    head, *others = whole_group(world)
-    head.seat.state = enginefleet.SeatState.READY
-    world.fleet.report(head.report(), world.now)
-    member = others[-1]
+    member = member_with_stale_record(world, 0, seat=None)
+    run_with_beats(world, member, 8)
+    assert len(member.seat.members) > 1
+
+
+def test_a_refused_join_is_not_repeated_to_a_member_of_another_group() -> None:
+    """The new planner takes it for a host without weights and orders."""
+    world = World(seed=1)
+    world.run(40)
+    member = member_with_stale_record(
+        world, 0, seat=None, staged=[], models=[]
+    )
+    for number in range(5):
+        world.add(f"new{number}", "d0")
+    run_with_beats(world, member, 8)
+    assert len(member.seat.members) > 1
+
+
+def order_of_another_group(
+    world: World, member: enginefleet.Engine
+) -> formations.GroupOrder:
+    """Returns an order to a member of a group to join a new one."""
     epoch = world.planner.next_epoch()
-    order = formations.GroupOrder(
+    return formations.GroupOrder(
         upstream=member.name,
         incarnation=member.incarnation,
         address=member.address,
@@ -468,6 +511,17 @@
         model="large",
         members=(member.name, "x1", "x2", "x3"),
     )
+
+
+def test_a_late_order_of_the_previous_planner_takes_no_member() -> None:
+    """It arrives after a new planner has opened the member's group."""
+    world = World(seed=1)
+    world.run(40)
+    head, *others = whole_group(world)
+    head.seat.state = enginefleet.SeatState.READY
+    world.fleet.report(head.report(), world.now)
+    member = others[-1]
+    order = order_of_another_group(world, member)
     world.engines.delayed_order_share = 1.0
     assert world.engines.order(order, world.now) is formations.Result.UNKNOWN
     world.engines.delayed_order_share = 0.0
@@ -476,3 +530,35 @@
     world.run(enginefleet.DELAYED_ORDER_SECONDS[1] + 1)
     assert head.seat.state is enginefleet.SeatState.OPEN
     assert member.seat.key == head.seat.key
+
+
+def test_a_member_that_a_late_order_took_is_ordered_again() -> None:
+    """The new planner's join has a lower epoch and is refused like a fence."""
+    world = World(seed=1)
+    world.run(40)
+    head, *others = whole_group(world)
+    head.seat.state = enginefleet.SeatState.READY
+    world.fleet.report(head.report(), world.now)
+    order = order_of_another_group(world, others[-1])
+    world.replace_planner()
+    world.run(groupplanner.TAKEOVER_WAIT.total_seconds())
+    assert world.engines.order(order, world.now) is formations.Result.BEGUN
+    world.run(60)
+    assert not world.planner.member_by_name[others[-1].name].is_fenced
+    assert_all_serve(world)
+
+
+def test_a_takeover_does_not_delay_the_release_of_a_lost_head() -> None:
+    """How long members have been in touch outlives the planner."""
+    world = World(seed=1)
+    world.run(40)
+    head, *others = whole_group(world)
+    world.engines.crash(head.name, world.now)
+    lost_at = world.now + planrounds.HEAD_SILENCE_TIMEOUT
+    world.run(planrounds.HEAD_SILENCE_TIMEOUT.total_seconds() - 2)
+    world.replace_planner()
+    world.run((lost_at - world.now).total_seconds() + 0.5)
+    assert all(
+        engine.seat is None or engine.seat.members[0] != head.name
+        for engine in others
+    )
