--- a/figford/tests/plannerworld.py
+++ b/figford/tests/plannerworld.py
@@ -86,9 +86,10 @@
                 self._beat_at[name] = self.now
                 self.fleet.report(engine.report(), self.now)
 
-    def _plan(self) -> None:
+    def view(self) -> formations.View:
+        """Returns the planner's input at this time."""
         present = {item.upstream: item for item in self.fleet.present()}
-        view = formations.View(
+        return formations.View(
             present,
             {name: self.fleet.by_name[name].heard_at for name in present},
             {
@@ -104,14 +105,17 @@
             frozenset(self.doubted),
             self.warming_up,
         )
+
+    def _plan(self) -> None:
+        view = self.view()
         for order, result in self._results:
             self.planner.record_result(order, result, self.now)
         self._results = []
         for name in self.planner.queries_due(self.now):
-            if name not in present:
+            if name not in view.fleet:
                 # The controller knows no address of it.
                 continue
-            incarnation = present[name].incarnation
+            incarnation = view.fleet[name].incarnation
             engine = self.engines.by_name.get(name)
             if engine and engine.up and not engine.partitioned:
                 self.planner.query_answered(
--- a/figford/tests/test_partitions.py
+++ b/figford/tests/test_partitions.py
@@ -562,3 +562,24 @@
         engine.seat is None or engine.seat.members[0] != head.name
         for engine in others
     )
+
+
+def test_no_member_is_lost_before_reports_are_settled() -> None:
+    """After a pause of the controller all reports are old."""
+    world = World(seed=1)
+    world.run(40)
+    head, member, *_ = whole_group(world)
+    head.partitioned = member.partitioned = True
+    world.run(planrounds.HEAD_SILENCE_TIMEOUT.total_seconds() - 1)
+    world.planner.query_unanswered(member.name, 1, world.now - 5 * SECOND)
+    world.now += 2 * SECOND
+    view = world.view()
+    later = planrounds.Round(world.planner, view, world.now)
+    unsettled = planrounds.Round(
+        world.planner, attrs.evolve(view, settled=False), world.now
+    )
+    assert later.head_is_lost(head.name)
+    assert not unsettled.head_is_lost(head.name)
+    others = [name for name in head.seat.members if name not in (member.name,)]
+    assert later.is_lost(member.name, others[-1])
+    assert not unsettled.is_lost(member.name, others[-1])
