Limits that upstreams name are read, logged and counted

Entries now write 'limit named' and 'limit ended' and count first requests and repeats to upstreams whose limit they know. A limit that can't be read neither begins nor ends one; status 421 is another upstream's answer.

--- a/figford/fleetmessages.py
+++ b/figford/fleetmessages.py
@@ -84,6 +84,18 @@
     failing: bool
 
 
+@attrs.frozen
+class UpstreamLimit:
+    """An upstream's limit in requests per second, from all entries together.
+
+    `rate` is None if the upstream names no limit.
+    """
+
+    upstream: str
+    incarnation: int
+    rate: float | None
+
+
 @attrs.frozen
 class FleetStatus:
     """Status that the leading controller sends to the entries.
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -13,6 +13,7 @@
 from figford import fleet as fleets
 from figford import fleetmessages
 from figford import forwarding
+from figford import limits as limit_tables
 from figford import logs
 from figford import metrics as metric_sets
 from figford import placement as placements
@@ -57,6 +58,9 @@
     rng: random.Random
     table: routes.RouteTable = attrs.field(factory=routes.RouteTable)
     entries: int = 1
+    limits: limit_tables.LimitTable = attrs.field(
+        factory=limit_tables.LimitTable
+    )
     calls: set[forwarding.ForwardedCall] = attrs.field(factory=set)
     _fleet: fleets.FleetTable = attrs.field(factory=fleets.FleetTable)
     _fleet_changed_at: datetime.timedelta = datetime.timedelta(0)
@@ -245,6 +249,40 @@
         """Places a call again; returns whether a target was found."""
         return self._place(call, now)
 
+    def attempt_started(
+        self, call: forwarding.ForwardedCall, target: placements.Target
+    ) -> None:
+        """Counts the requests that are sent to upstreams with a limit."""
+        if self.limits.rate(target.upstream, target.incarnation) is not None:
+            kind = "repeat" if len(call.tried) > 1 else "first"
+            self.metrics.event(f"sent-to-limited-{kind}")
+
+    def limit_noticed(
+        self, target: placements.Target, notice: wire.LimitNotice | None
+    ) -> None:
+        """Records what an answer says of its upstream's limit."""
+        if notice is None:
+            self.metrics.event("limit-unreadable")
+            return
+        before = self.limits.rate(target.upstream, target.incarnation)
+        changed = self.limits.apply(
+            fleetmessages.UpstreamLimit(
+                target.upstream, target.incarnation, notice.rate
+            )
+        )
+        if changed:
+            self._log_limit(target, before, notice.rate)
+
+    def _log_limit(
+        self,
+        target: placements.Target,
+        before: float | None,
+        rate: float | None,
+    ) -> None:
+        event = "limit ended" if rate is None else "limit named"
+        self.metrics.event(event.replace(" ", "-"))
+        _log.info(event, upstream=target.upstream, rate=rate, before=before)
+
     def misdirected(self, target: placements.Target) -> None:
         """Stops using an address that now belongs to another upstream."""
         self.pool.drop(target.address)
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -41,6 +41,8 @@
 FRESH_CONNECTION_MAX_IDLE = datetime.timedelta(seconds=1)
 GROUP_STALLED = "group stands still"
 BUFFER_LIMIT_BYTES = 8 << 20
+# The status of an answer by another upstream than the expected one.
+MISDIRECTED = 421
 
 
 class State(enum.Enum):
@@ -120,6 +122,7 @@
         now = self.forwarder.clock.now()
         self.state = State.SENT
         self.tried.append(target.upstream)
+        self.forwarder.attempt_started(self, target)
         self._events.restart()
         attempt = _Attempt(self, target, now)
         self._attempt = attempt
@@ -235,6 +238,8 @@
         if head.load is not None:
             total = head.load.running + head.load.waiting
             self.forwarder.placement.load_reported(target, total, now)
+        if head.status != MISDIRECTED:
+            self.forwarder.limit_noticed(target, head.limit)
         if head.not_run:
             self._not_run(attempt, head, now)
         elif 200 <= head.status < 300 and (not head.signed or head.encoded):
@@ -249,7 +254,7 @@
     ) -> None:
         """Retries after an upstream stated that it did not run the request."""
         self._drop_attempt(keep_connection=True, ran=False)
-        if head.status == 421:
+        if head.status == MISDIRECTED:
             self.forwarder.misdirected(attempt.target)
         else:
             self.forwarder.placement.failed(attempt.target, now)
--- a/figford/platform/dialect.py
+++ b/figford/platform/dialect.py
@@ -1,6 +1,7 @@
 """HTTP headers of the platform's callers and upstreams."""
 
 import datetime
+import re
 
 import attrs
 
@@ -20,6 +21,7 @@
 _SIGNATURE = b"figford-response-signature"
 _NOT_RUN = b"figford-not-executed"
 _LOAD = b"figford-server-load"
+_LIMIT = b"server-limit"
 # The id of the upstream that made a group fail.
 _AT_FAULT = b"at-server"
 
@@ -63,6 +65,16 @@
     return tuple(part for part in parts if part is not None)
 
 
+def _limit(value: bytes | None) -> wire.LimitNotice | None:
+    """Returns the limit that a header names; None if it can't be read."""
+    if value is None:
+        return wire.LimitNotice(None)
+    text = value.strip()
+    if not re.fullmatch(rb"\d{1,12}(\.\d{0,12})?", text):
+        return None
+    return wire.LimitNotice(float(text))
+
+
 def _text(value: bytes | None) -> str | None:
     return None if value is None else value.decode("latin-1").strip()
 
@@ -158,6 +170,7 @@
             load=wire.UpstreamLoad(*load) if load else None,
             at_fault=_text(by_name.get(_AT_FAULT)),
             keep_alive_timeout=_keep_alive_timeout(by_name.get(b"keep-alive")),
+            limit=_limit(by_name.get(_LIMIT)),
         )
 
     def retry_after(self, duration: datetime.timedelta) -> bytes:
--- a/figford/tests/platform/test_dialect.py
+++ b/figford/tests/platform/test_dialect.py
@@ -108,12 +108,31 @@
     assert without_header.not_run is (status == 421)
 
 
+@pytest.mark.parametrize(
+    "value, rate",
+    [(b"1", 1.0), (b" 1.5 ", 1.5), (b"0.25", 0.25), (b"0", 0.0)],
+)
+def test_a_limit_is_a_decimal_number(value: bytes, rate: float) -> None:
+    head = DIALECT.read_answer(200, [(b"Server-Limit", value)])
+    assert head.limit == wire.LimitNotice(rate)
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"-1", b"nan", b"inf", b"1e9", b"1,5", b"9" * 40]
+)
+def test_a_limit_that_can_t_be_read_is_no_end_of_a_limit(
+    value: bytes,
+) -> None:
+    assert DIALECT.read_answer(200, [(b"Server-Limit", value)]).limit is None
+    assert DIALECT.read_answer(200, []).limit == wire.LimitNotice(None)
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
             strategies.sampled_from(
                 [name for name, _ in CALL]
-                + [b"Figford-Server-Load", b"Keep-Alive"]
+                + [b"Figford-Server-Load", b"Keep-Alive", b"Server-Limit"]
             ),
             strategies.binary(max_size=30),
         ),
--- a/figford/wire.py
+++ b/figford/wire.py
@@ -33,13 +33,25 @@
     slots: int
 
 
+@attrs.frozen
+class LimitNotice:
+    """What an answer says of its upstream's limit.
+
+    `rate` is in requests per second, from all callers together; None if the
+    upstream names no limit.
+    """
+
+    rate: float | None
+
+
 @attrs.frozen
 class AnswerHead:
     """The status and headers of an upstream's answer.
 
     `headers` are those that are forwarded. `not_run` is set where the
     upstream states that it did not run the request. `at_fault` names the
-    member that made a group fail.
+    member that made a group fail. `limit` is None if the answer's limit can't
+    be read.
     """
 
     status: int
@@ -52,6 +64,7 @@
     load: UpstreamLoad | None = None
     at_fault: str | None = None
     keep_alive_timeout: datetime.timedelta | None = None
+    limit: LimitNotice | None = None
 
 
 @attrs.frozen
