--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -25,6 +25,7 @@
 from figford import fleetmessages
 from figford import formations
 from figford import routes
+from figford.tests.platform import limitmeter
 from figford.tools import enginefleet
 
 HEARTBEAT_SECONDS = 0.3
@@ -129,9 +130,31 @@
             self._answer(200, item | weights_and_group(upstream.engine))
         elif path == "/runs":
             self._answer(200, collections.Counter(upstream.runs))
+        elif path == "/limit":
+            self._set_limit(upstream.meter)
         else:
+            self._count(upstream)
             self._serve(upstream)
 
+    def _set_limit(self, meter: limitmeter.LimitMeter) -> None:
+        """Sets the limit that a POST names; answers with what was counted."""
+        if self.method == b"POST":
+            meter.name(json.loads(self.content.read())["rate"])
+        self._answer(200, {"total": meter.total, "most": meter.most})
+
+    def _count(self, upstream: "Upstream") -> None:
+        """Counts a request against the upstream's limit, and names it."""
+        meter = upstream.meter
+        violation = meter.arrived(now())
+        if violation is not None:
+            print(
+                f"{INVARIANT_BROKEN}: {upstream.engine.name}: {violation}",
+                flush=True,
+            )
+        if meter.rate is not None:
+            self.setHeader("server-limit", str(meter.rate))
+            meter.answered(now())
+
     def _answer(self, status: int, item: dict) -> None:
         self.setResponseCode(status)
         self.setHeader("content-type", "application/json")
@@ -230,6 +253,7 @@
     agent: client.Agent
     port: int
     runs: list[str | None] = attrs.field(factory=list)
+    meter: limitmeter.LimitMeter = attrs.field(factory=limitmeter.LimitMeter)
     controller_index: int = 0
 
     def start(self) -> None:
--- a/figford/tests/platform/test_processes.py
+++ b/figford/tests/platform/test_processes.py
@@ -248,8 +248,23 @@
             total.update(json.loads(answer.body))
         return total
 
-    def send_request(self, path: str, **headers: str) -> Answer | None:
-        """Returns the entry's answer to a caller's request, or None."""
+    def name_limit(self, index: int, rate: float | None) -> None:
+        """Lets an upstream name a limit in its answers, or none."""
+        body = json.dumps({"rate": rate}).encode()
+        self.call(self._upstream_address(index), "POST", "/limit", body)
+
+    def requests_within_limit(self, index: int) -> int:
+        """Returns how many requests reached an upstream with a limit."""
+        answer = self.call(self._upstream_address(index), "GET", "/limit")
+        return json.loads(answer.body)["total"]
+
+    def _upstream_address(self, index: int) -> str:
+        return f"{standin.HOST}:{self.ports[4] + index}"
+
+    def send_request(
+        self, path: str, entry: str = ENTRY, **headers: str
+    ) -> Answer | None:
+        """Returns an entry's answer to a caller's request, or None."""
         self.attempts += 1
         sent = {
             "Host": "h.example",
@@ -258,7 +273,7 @@
             "X-Api-Key": KEY,
         }
         sent |= {name.replace("_", "-"): v for name, v in headers.items()}
-        address = f"{ENTRY}:{self.ports[1]}"
+        address = f"{entry}:{self.ports[1]}"
         return self.call(address, "POST", path, b"{}", sent)
 
     def wait_until_served(self, path: str, **headers: str) -> Answer:
