Limits of upstreams: permits from the leader of the log

Cause: entries read no limit, and each places requests by what it sees alone; a limit of all entries together can't be kept by one of them.

Change: a request to an upstream with a limit needs a permit. The settled leader of the log grants them from a token bucket for each limit to the entries that wait for some or expect requests; a permit counts when it is granted and expires 1 s after it was asked for. Limits reach all entries through every controller, and a new entry before it learns of the upstreams. A new leader starts with empty buckets after 1 s. An entry that has not heard the leader for 3 s uses time slots of its own, for which the leader keeps that part of the limit free. First sends, repeats and resumed streams pass through the same choice of a target; orders and queries are charged. Where all targets have limits, requests beyond what can be expected are refused at once. The limit ends with the first answer that no longer names it.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -16,6 +16,8 @@
 from figford import fleetmessages
 from figford import formations
 from figford import groupplanner
+from figford import limitkeeper
+from figford import limits
 from figford import membership
 from figford import messages
 from figford import planrounds
@@ -92,6 +94,10 @@
         factory=proposals.ProposalTracker
     )
     table: routes.RouteTable = attrs.field(factory=routes.RouteTable)
+    limit_table: limits.LimitTable = attrs.field(factory=limits.LimitTable)
+    limit_keeper: limitkeeper.LimitKeeper = attrs.field(
+        factory=limitkeeper.LimitKeeper
+    )
     stopping: bool = False
     # False only at the first start of a deployment, before its first request.
     callers_seen: bool = True
@@ -113,6 +119,10 @@
     # Largest number of entries that were live at the same time.
     _most_entries: int = 0
     _proposals_made: int = 0
+    # The term of which the last pulse said that this controller leads it.
+    _told_leading_term: int = 0
+    # The slots that linked entries were told of.
+    _slot_by_entry: dict[str, tuple[int, int]] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Starts the timers for silent upstreams."""
@@ -163,6 +173,7 @@
         result += self._as_controller_effects(
             self.proposal_tracker.expire(now)
         )
+        result += self._grant_permits(now)
         return result + self._plan(now)
 
     def synced(
@@ -184,6 +195,11 @@
             effects.SendPeer(
                 peer.instance, messages.Peers(self.controllers())
             ),
+            # Before the upstreams, so that no entry sends them too much.
+            effects.SendPeer(
+                peer.instance,
+                fleetmessages.UpstreamLimits(self.limit_table.all()),
+            ),
             effects.SendPeer(
                 peer.instance,
                 fleetmessages.FleetUpdate(self.fleet.all_registrations()),
@@ -199,6 +215,8 @@
     def link_down(self, instance: str) -> None:
         """Records that a link is down."""
         self.links.discard(instance)
+        self.limit_keeper.remove_entry(instance)
+        self._slot_by_entry.pop(instance, None)
 
     def report(
         self,
@@ -276,6 +294,12 @@
             case fleetmessages.UpstreamDoubt():
                 self._doubt_by_name[message.upstream] = (message, now)
                 return []
+            case fleetmessages.UpstreamLimits(told):
+                return self._on_limits(instance, told)
+            case fleetmessages.PermitRequest():
+                if self.is_settled_leader:
+                    self.limit_keeper.request(instance, message, now)
+                return []
         # Other message types are not meant for controllers.
         return []
 
@@ -308,12 +332,17 @@
         self._last_event = now
 
     def _heartbeat(self, now: datetime.timedelta) -> list[Effect]:
-        quorum_changed = self.me.hears_quorum != self.control.hears_quorum(now)
-        if now < self._heartbeat_due and not quorum_changed:
+        role_changed = (
+            self.me.hears_quorum != self.control.hears_quorum(now)
+            or self._told_leading_term != self._leading_term()
+        )
+        if now < self._heartbeat_due and not role_changed:
             return []
         self.fleet.evict_ended(now)
         self.peers.evict_missing(now)
-        return self._heartbeat_now(now) + self._send_status(now)
+        self.limit_table.discard_ended(self.fleet)
+        result = self._heartbeat_now(now) + self._send_status(now)
+        return result + self._send_slots(now)
 
     def _heartbeat_now(self, now: datetime.timedelta) -> list[Effect]:
         self._heartbeat_due = now + HEARTBEAT_INTERVAL
@@ -328,11 +357,19 @@
 
     def _pulse(self) -> messages.Pulse:
         me = self.me
+        self._told_leading_term = self._leading_term()
         state = messages.PeerState(
-            me.sequence, self.view.version, me.draining, me.hears_quorum
+            me.sequence,
+            self.view.version,
+            me.draining,
+            me.hears_quorum,
+            self._told_leading_term,
         )
         return messages.Pulse(state)
 
+    def _leading_term(self) -> int:
+        return self.control.agreement.term if self.is_settled_leader else 0
+
     def _broadcast(
         self, message: messages.PeerMessage, excluded: str | None
     ) -> list[Effect]:
@@ -413,10 +450,10 @@
         if status == self._sent_status:
             return []
         self._sent_status = status
-        linked = [
-            name for name in sorted(self._entries()) if name in self.links
-        ]
-        return [SendAll(linked, status)]
+        return [SendAll(self._linked_entries(), status)]
+
+    def _linked_entries(self) -> list[str]:
+        return [name for name in sorted(self._entries()) if name in self.links]
 
     def _entries(self) -> dict[str, membership.KnownPeer]:
         """Returns the remembered entries by instance; they have no vote."""
@@ -445,6 +482,98 @@
         self._most_entries = max(self._most_entries, live)
         return live + min(silent, self._most_entries)
 
+    # ---- Limits of upstreams ----------------------------------------------
+
+    def _on_limits(
+        self, instance: str, told: list[fleetmessages.UpstreamLimit]
+    ) -> list[Effect]:
+        """Takes limits that an entry learned of; tells the other entries."""
+        changed = [limit for limit in told if self.limit_table.apply(limit)]
+        others = [name for name in self._linked_entries() if name != instance]
+        if not changed or not others:
+            return []
+        return [SendAll(others, fleetmessages.UpstreamLimits(changed))]
+
+    def _grant_permits(self, now: datetime.timedelta) -> list[Effect]:
+        if not self.is_settled_leader:
+            return []
+        if self.limit_keeper.term != self.control.agreement.term:
+            self.limit_keeper.start(self.control.agreement.term, now)
+            self._slot_by_entry.clear()
+        if not self.limit_table.by_upstream or not self.limit_keeper.due(now):
+            return []
+        grants = self.limit_keeper.grant(
+            self.limit_table,
+            self._served_keys,
+            self._unreserved_part(now),
+            now,
+        )
+        return [
+            effects.SendPeer(entry, grant)
+            for entry, grant in sorted(grants.items())
+            if entry in self.links
+        ]
+
+    def _served_keys(
+        self, upstream: str, incarnation: int
+    ) -> list[limits.Key]:
+        """Returns what an upstream takes requests for."""
+        known = self.fleet.by_name.get(upstream)
+        if known is None or known.registration.incarnation != incarnation:
+            return []
+        item = known.registration
+        if item.leaving or item.gone:
+            return []
+        service = self.table.service_by_name.get(item.service)
+        if service is None or service.engine is None:
+            return [(item.service, None)]
+        if not fleetmessages.is_open_head(item.seat):
+            return []
+        return [(item.service, model) for model in item.models]
+
+    def _entries_with_slots(self, now: datetime.timedelta) -> list[str]:
+        """Returns the entries that serve or may serve on behind a cut."""
+        return [
+            name
+            for name, known in sorted(self._entries().items())
+            if known.heard_at is not None
+            and now - known.heard_at < limits.ISOLATED_SERVICE
+            and not (
+                known.peer.draining
+                and now - known.heard_at > STOPPED_ENTRY_RETENTION
+            )
+        ]
+
+    def _unreserved_part(self, now: datetime.timedelta) -> float:
+        """Returns the part of each limit that isolated entries don't use."""
+        sharing = self._entries_with_slots(now)
+        isolated = sum(
+            now - self._entries()[name].heard_at > limits.CONTACT_TIMEOUT
+            for name in sharing
+        )
+        return 1.0 - isolated / max(1, len(sharing))
+
+    def _send_slots(self, now: datetime.timedelta) -> list[Effect]:
+        """Tells each linked entry of its slots if they changed."""
+        if self.limit_keeper.term != self._leading_term():
+            return []
+        sharing = self._entries_with_slots(now)
+        result: list[Effect] = []
+        for index, name in enumerate(sharing):
+            slot = (index, len(sharing))
+            if name in self.links and self._slot_by_entry.get(name) != slot:
+                self._slot_by_entry[name] = slot
+                elapsed = now - self.limit_keeper.started_at
+                result.append(
+                    effects.SendPeer(
+                        name,
+                        fleetmessages.PermitSlot(
+                            self.limit_keeper.term, *slot, elapsed
+                        ),
+                    )
+                )
+        return result
+
     # ---- The log --------------------------------------------------------
 
     def _with_log_results(
@@ -518,6 +647,7 @@
         for order in self.planner.plan(view, now):
             if _joins_while_seated(order, view):
                 result.append(EventCounted("member-joined-while-seated"))
+            self.limit_keeper.charge(order.upstream)
             result.append(SendGroupOrder(order))
         return result + self._query_order_counts(view, now) + self._notes()
 
@@ -586,6 +716,7 @@
             ):
                 continue
             self._queried_at_by_name[name] = now
+            self.limit_keeper.charge(name)
             result.append(
                 QueryOrderCount(
                     name, registration.incarnation, registration.address
--- a/figford/entry.py
+++ b/figford/entry.py
@@ -14,6 +14,7 @@
 from figford import fleetmessages
 from figford import membership
 from figford import messages
+from figford import permits as permit_tables
 
 HEARTBEAT_INTERVAL = datetime.timedelta(milliseconds=400)
 # A request for a route table is repeated after this time.
@@ -25,6 +26,11 @@
     """Effect: the fleet table has changed."""
 
 
+@attrs.frozen
+class PermitsChanged:
+    """Effect: other limits are known, or permits were granted."""
+
+
 @attrs.frozen
 class FleetStatusReceived:
     """Effect: the leading controller sent a status."""
@@ -32,7 +38,7 @@
     status: fleetmessages.FleetStatus
 
 
-Effect = effects.Effect | FleetChanged | FleetStatusReceived
+Effect = effects.Effect | FleetChanged | FleetStatusReceived | PermitsChanged
 
 
 @attrs.define
@@ -40,6 +46,7 @@
     """State of one entry, updated by messages from controllers."""
 
     peers: membership.PeerTable
+    permits: permit_tables.Permits = attrs.field(factory=permit_tables.Permits)
     fleet: fleets.FleetTable = attrs.field(factory=fleets.FleetTable)
     view: fleetmessages.RoutesView = fleetmessages.RoutesView(0, b"")
     links: set[str] = attrs.field(factory=set)
@@ -83,10 +90,22 @@
         """Records a link that was established."""
         self.links.add(peer.instance)
         self.peers.update_from_peer(peer, now)
-        if not self.callers_seen:
-            return []
-        seen = fleetmessages.CallersSeen()
-        return [effects.SendPeer(peer.instance, seen)]
+        result: list[Effect] = []
+        if self.permits.table.by_upstream:
+            known = fleetmessages.UpstreamLimits(self.permits.table.all())
+            result.append(effects.SendPeer(peer.instance, known))
+        if self.callers_seen:
+            seen = fleetmessages.CallersSeen()
+            result.append(effects.SendPeer(peer.instance, seen))
+        return result
+
+    def send_limit(self, limit: fleetmessages.UpstreamLimit) -> list[Effect]:
+        """Tells all controllers of a limit that an answer named or ended."""
+        message = fleetmessages.UpstreamLimits([limit])
+        return [
+            effects.SendPeer(instance, message)
+            for instance in sorted(self.links)
+        ]
 
     def record_caller_request(self) -> list[Effect]:
         """Records a caller's request; reports the first to all controllers."""
@@ -116,6 +135,10 @@
                 return []
             case messages.Pulse(state):
                 self.peers.update_from_pulse(instance, state, now)
+                if state.leading_term:
+                    self.permits.keeper_heard(
+                        instance, state.leading_term, now
+                    )
                 return self._pull_from(instance, state, now)
             case fleetmessages.FleetUpdate(registrations):
                 return self._on_fleet(registrations, now)
@@ -123,6 +146,15 @@
                 return [FleetStatusReceived(message)]
             case fleetmessages.RoutesView():
                 return self._on_routes(message)
+            case fleetmessages.UpstreamLimits(told):
+                changed = [self.permits.apply(limit) for limit in told]
+                return [PermitsChanged()] if any(changed) else []
+            case fleetmessages.PermitGrant():
+                granted = self.permits.granted(instance, message, now)
+                return [PermitsChanged()] if granted else []
+            case fleetmessages.PermitSlot():
+                self.permits.assign_slot(instance, message, now)
+                return []
         # Other message types are exchanged between controllers only.
         return []
 
--- a/figford/entrydaemon.py
+++ b/figford/entrydaemon.py
@@ -55,12 +55,15 @@
             self.clock,
             pool,
             self.dialect,
-            placement.Placement(self.config.data_centre, rng),
+            placement.Placement(
+                self.config.data_centre, rng, permits=self.state.permits
+            ),
             self.metrics,
             self.config.budget,
             rng,
         )
         self.forwarder.placement.on_doubt = self._send_doubt
+        self.forwarder.on_limit = self._send_limit
         self.ingress = ingresses.Ingress(
             self.forwarder, self._record_caller_request
         )
@@ -90,6 +93,8 @@
                     self.hub.send(instance, message)
                 case entries.FleetChanged():
                     self.forwarder.fleet_changed(self.state.fleet)
+                case entries.PermitsChanged():
+                    self.forwarder.permits_changed()
                 case entries.FleetStatusReceived(status):
                     _log.info(
                         "status told",
@@ -116,10 +121,31 @@
         )
         self.hub.send_to_all(sorted(self.state.links), doubt)
 
+    def _send_limit(self, limit: fleetmessages.UpstreamLimit) -> None:
+        self.carry_out(self.state.send_limit(limit))
+
+    def _request_permits(self) -> None:
+        request = self.forwarder.permit_request()
+        if request is not None:
+            self.hub.send(self.state.permits.keeper, request)
+
+    def update_state_gauges(self) -> None:
+        """Sets the gauges of links, limits and permits."""
+        super().update_state_gauges()
+        permits = self.state.permits
+        self.metrics.set_state(
+            "limited-upstreams", len(permits.table.by_upstream)
+        )
+        self.metrics.set_state("permits-rejected", permits.rejected)
+        self.metrics.set_state(
+            "permits-isolated", permits.is_isolated(self.clock.now())
+        )
+
     def tick(self) -> None:
         """Runs what is due at this time."""
         now = self.clock.now()
         self.carry_out(self.state.tick(now))
+        self._request_permits()
         self._check_stopped(now)
 
     # ---- Stopping -------------------------------------------------------
--- a/figford/fleetmessages.py
+++ b/figford/fleetmessages.py
@@ -1,5 +1,6 @@
 """Messages about upstreams between controllers and entries."""
 
+import datetime
 import enum
 
 import attrs
@@ -25,6 +26,11 @@
     state: SeatState
 
 
+def is_open_head(seat: FleetSeat | None) -> bool:
+    """Returns whether an upstream with this seat takes requests."""
+    return seat is not None and seat.rank == 0 and seat.state is SeatState.OPEN
+
+
 @attrs.frozen
 class Registration:
     """An upstream's description of itself, or the record of its end.
@@ -96,6 +102,72 @@
     rate: float | None
 
 
+@attrs.frozen
+class UpstreamLimits:
+    """Limits that the sender knows, and the ends of some."""
+
+    limits: list[UpstreamLimit]
+
+
+@attrs.frozen
+class PermitWant:
+    """The permits that an entry wants for a model of a service.
+
+    `waiting` requests are queued; `expected` more are likely to come soon.
+    Permits of the `excluded` upstreams would be of no use to the entry.
+    """
+
+    service: str
+    model: str | None
+    waiting: int
+    expected: int
+    excluded: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class PermitRequest:
+    """All that an entry wants; replaces its earlier requests."""
+
+    sequence: int
+    wants: list[PermitWant]
+
+
+@attrs.frozen
+class Permit:
+    """The right to send `count` requests to an upstream with a limit."""
+
+    upstream: str
+    incarnation: int
+    count: int
+
+
+@attrs.frozen
+class PermitGrant:
+    """Permits from the leader of `term`.
+
+    They expire some time after the entry sent the request `sequence`.
+    """
+
+    term: int
+    sequence: int
+    permits: list[Permit]
+
+
+@attrs.frozen
+class PermitSlot:
+    """The time slots that an entry uses while it hears no leader.
+
+    A slot of a limit lasts as long as the limit takes for one request. Of
+    `entries` slots, the one with the number `index` is the entry's. Slot 0
+    began `elapsed` before this message was sent.
+    """
+
+    term: int
+    index: int
+    entries: int
+    elapsed: datetime.timedelta
+
+
 @attrs.frozen
 class FleetStatus:
     """Status that the leading controller sends to the entries.
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -1,6 +1,7 @@
 """Admits, queues and places the requests in progress at one entry."""
 
 import bisect
+import collections
 import datetime
 import random
 import typing
@@ -13,9 +14,10 @@
 from figford import fleet as fleets
 from figford import fleetmessages
 from figford import forwarding
-from figford import limits as limit_tables
+from figford import limits
 from figford import logs
 from figford import metrics as metric_sets
+from figford import permits as permit_tables
 from figford import placement as placements
 from figford import routes
 from figford import sharedbudget
@@ -34,6 +36,11 @@
 # without any upstream are told to retry then.
 REPAIR_RETRY_AFTER = datetime.timedelta(milliseconds=1500)
 RETRY_AFTER_SPREAD = datetime.timedelta(milliseconds=800)
+# As many requests as arrived in this time are expected to need permits soon,
+# well before the permits expire.
+DEMAND_WINDOW = datetime.timedelta(milliseconds=500)
+MAX_EXPECTED_PERMITS = 32
+PERMIT_RATE_WINDOW = datetime.timedelta(seconds=2)
 
 
 @attrs.frozen
@@ -58,8 +65,8 @@
     rng: random.Random
     table: routes.RouteTable = attrs.field(factory=routes.RouteTable)
     entries: int = 1
-    limits: limit_tables.LimitTable = attrs.field(
-        factory=limit_tables.LimitTable
+    on_limit: typing.Callable[[fleetmessages.UpstreamLimit], None] | None = (
+        None
     )
     calls: set[forwarding.ForwardedCall] = attrs.field(factory=set)
     _fleet: fleets.FleetTable = attrs.field(factory=fleets.FleetTable)
@@ -72,6 +79,13 @@
         factory=dict
     )
 
+    _arrivals_by_key: dict[
+        limits.Key, collections.deque[datetime.timedelta]
+    ] = attrs.field(factory=dict)
+    _permits_spent_by_key: dict[
+        limits.Key, collections.deque[datetime.timedelta]
+    ] = attrs.field(factory=dict)
+
     # ---- Route table and fleet ------------------------------------------
 
     def apply_route_table(self, table: routes.RouteTable) -> None:
@@ -83,6 +97,7 @@
         """Applies a change of the fleet."""
         self._fleet = fleet
         self._fleet_changed_at = self.clock.now()
+        self.permits.table.discard_ended(fleet)
         self._update_placement()
 
     def apply_fleet_status(self, status: fleetmessages.FleetStatus) -> None:
@@ -133,8 +148,11 @@
                 )
             )
             return
+        if self.permits.table.by_upstream:
+            _record(self._arrivals_by_key, self._key(call), now)
         if not self._place(call, now):
             self._enqueue(call)
+            self._refuse_beyond_limits(now)
 
     def _choose_service(self, call: forwarding.ForwardedCall) -> str:
         """Chooses a service by the weights of the route.
@@ -164,6 +182,9 @@
     def _model(self, call: forwarding.ForwardedCall) -> str | None:
         return self._model_at(call, call.service)
 
+    def _key(self, call: forwarding.ForwardedCall) -> limits.Key:
+        return call.service, self._model(call)
+
     def _place(
         self, call: forwarding.ForwardedCall, now: datetime.timedelta
     ) -> bool:
@@ -172,6 +193,9 @@
         )
         if target is None:
             return False
+        if self.placement.limited(target):
+            self.permits.withdraw(target.upstream, target.incarnation, now)
+            _record(self._permits_spent_by_key, self._key(call), now)
         call.start(target)
         return True
 
@@ -202,22 +226,118 @@
 
     def _refuse_late(self, now: datetime.timedelta) -> None:
         for _, _, call in list(self._queue):
-            limit = min(
-                call.route.objective * MAX_QUEUE_FRACTION, MAX_QUEUE_TIME
-            )
             if call.state is forwarding.State.WAITING and (
-                now - call.arrived_at >= limit
+                now - call.arrived_at >= _max_queue_time(call)
             ):
                 call.refuse(self.no_capacity("no slot became free in time"))
 
     def tick(self) -> None:
         """Places queued calls, refuses late ones and checks all calls."""
         now = self.clock.now()
+        self.permits.issue_slots(now)
         self._place_queued()
         self._refuse_late(now)
+        self._refuse_beyond_limits(now)
         for call in list(self.calls):
             call.check(now)
 
+    # ---- Limits ---------------------------------------------------------
+
+    @property
+    def permits(self) -> permit_tables.Permits:
+        """Returns the permits that this entry holds."""
+        return self.placement.permits
+
+    def permits_changed(self) -> None:
+        """Places queued calls after limits or permits changed."""
+        self._place_queued()
+        self._refuse_beyond_limits(self.clock.now())
+
+    def permit_request(self) -> fleetmessages.PermitRequest | None:
+        """Returns the request for permits that is due."""
+        now = self.clock.now()
+        if not self.permits.may_request(now):
+            return None
+        return self.permits.request(self._permit_wants(now), now)
+
+    def _permit_wants(
+        self, now: datetime.timedelta
+    ) -> list[fleetmessages.PermitWant]:
+        if not self.permits.table.by_upstream:
+            return []
+        waiting = collections.Counter(
+            self._key(call) for _, _, call in self._queue
+        )
+        wants = []
+        for key, targets in sorted(
+            self.placement.limited_targets().items(), key=str
+        ):
+            held = sum(
+                self.permits.held(target.upstream, now) for target in targets
+            )
+            spare = max(0, held - waiting[key])
+            arrivals = _count(self._arrivals_by_key, key, now, DEMAND_WINDOW)
+            want = fleetmessages.PermitWant(
+                *key,
+                waiting=max(0, waiting[key] - held),
+                expected=max(0, min(arrivals, MAX_EXPECTED_PERMITS) - spare),
+                excluded=sorted(
+                    target.upstream
+                    for target in targets
+                    if not self.placement.has_capacity(target, now)
+                ),
+            )
+            if want.waiting or want.expected:
+                wants.append(want)
+        return wants
+
+    def _refuse_beyond_limits(self, now: datetime.timedelta) -> None:
+        """Refuses queued calls that no permit can be expected for in time.
+
+        The most urgent call of each service and model is kept; while it
+        waits, permits are requested.
+        """
+        if not self._queue or not self.permits.table.by_upstream:
+            return
+        permit_rate_by_key = self._permit_rates(now)
+        ahead: collections.Counter[limits.Key] = collections.Counter()
+        for _, _, call in list(self._queue):
+            key = self._key(call)
+            rate = permit_rate_by_key.get(key)
+            if rate is None or call.state is not forwarding.State.WAITING:
+                continue
+            left = call.arrived_at + _max_queue_time(call) - now
+            if ahead[key] and ahead[key] > rate * left.total_seconds():
+                call.refuse(
+                    self.no_capacity("upstreams are at the limits they named")
+                )
+            else:
+                ahead[key] += 1
+
+    def _permit_rates(
+        self, now: datetime.timedelta
+    ) -> dict[limits.Key, float]:
+        """Returns the permits a second to expect where all targets need them.
+
+        It is this entry's equal part of the limits, or what it got lately.
+        """
+        rates = {}
+        for key, targets in self.placement.limited_targets().items():
+            if len(targets) < len(self.placement.targets(*key)):
+                continue
+            total = sum(
+                self.permits.table.by_upstream[target.upstream].rate or 0.0
+                for target in targets
+            )
+            spent = _count(
+                self._permits_spent_by_key, key, now, PERMIT_RATE_WINDOW
+            )
+            rates[key] = max(
+                total / self.entries,
+                spent / PERMIT_RATE_WINDOW.total_seconds(),
+            )
+        return rates
+
     # ---- Called by the forwarded calls ----------------------------------
 
     def no_capacity(
@@ -253,7 +373,7 @@
         self, call: forwarding.ForwardedCall, target: placements.Target
     ) -> None:
         """Counts the requests that are sent to upstreams with a limit."""
-        if self.limits.rate(target.upstream, target.incarnation) is not None:
+        if self.placement.limited(target):
             kind = "repeat" if len(call.tried) > 1 else "first"
             self.metrics.event(f"sent-to-limited-{kind}")
 
@@ -264,14 +384,17 @@
         if notice is None:
             self.metrics.event("limit-unreadable")
             return
-        before = self.limits.rate(target.upstream, target.incarnation)
-        changed = self.limits.apply(
-            fleetmessages.UpstreamLimit(
-                target.upstream, target.incarnation, notice.rate
-            )
+        before = self.permits.table.rate(target.upstream, target.incarnation)
+        limit = fleetmessages.UpstreamLimit(
+            target.upstream, target.incarnation, notice.rate
         )
-        if changed:
-            self._log_limit(target, before, notice.rate)
+        if not self.permits.apply(limit):
+            return
+        self._log_limit(target, before, notice.rate)
+        if self.on_limit is not None:
+            self.on_limit(limit)
+        if notice.rate is None:
+            self._place_queued()
 
     def _log_limit(
         self,
@@ -362,3 +485,29 @@
             )
             self._budget_by_service[service] = budget
         return budget
+
+
+def _max_queue_time(call: forwarding.ForwardedCall) -> datetime.timedelta:
+    return min(call.route.objective * MAX_QUEUE_FRACTION, MAX_QUEUE_TIME)
+
+
+def _record(
+    times_by_key: dict[limits.Key, collections.deque[datetime.timedelta]],
+    key: limits.Key,
+    now: datetime.timedelta,
+) -> None:
+    """Records that something happened for a key."""
+    times = times_by_key.setdefault(key, collections.deque())
+    times.append(now)
+    while now - times[0] > PERMIT_RATE_WINDOW:
+        times.popleft()
+
+
+def _count(
+    times_by_key: dict[limits.Key, collections.deque[datetime.timedelta]],
+    key: limits.Key,
+    now: datetime.timedelta,
+    window: datetime.timedelta,
+) -> int:
+    """Returns how often it happened within the last `window`."""
+    return sum(now - time <= window for time in times_by_key.get(key, ()))
--- a/figford/messages.py
+++ b/figford/messages.py
@@ -500,12 +500,17 @@
 
 @attrs.frozen
 class PeerState:
-    """The fields of a Peer that change while its process runs."""
+    """The fields of a Peer that change while its process runs.
+
+    `leading_term` is the term in which the process leads the log and knows
+    all commits, else 0.
+    """
 
     sequence: int
     version: int
     draining: bool
     hears_quorum: bool
+    leading_term: int = 0
 
 
 @attrs.frozen
@@ -637,6 +642,10 @@
     | fleetmessages.CallersSeen
     | fleetmessages.RoutesView
     | fleetmessages.RoutesPull
+    | fleetmessages.UpstreamLimits
+    | fleetmessages.PermitRequest
+    | fleetmessages.PermitGrant
+    | fleetmessages.PermitSlot
 )
 
 
--- a/figford/placement.py
+++ b/figford/placement.py
@@ -5,6 +5,7 @@
 and those of other entries; the latter part decays until the next report. Of
 two random targets, the one with the lower expected load is chosen, so that
 entries that can't see each other's requests don't all choose the same one.
+An upstream with a limit is a choice only while this entry holds a permit.
 """
 
 import datetime
@@ -15,6 +16,8 @@
 
 from figford import fleet as fleets
 from figford import fleetmessages
+from figford import limits
+from figford import permits as permit_tables
 from figford import prediction
 from figford import routes
 
@@ -75,6 +78,7 @@
     data_centre: str
     rng: random.Random
     silent: frozenset[str] = frozenset()
+    permits: permit_tables.Permits = attrs.field(factory=permit_tables.Permits)
     on_doubt: typing.Callable[[fleetmessages.UpstreamDoubt], None] | None = (
         None
     )
@@ -103,7 +107,9 @@
             engine = engines.get(item.service)
             if engine is None:
                 self._add(_target(item, None), None)
-            elif item.seat is not None and _is_open_head(item.seat):
+            elif item.seat is not None and fleetmessages.is_open_head(
+                item.seat
+            ):
                 spans_domains = (
                     item.seat.group,
                     item.seat.epoch,
@@ -154,9 +160,8 @@
             target
             for target in self.targets(service, model)
             if target.upstream not in tried
-            and self._has_capacity(
-                target, self.target_state(target.upstream), now
-            )
+            and self.has_capacity(target, now)
+            and self._may_send(target, now)
         ]
         if not open_targets:
             return None
@@ -175,6 +180,8 @@
         sampled = self.rng.sample(open_targets, count)
         if local:
             sampled += self.rng.sample(local, min(SAMPLED_TARGETS, len(local)))
+        # Permits that are not used soon expire.
+        sampled += [target for target in open_targets if self.limited(target)]
         return min(sampled, key=lambda target: self._cost(target, now))
 
     def _prefer_fast(
@@ -202,10 +209,9 @@
         ]
         return fast or targets
 
-    @staticmethod
-    def _has_capacity(
-        target: Target, target_state: TargetState, now: datetime.timedelta
-    ) -> bool:
+    def has_capacity(self, target: Target, now: datetime.timedelta) -> bool:
+        """Returns whether a target is neither full nor ejected."""
+        target_state = self.target_state(target.upstream)
         if target_state.ejected_until > now:
             return False
         if target_state.failures >= FAILURES_TO_EJECT:
@@ -228,6 +234,26 @@
             cost += SILENT_PENALTY
         return cost, target.upstream
 
+    # ---- Limits ---------------------------------------------------------
+
+    def limited(self, target: Target) -> bool:
+        """Returns whether requests to a target need permits."""
+        return self.permits.limited(target.upstream, target.incarnation)
+
+    def limited_targets(self) -> dict[limits.Key, list[Target]]:
+        """Returns the targets with a limit, by service and model."""
+        found = {}
+        for key, targets in self._targets.items():
+            limited = [target for target in targets if self.limited(target)]
+            if limited:
+                found[key] = limited
+        return found
+
+    def _may_send(self, target: Target, now: datetime.timedelta) -> bool:
+        return not self.limited(target) or bool(
+            self.permits.held(target.upstream, now)
+        )
+
     def has_any(self, service: str, model: str | None) -> bool:
         """Returns whether a service has any target for a model."""
         return bool(self.targets(service, model))
@@ -301,10 +327,6 @@
             )
 
 
-def _is_open_head(seat: fleetmessages.FleetSeat) -> bool:
-    return seat.rank == 0 and seat.state is fleetmessages.SeatState.OPEN
-
-
 def _cross_domain_groups(
     present: list[fleetmessages.Registration],
 ) -> set[tuple[str, int]]:
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -383,16 +383,17 @@
     bench = Bench(routes.RetryMode.ONCE).begin()
     name = bench.call.tried[0]
     bench.answer(200, limit=wire.LimitNotice(1.5))
-    assert bench.forwarder.limits.rate(name, 1) == 1.5
+    table = bench.forwarder.permits.table
+    assert table.rate(name, 1) == 1.5
     # An answer whose limit can't be read does not end the limit.
     bench.answer(200, limit=None)
-    assert bench.forwarder.limits.rate(name, 1) == 1.5
+    assert bench.forwarder.permits.table.rate(name, 1) == 1.5
     bench.answer(200, limit=wire.LimitNotice(None))
-    assert bench.forwarder.limits.rate(name, 1) is None
+    assert bench.forwarder.permits.table.rate(name, 1) is None
 
 
 def test_another_upstreams_answer_says_nothing_of_the_limit() -> None:
     bench = Bench(routes.RetryMode.ONCE).begin()
     name = bench.call.tried[0]
     bench.answer(421, not_run=True, limit=wire.LimitNotice(1.0))
-    assert bench.forwarder.limits.rate(name, 1) is None
+    assert bench.forwarder.permits.table.rate(name, 1) is None
