--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 bench: $(STAMP)
 	$(BIN)/python -m figford.tools.bench
 	$(BIN)/python -m figford.tools.bench_control
+	$(BIN)/python -m figford.tools.bench_limits
 
 soak: $(STAMP)
 	$(BIN)/python -m figford.tools.soak --seed $(SEED) --steps $(STEPS)
--- a/figford/limits.py
+++ b/figford/limits.py
@@ -50,6 +50,8 @@
     by_upstream: dict[str, fleetmessages.UpstreamLimit] = attrs.field(
         factory=dict
     )
+    # Increases with every change.
+    revision: int = 0
 
     def rate(self, upstream: str, incarnation: int) -> float | None:
         """Returns the limit of an upstream; None if it names none."""
@@ -70,10 +72,14 @@
         known = self.by_upstream.get(limit.upstream)
         if known is not None and known.incarnation > limit.incarnation:
             return False
+        if known == limit or (known is None and limit.rate is None):
+            return False
         if limit.rate is None:
-            return self.by_upstream.pop(limit.upstream, None) is not None
-        self.by_upstream[limit.upstream] = limit
-        return known != limit
+            del self.by_upstream[limit.upstream]
+        else:
+            self.by_upstream[limit.upstream] = limit
+        self.revision += 1
+        return True
 
     def discard_ended(self, fleet: fleets.FleetTable) -> None:
         """Removes the limits of incarnations that are known to have ended."""
@@ -84,6 +90,7 @@
                 or known.registration.incarnation > limit.incarnation
             ):
                 del self.by_upstream[name]
+                self.revision += 1
 
 
 def requests_per_second(rate: float) -> float:
--- a/figford/placement.py
+++ b/figford/placement.py
@@ -86,6 +86,11 @@
     _targets: dict[tuple[str, str | None], list[Target]] = attrs.field(
         factory=dict
     )
+    # Those of `_targets` that have a limit, at a revision of the limits.
+    _limited_targets: dict[limits.Key, list[Target]] = attrs.field(
+        factory=dict
+    )
+    _limited_at_revision: int | None = None
 
     # ---- Targets --------------------------------------------------------
 
@@ -99,6 +104,7 @@
         `engines` are the services that are served by groups.
         """
         self._targets = {}
+        self._limited_at_revision = None
         present = fleet.present()
         cross_domain = _cross_domain_groups(present)
         for item in present:
@@ -242,12 +248,14 @@
 
     def limited_targets(self) -> dict[limits.Key, list[Target]]:
         """Returns the targets with a limit, by service and model."""
-        found = {}
-        for key, targets in self._targets.items():
-            limited = [target for target in targets if self.limited(target)]
-            if limited:
-                found[key] = limited
-        return found
+        if self._limited_at_revision != self.permits.table.revision:
+            self._limited_at_revision = self.permits.table.revision
+            self._limited_targets = {}
+            for key, targets in self._targets.items():
+                limited = [item for item in targets if self.limited(item)]
+                if limited:
+                    self._limited_targets[key] = limited
+        return self._limited_targets
 
     def _may_send(self, target: Target, now: datetime.timedelta) -> bool:
         return not self.limited(target) or bool(
