Fault soak: upstreams name limits and count the requests of all entries

Limits of 0.5 to 1.5 a second begin, change and end at random during the other faults; the stand-in upstreams check the users' bound. With permits switched off the soak finds the violation. Larger limits would be exceeded by requests that a blocked relay lets through together, so they are left out.

--- a/figford/tests/platform/faultsoak.py
+++ b/figford/tests/platform/faultsoak.py
@@ -5,9 +5,10 @@
 killed, paused, stopped and restarted, and while relays delay, reset, block
 both directions or block one direction of the connections to upstreams and of
 their reports, or cut a whole group off for long. Both series of faults
-overlap. The guarantees are checked during the run against what callers and
-upstreams observe. The same seed gives the same series of faults, but the
-interleaving depends on the machine.
+overlap. Meanwhile upstreams name limits, which change and end, and count the
+requests of all entries. The guarantees are checked during the run against
+what callers and upstreams observe. The same seed gives the same series of
+faults, but the interleaving depends on the machine.
 """
 
 import collections
@@ -39,6 +40,11 @@
 CUT_SHARE = 0.2
 CUT_SECONDS = (8.5, 12.0)
 BETWEEN_RETURNS_SECONDS = (0.05, 1.0)
+# Upstreams name one of these limits, or none, for so long. Requests that a
+# blocked connection holds back arrive together, so larger limits would be
+# exceeded by what was sent within them.
+LIMITS_PER_SECOND = (0.5, 1.0, 1.5, None, None, None)
+LIMIT_SECONDS = (4.0, 12.0)
 # Retries of a call wait this long, and entries take this long to notice a
 # fault.
 SETTLE_SECONDS = 12.0
@@ -233,6 +239,22 @@
             for item in faulty:
                 self.relays.set_fault(item, relay.ConnectionFault.NONE)
 
+    def run_limits(self) -> None:
+        """Lets upstreams name limits until the run is over."""
+        rng = random.Random(f"{self.seed}/limits")
+        count = standin.ENGINE_COUNT + standin.PLAIN_COUNT
+        while not self.finished.is_set():
+            for index in range(count):
+                if rng.random() < 0.5:
+                    self.cluster.name_limit(
+                        index, rng.choice(LIMITS_PER_SECOND)
+                    )
+            self.finished.wait(rng.uniform(*LIMIT_SECONDS))
+            self.record.outcomes["requests within limits"] += sum(
+                self.cluster.requests_within_limit(index)
+                for index in range(count)
+            )
+
     def cut_engines(self, rng: random.Random) -> None:
         """Cuts the largest group or half of the engines off for long."""
         engines = range(standin.ENGINE_COUNT)
@@ -284,6 +306,7 @@
         ]
         workers.append(threading.Thread(target=self.run_operator))
         workers.append(threading.Thread(target=self.run_relay_faults))
+        workers.append(threading.Thread(target=self.run_limits))
         for worker in workers:
             worker.start()
         end = time.monotonic() + seconds
--- a/figford/tests/platform/test_faultsoak.py
+++ b/figford/tests/platform/test_faultsoak.py
@@ -20,7 +20,11 @@
 
 @pytest.mark.parametrize(
     ("mechanism", "violation"),
-    [("run-once", r"ran \d+ times"), ("stored-first", "acknowledged")],
+    [
+        ("run-once", r"ran \d+ times"),
+        ("stored-first", "acknowledged"),
+        ("limits", "a limit of"),
+    ],
 )
 def test_a_disabled_mechanism_is_found(
     mechanism, violation, tmp_path, monkeypatch
--- a/figford/tests/platform/unsafe.py
+++ b/figford/tests/platform/unsafe.py
@@ -7,6 +7,7 @@
 import sys
 
 from figford import controllerdaemon
+from figford import permits
 from figford.platform import __main__ as program
 from figford.platform import controlpages
 from figford import routes
@@ -39,7 +40,13 @@
     controllerdaemon.ControllerDaemon.store = acknowledge
 
 
+def ignore_limits() -> None:
+    """Lets entries send to limited upstreams without permits."""
+    permits.Permits.limited = lambda self, upstream, incarnation: False
+
+
 DISABLE_BY_MECHANISM = {
+    "limits": ignore_limits,
     "run-once": retry_all_calls,
     "stored-first": acknowledge_at_once,
 }
