An entry that does not know its number of peers uses no shared reserve

The test fails before (a retry is sent on one request and no status) and passes now: without a status only the part by own requests counts.

--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -64,7 +64,8 @@
     budget_settings: RetryBudgetSettings
     rng: random.Random
     table: routes.RouteTable = attrs.field(factory=routes.RouteTable)
-    entries: int = 1
+    # The entries that share limits and budgets; None until it was told.
+    entries: int | None = None
     on_limit: typing.Callable[[fleetmessages.UpstreamLimit], None] | None = (
         None
     )
@@ -333,7 +334,7 @@
                 self._permits_spent_by_key, key, now, PERMIT_RATE_WINDOW
             )
             rates[key] = max(
-                total / self.entries,
+                total / (self.entries or 1),
                 spent / PERMIT_RATE_WINDOW.total_seconds(),
             )
         return rates
--- a/figford/sharedbudget.py
+++ b/figford/sharedbudget.py
@@ -39,13 +39,19 @@
         """Counts a caller's request."""
         self._requests.append(now)
 
-    def try_withdraw(self, now: datetime.timedelta, entries: int) -> bool:
-        """Withdraws one retry; returns whether one was left."""
+    def try_withdraw(
+        self, now: datetime.timedelta, entries: int | None
+    ) -> bool:
+        """Withdraws one retry; returns whether one was left.
+
+        An entry that does not know how many share the reserve uses none.
+        """
         for counted in (self._requests, self._retries):
             while counted and now - counted[0] > self.window:
                 counted.popleft()
         allowed = self.ratio * len(self._requests) * SAFETY_FACTOR
-        allowed += self.reserve / max(1, entries) * SAFETY_FACTOR
+        if entries is not None:
+            allowed += self.reserve / max(1, entries) * SAFETY_FACTOR
         if len(self._retries) + 1 > allowed:
             return False
         self._retries.append(now)
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -124,6 +124,7 @@
             metrics.Metrics(),
             forwarders.RetryBudgetSettings(0.2, 100, 10 * SECOND),
             rng,
+            entries=1,
         )
         route = routes.Route(
             "r", "h", "/", self.retry_mode, 8 * SECOND, 500 * MS,
@@ -397,3 +398,18 @@
     name = bench.call.tried[0]
     bench.answer(421, not_run=True, limit=wire.LimitNotice(1.0))
     assert bench.forwarder.permits.table.rate(name, 1) is None
+
+
+def test_an_entry_that_was_not_told_of_others_uses_no_reserve() -> None:
+    """After a restart of all, each entry took the whole reserve."""
+    bench = Bench(routes.RetryMode.IDEMPOTENT)
+    bench.forwarder.entries = attrs.fields(
+        forwarders.Forwarder
+    ).entries.default
+    bench.begin().receiver.answer_failed(exchanges.Failure.BROKEN)
+    assert len(bench.pool.sent) == 1
+    assert bench.responder.refusal.status == 502
+    bench = Bench(routes.RetryMode.IDEMPOTENT)
+    bench.forwarder.apply_fleet_status(fleetmessages.FleetStatus([], 6))
+    bench.begin().receiver.answer_failed(exchanges.Failure.BROKEN)
+    assert len(bench.pool.sent) == 2
