Idle connections keep to what an upstream accepts from all entries

Each entry now keeps its part of half of that number, and one while it does not know how many entries there are. The test of the part and the test of the pool use what did not exist before.

--- a/figford/exchanges.py
+++ b/figford/exchanges.py
@@ -68,6 +68,8 @@
     body: bytes
     receiver: Receiver | None
     attempt: str = ""
+    # Idle connections to the upstream that may be kept after this one.
+    max_idle_connections: int = MAX_IDLE_PER_UPSTREAM
     sent: bool = False
     _connection: "Connection | None" = None
     _connecting: typing.Any = None
@@ -99,6 +101,7 @@
         self._head: wire.AnswerHead | None = None
         self.reusable_until = datetime.timedelta(0)
         self.idle_since = datetime.timedelta(0)
+        self.max_idle_connections = MAX_IDLE_PER_UPSTREAM
         self._open = False
 
     def connectionMade(self) -> None:
@@ -129,6 +132,7 @@
         """Sends a request."""
         self._exchange = exchange
         self._head = None
+        self.max_idle_connections = exchange.max_idle_connections
         exchange._connection = self
         headers = list(exchange.headers)
         if exchange.body or exchange.method not in (b"GET", b"HEAD"):
@@ -347,7 +351,7 @@
             connection.address, collections.deque()
         )
         idle_connections.append(connection)
-        if len(idle_connections) > MAX_IDLE_PER_UPSTREAM:
+        while len(idle_connections) > connection.max_idle_connections:
             idle_connections.popleft().transport.loseConnection()
 
     def closed(self, connection: Connection) -> None:
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -36,6 +36,8 @@
 # without any upstream are told to retry then.
 REPAIR_RETRY_AFTER = datetime.timedelta(milliseconds=1500)
 RETRY_AFTER_SPREAD = datetime.timedelta(milliseconds=800)
+# The part of the connections that an upstream accepts which may be idle.
+IDLE_FRACTION = 0.5
 # As many requests as arrived in this time are expected to need permits soon,
 # well before the permits expire.
 DEMAND_WINDOW = datetime.timedelta(milliseconds=500)
@@ -378,6 +380,18 @@
             kind = "repeat" if len(call.tried) > 1 else "first"
             self.metrics.event(f"sent-to-limited-{kind}")
 
+    def max_idle_connections(self, service: str) -> int:
+        """Returns how many idle connections to keep to an upstream.
+
+        An upstream accepts a number of connections from all entries together;
+        half of them are left for requests in progress.
+        """
+        known = self.table.service_by_name.get(service)
+        if known is None or self.entries is None:
+            return 1
+        part = int(known.connections * IDLE_FRACTION) // self.entries
+        return max(1, min(part, exchanges.MAX_IDLE_PER_UPSTREAM))
+
     def limit_noticed(
         self, target: placements.Target, notice: wire.LimitNotice | None
     ) -> None:
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -140,6 +140,9 @@
             self.body,
             attempt,
             attempt=self.head.attempt,
+            max_idle_connections=self.forwarder.max_idle_connections(
+                target.service
+            ),
         )
         once = not self.route.repeatable
         self.forwarder.pool.send(
--- a/figford/tests/test_exchanges.py
+++ b/figford/tests/test_exchanges.py
@@ -215,3 +215,16 @@
     exchange.cancel()
     bench.connection.dataReceived(OK)
     assert bench.transport.aborted and bench.receiver.ends == []
+
+
+def test_no_more_idle_connections_are_kept_than_the_request_allows() -> None:
+    bench = Bench()
+    other = exchanges.Connection(bench.pool, "u:1")
+    other.makeConnection(Transport())
+    exchange = bench.exchange()
+    exchange.max_idle_connections = 1
+    other.begin(exchange)
+    bench.connection.dataReceived(OK)
+    assert bench.kept() == 1
+    other.dataReceived(OK)
+    assert bench.kept() == 1 and bench.transport.disconnecting
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -413,3 +413,18 @@
     bench.forwarder.apply_fleet_status(fleetmessages.FleetStatus([], 6))
     bench.begin().receiver.answer_failed(exchanges.Failure.BROKEN)
     assert len(bench.pool.sent) == 2
+
+
+@pytest.mark.parametrize("entries, kept", [(1, 24), (6, 4), (84, 1)])
+def test_all_entries_together_keep_no_more_idle_connections_than_accepted(
+    entries: int, kept: int
+) -> None:
+    bench = Bench(routes.RetryMode.ONCE)
+    service = routes.Service("s", 48, ENGINE)
+    bench.forwarder.apply_route_table(
+        attrs.evolve(bench.forwarder.table, services=(service,))
+    )
+    bench.forwarder.apply_fleet_status(fleetmessages.FleetStatus([], entries))
+    bench.begin()
+    exchange = bench.pool.sent[0][1]
+    assert exchange.max_idle_connections == kept
