Entries tell the keeper of limits that it may not know

What callers would see: an upstream that gets no more requests from an entry although its limit has ended. An end that did not reach one controller (its link was down) was told by that controller to an entry that started; the keeper did not know the limit and granted no permit, so no answer could end it.

Also: the keeper no longer walks all peers for each entry.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -548,7 +548,8 @@
         """Returns the part of each limit that isolated entries don't use."""
         sharing = self._entries_with_slots(now)
         isolated = sum(
-            now - self._entries()[name].heard_at > limits.CONTACT_TIMEOUT
+            now - self.peers.by_instance[name].heard_at
+            > limits.CONTACT_TIMEOUT
             for name in sharing
         )
         return 1.0 - isolated / max(1, len(sharing))
--- a/figford/entry.py
+++ b/figford/entry.py
@@ -135,11 +135,8 @@
                 return []
             case messages.Pulse(state):
                 self.peers.update_from_pulse(instance, state, now)
-                if state.leading_term:
-                    self.permits.keeper_heard(
-                        instance, state.leading_term, now
-                    )
-                return self._pull_from(instance, state, now)
+                pulled = self._pull_from(instance, state, now)
+                return pulled + self._on_leading_term(instance, state, now)
             case fleetmessages.FleetUpdate(registrations):
                 return self._on_fleet(registrations, now)
             case fleetmessages.FleetStatus():
@@ -147,8 +144,7 @@
             case fleetmessages.RoutesView():
                 return self._on_routes(message)
             case fleetmessages.UpstreamLimits(told):
-                changed = [self.permits.apply(limit) for limit in told]
-                return [PermitsChanged()] if any(changed) else []
+                return self._on_limits(instance, told)
             case fleetmessages.PermitGrant():
                 granted = self.permits.granted(instance, message, now)
                 return [PermitsChanged()] if granted else []
@@ -173,6 +169,41 @@
         pull = fleetmessages.RoutesPull(self.view.version)
         return [effects.SendPeer(instance, pull)]
 
+    def _on_leading_term(
+        self, instance: str, state: messages.PeerState, now: datetime.timedelta
+    ) -> list[Effect]:
+        """Follows the leader of the log; tells a new one of all limits."""
+        before = self.permits.keeper
+        if state.leading_term:
+            self.permits.keeper_heard(instance, state.leading_term, now)
+        if self.permits.keeper == before:
+            return []
+        return self._tell_keeper(self.permits.table.all())
+
+    def _on_limits(
+        self, instance: str, told: list[fleetmessages.UpstreamLimit]
+    ) -> list[Effect]:
+        """Applies what a controller knows of limits.
+
+        The keeper must know them as well: without permits, no answer would
+        show that a limit has ended.
+        """
+        changed = [limit for limit in told if self.permits.apply(limit)]
+        if not changed:
+            return []
+        named = [limit for limit in changed if limit.rate is not None]
+        if instance == self.permits.keeper:
+            named = []
+        return [PermitsChanged(), *self._tell_keeper(named)]
+
+    def _tell_keeper(
+        self, known: list[fleetmessages.UpstreamLimit]
+    ) -> list[Effect]:
+        keeper = self.permits.keeper
+        if keeper is None or keeper not in self.links or not known:
+            return []
+        return [effects.SendPeer(keeper, fleetmessages.UpstreamLimits(known))]
+
     def _on_routes(self, view: fleetmessages.RoutesView) -> list[Effect]:
         if view.version <= self.view.version:
             return []
--- a/figford/placement.py
+++ b/figford/placement.py
@@ -244,6 +244,8 @@
 
     def limited(self, target: Target) -> bool:
         """Returns whether requests to a target need permits."""
+        if not self.permits.table.by_upstream:
+            return False
         return self.permits.limited(target.upstream, target.incarnation)
 
     def limited_targets(self) -> dict[limits.Key, list[Target]]:
--- a/figford/tests/test_fleetlimits.py
+++ b/figford/tests/test_fleetlimits.py
@@ -230,3 +230,22 @@
         net.process_by_name[name].state.limit_table.by_upstream.get("u1")
         for name in CONTROLLERS
     )
+
+
+def test_a_limit_that_only_one_controller_still_knows_ends(net) -> None:
+    """Its entries got no permit, hence no answer that could end the limit."""
+    for upstream in net.upstreams.values():
+        upstream.rate = None
+    net.run_limits(12)
+    stale = fleetmessages.UpstreamLimit("u1", 1, 1.0)
+    followers = [
+        name
+        for name in CONTROLLERS
+        if not net.process_by_name[name].state.is_settled_leader
+    ]
+    net.process_by_name[followers[0]].state.limit_table.apply(stale)
+    net.kill("e1")
+    net.start("e1")
+    net.run_limits(12)
+    for name in ENTRIES:
+        assert not net.process_by_name[name].state.permits.table.by_upstream
