--- a/figford/controllerdaemon.py
+++ b/figford/controllerdaemon.py
@@ -223,6 +223,16 @@
             self._stopping_since = None
             self._close().addErrback(self.fatal)
 
+    def update_state_gauges(self) -> None:
+        """Sets the gauges of links, limits and permits."""
+        super().update_state_gauges()
+        self.metrics.set_state(
+            "limited-upstreams", len(self.state.limit_table.by_upstream)
+        )
+        self.metrics.set_state(
+            "permits-granted", self.state.limit_keeper.granted
+        )
+
     # ---- Pages ----------------------------------------------------------
 
     def report(self, registration: fleetmessages.Registration) -> None:
--- a/figford/limitkeeper.py
+++ b/figford/limitkeeper.py
@@ -59,6 +59,8 @@
 
     term: int = 0
     started_at: datetime.timedelta = datetime.timedelta(0)
+    # Permits granted since the start of the process.
+    granted: int = 0
     _grants_from: datetime.timedelta = datetime.timedelta(0)
     _grant_due: datetime.timedelta = datetime.timedelta(0)
     _bucket_by_upstream: dict[str, _Bucket] = attrs.field(factory=dict)
@@ -149,6 +151,7 @@
                 if taken is None:
                     break
                 bucket.tokens -= 1.0
+                self.granted += 1
                 granted.setdefault(taken, collections.Counter())[name] += 1
         return self._grants(granted, table)
 
