--- a/figford/controller.py
+++ b/figford/controller.py
@@ -20,6 +20,7 @@
 from figford import limits
 from figford import membership
 from figford import messages
+from figford import permitslots
 from figford import planrounds
 from figford import proposals
 from figford import routes
@@ -38,8 +39,6 @@
 PAUSE_THRESHOLD = datetime.timedelta(seconds=1)
 # An entry's doubt about an upstream expires after this long.
 DOUBT_EXPIRY = datetime.timedelta(seconds=6)
-# An entry that was stopping when it was last heard has exited after this time.
-STOPPED_ENTRY_RETENTION = datetime.timedelta(seconds=30)
 # After the start or a pause, no upstream counts as silent for this long.
 SETTLE_TIME = fleets.SILENCE_TIMEOUT
 
@@ -121,11 +120,11 @@
     _proposals_made: int = 0
     # The term of which the last pulse said that this controller leads it.
     _told_leading_term: int = 0
-    # The slots that linked entries were told of.
-    _slot_by_entry: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    _slots: permitslots.SlotTable = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Starts the timers for silent upstreams."""
+        self._slots = permitslots.SlotTable(self.peers)
         self._settled_at = self.started_at + SETTLE_TIME
         self._last_event = self.started_at
 
@@ -216,7 +215,7 @@
         """Records that a link is down."""
         self.links.discard(instance)
         self.limit_keeper.remove_entry(instance)
-        self._slot_by_entry.pop(instance, None)
+        self._slots.forget(instance)
 
     def report(
         self,
@@ -476,7 +475,7 @@
                 live += 1
             elif known.heard_at is not None and not (
                 known.peer.draining
-                and now - known.heard_at > STOPPED_ENTRY_RETENTION
+                and now - known.heard_at > permitslots.STOPPED_ENTRY_RETENTION
             ):
                 silent += 1
         self._most_entries = max(self._most_entries, live)
@@ -499,13 +498,13 @@
             return []
         if self.limit_keeper.term != self.control.agreement.term:
             self.limit_keeper.start(self.control.agreement.term, now)
-            self._slot_by_entry.clear()
+            self._slots.forget_all()
         if not self.limit_table.by_upstream or not self.limit_keeper.due(now):
             return []
         grants = self.limit_keeper.grant(
             self.limit_table,
             self._served_keys,
-            self._unreserved_part(now),
+            self._slots.unreserved_part(now),
             now,
         )
         return [
@@ -531,49 +530,15 @@
             return []
         return [(item.service, model) for model in item.models]
 
-    def _entries_with_slots(self, now: datetime.timedelta) -> list[str]:
-        """Returns the entries that serve or may serve on behind a cut."""
-        return [
-            name
-            for name, known in sorted(self._entries().items())
-            if known.heard_at is not None
-            and now - known.heard_at < limits.ISOLATED_SERVICE
-            and not (
-                known.peer.draining
-                and now - known.heard_at > STOPPED_ENTRY_RETENTION
-            )
-        ]
-
-    def _unreserved_part(self, now: datetime.timedelta) -> float:
-        """Returns the part of each limit that isolated entries don't use."""
-        sharing = self._entries_with_slots(now)
-        isolated = sum(
-            now - self.peers.by_instance[name].heard_at
-            > limits.CONTACT_TIMEOUT
-            for name in sharing
-        )
-        return 1.0 - isolated / max(1, len(sharing))
-
     def _send_slots(self, now: datetime.timedelta) -> list[Effect]:
         """Tells each linked entry of its slots if they changed."""
-        if self.limit_keeper.term != self._leading_term():
+        keeper = self.limit_keeper
+        if keeper.term != self._leading_term():
             return []
-        sharing = self._entries_with_slots(now)
-        result: list[Effect] = []
-        for index, name in enumerate(sharing):
-            slot = (index, len(sharing))
-            if name in self.links and self._slot_by_entry.get(name) != slot:
-                self._slot_by_entry[name] = slot
-                elapsed = now - self.limit_keeper.started_at
-                result.append(
-                    effects.SendPeer(
-                        name,
-                        fleetmessages.PermitSlot(
-                            self.limit_keeper.term, *slot, elapsed
-                        ),
-                    )
-                )
-        return result
+        changes = self._slots.changes(
+            self.links, keeper.term, now - keeper.started_at, now
+        )
+        return [effects.SendPeer(name, slot) for name, slot in changes.items()]
 
     # ---- The log --------------------------------------------------------
 
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -17,6 +17,7 @@
 from figford import limits
 from figford import logs
 from figford import metrics as metric_sets
+from figford import permitdemand
 from figford import permits as permit_tables
 from figford import placement as placements
 from figford import routes
@@ -38,11 +39,6 @@
 RETRY_AFTER_SPREAD = datetime.timedelta(milliseconds=800)
 # The part of the connections that an upstream accepts which may be idle.
 IDLE_FRACTION = 0.5
-# As many requests as arrived in this time are expected to need permits soon,
-# well before the permits expire.
-DEMAND_WINDOW = datetime.timedelta(milliseconds=500)
-MAX_EXPECTED_PERMITS = 32
-PERMIT_RATE_WINDOW = datetime.timedelta(seconds=2)
 
 
 @attrs.frozen
@@ -82,12 +78,11 @@
         factory=dict
     )
 
-    _arrivals_by_key: dict[
-        limits.Key, collections.deque[datetime.timedelta]
-    ] = attrs.field(factory=dict)
-    _permits_spent_by_key: dict[
-        limits.Key, collections.deque[datetime.timedelta]
-    ] = attrs.field(factory=dict)
+    _demand: permitdemand.PermitDemand = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Starts without demand for permits."""
+        self._demand = permitdemand.PermitDemand(self.placement)
 
     # ---- Route table and fleet ------------------------------------------
 
@@ -151,8 +146,7 @@
                 )
             )
             return
-        if self.permits.table.by_upstream:
-            _record(self._arrivals_by_key, self._key(call), now)
+        self._demand.record_arrival(self._key(call), now)
         if not self._place(call, now):
             self._enqueue(call)
             self._refuse_beyond_limits(now)
@@ -198,7 +192,7 @@
             return False
         if self.placement.limited(target):
             self.permits.withdraw(target.upstream, target.incarnation, now)
-            _record(self._permits_spent_by_key, self._key(call), now)
+            self._demand.record_spent(self._key(call), now)
         call.start(target)
         return True
 
@@ -261,38 +255,9 @@
         now = self.clock.now()
         if not self.permits.may_request(now):
             return None
-        return self.permits.request(self._permit_wants(now), now)
-
-    def _permit_wants(
-        self, now: datetime.timedelta
-    ) -> list[fleetmessages.PermitWant]:
-        if not self.permits.table.by_upstream:
-            return []
-        waiting = collections.Counter(
-            self._key(call) for _, _, call in self._queue
-        )
-        wants = []
-        for key, targets in sorted(
-            self.placement.limited_targets().items(), key=str
-        ):
-            held = sum(
-                self.permits.held(target.upstream, now) for target in targets
-            )
-            spare = max(0, held - waiting[key])
-            arrivals = _count(self._arrivals_by_key, key, now, DEMAND_WINDOW)
-            want = fleetmessages.PermitWant(
-                *key,
-                waiting=max(0, waiting[key] - held),
-                expected=max(0, min(arrivals, MAX_EXPECTED_PERMITS) - spare),
-                excluded=sorted(
-                    target.upstream
-                    for target in targets
-                    if not self.placement.has_capacity(target, now)
-                ),
-            )
-            if want.waiting or want.expected:
-                wants.append(want)
-        return wants
+        queued = [self._key(call) for _, _, call in self._queue]
+        wants = self._demand.wants(queued, now)
+        return self.permits.request(wants, now)
 
     def _refuse_beyond_limits(self, now: datetime.timedelta) -> None:
         """Refuses queued calls that no permit can be expected for in time.
@@ -302,11 +267,11 @@
         """
         if not self._queue or not self.permits.table.by_upstream:
             return
-        permit_rate_by_key = self._permit_rates(now)
+        rate_by_key = self._demand.expected_rates(self.entries, now)
         ahead: collections.Counter[limits.Key] = collections.Counter()
         for _, _, call in list(self._queue):
             key = self._key(call)
-            rate = permit_rate_by_key.get(key)
+            rate = rate_by_key.get(key)
             if rate is None or call.state is not forwarding.State.WAITING:
                 continue
             left = call.arrived_at + _max_queue_time(call) - now
@@ -317,30 +282,6 @@
             else:
                 ahead[key] += 1
 
-    def _permit_rates(
-        self, now: datetime.timedelta
-    ) -> dict[limits.Key, float]:
-        """Returns the permits a second to expect where all targets need them.
-
-        It is this entry's equal part of the limits, or what it got lately.
-        """
-        rates = {}
-        for key, targets in self.placement.limited_targets().items():
-            if len(targets) < len(self.placement.targets(*key)):
-                continue
-            total = sum(
-                self.permits.table.by_upstream[target.upstream].rate or 0.0
-                for target in targets
-            )
-            spent = _count(
-                self._permits_spent_by_key, key, now, PERMIT_RATE_WINDOW
-            )
-            rates[key] = max(
-                total / (self.entries or 1),
-                spent / PERMIT_RATE_WINDOW.total_seconds(),
-            )
-        return rates
-
     # ---- Called by the forwarded calls ----------------------------------
 
     def no_capacity(
@@ -504,25 +445,3 @@
 
 def _max_queue_time(call: forwarding.ForwardedCall) -> datetime.timedelta:
     return min(call.route.objective * MAX_QUEUE_FRACTION, MAX_QUEUE_TIME)
-
-
-def _record(
-    times_by_key: dict[limits.Key, collections.deque[datetime.timedelta]],
-    key: limits.Key,
-    now: datetime.timedelta,
-) -> None:
-    """Records that something happened for a key."""
-    times = times_by_key.setdefault(key, collections.deque())
-    times.append(now)
-    while now - times[0] > PERMIT_RATE_WINDOW:
-        times.popleft()
-
-
-def _count(
-    times_by_key: dict[limits.Key, collections.deque[datetime.timedelta]],
-    key: limits.Key,
-    now: datetime.timedelta,
-    window: datetime.timedelta,
-) -> int:
-    """Returns how often it happened within the last `window`."""
-    return sum(now - time <= window for time in times_by_key.get(key, ()))
--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -21,6 +21,7 @@
 from figford import groupplanner
 from figford import membership
 from figford import messages
+from figford import permitslots
 from figford import planrounds
 from figford import routes
 
@@ -558,7 +559,7 @@
         net.start(f"{name}-new")
     net.run(5)
     assert set(told(net).values()) == {13}
-    net.run(controller.STOPPED_ENTRY_RETENTION / SECOND)
+    net.run(permitslots.STOPPED_ENTRY_RETENTION / SECOND)
     assert set(told(net).values()) == {10}
 
 
