The keeper reserves slots for a while longer than entries use them

An entry may hear the keeper after the keeper last heard it, so its five minutes may end later than the keeper's. Found by reading.

--- a/figford/permitslots.py
+++ b/figford/permitslots.py
@@ -12,6 +12,8 @@
 from figford import limits
 from figford import membership
 
+# An entry may hear the keeper for a while after the keeper last heard it.
+RESERVATION_TIME = limits.ISOLATED_SERVICE + limits.ISOLATION_TIMEOUT
 # An entry that was stopping when it was last heard has exited after this time.
 STOPPED_ENTRY_RETENTION = datetime.timedelta(seconds=30)
 
@@ -30,7 +32,7 @@
             for name, known in sorted(self.peers.by_instance.items())
             if known.peer.voter is None
             and known.heard_at is not None
-            and now - known.heard_at < limits.ISOLATED_SERVICE
+            and now - known.heard_at < RESERVATION_TIME
             and not (
                 known.peer.draining
                 and now - known.heard_at > STOPPED_ENTRY_RETENTION
