--- a/figford/controller.py
+++ b/figford/controller.py
@@ -118,7 +118,7 @@
     # Largest number of entries that were live at the same time.
     _most_entries: int = 0
     _proposals_made: int = 0
-    # The term of which the last pulse said that this controller leads it.
+    # The term that this controller leads, as of its last pulse.
     _told_leading_term: int = 0
     _slots: permitslots.SlotTable = attrs.field(init=False)
 
@@ -481,12 +481,12 @@
         self._most_entries = max(self._most_entries, live)
         return live + min(silent, self._most_entries)
 
-    # ---- Limits of upstreams ----------------------------------------------
+    # ---- Limits of upstreams --------------------------------------------
 
     def _on_limits(
         self, instance: str, told: list[fleetmessages.UpstreamLimit]
     ) -> list[Effect]:
-        """Takes limits that an entry learned of; tells the other entries."""
+        """Takes limits that a peer knows; tells the other entries."""
         changed = [limit for limit in told if self.limit_table.apply(limit)]
         others = [name for name in self._linked_entries() if name != instance]
         if not changed or not others:
@@ -533,7 +533,7 @@
     def _send_slots(self, now: datetime.timedelta) -> list[Effect]:
         """Tells each linked entry of its slots if they changed."""
         keeper = self.limit_keeper
-        if keeper.term != self._leading_term():
+        if not self.is_settled_leader or keeper.term != self._leading_term():
             return []
         changes = self._slots.changes(
             self.links, keeper.term, now - keeper.started_at, now
--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -139,13 +139,13 @@
     def _set_limit(self, meter: limitmeter.LimitMeter) -> None:
         """Sets the limit that a POST names; answers with what was counted."""
         if self.method == b"POST":
-            meter.name(json.loads(self.content.read())["rate"])
+            meter.set_rate(json.loads(self.content.read())["rate"])
         self._answer(200, {"total": meter.total, "most": meter.most})
 
     def _count(self, upstream: "Upstream") -> None:
         """Counts a request against the upstream's limit, and names it."""
         meter = upstream.meter
-        violation = meter.arrived(now())
+        violation = meter.record_request(now())
         if violation is not None:
             print(
                 f"{INVARIANT_BROKEN}: {upstream.engine.name}: {violation}",
@@ -153,7 +153,7 @@
             )
         if meter.rate is not None:
             self.setHeader("server-limit", str(meter.rate))
-            meter.answered(now())
+            meter.record_answer(now())
 
     def _answer(self, status: int, item: dict) -> None:
         self.setResponseCode(status)
