Who has slots of limits is in the log

What an upstream would see: up to 1.7 times its limit for minutes, when the keeper restarts while entries are cut off from it. Cause: a keeper kept the entries with slots in memory, so one that had restarted held back nothing for those that it could not hear and granted the whole limit, while they went on using their slots.

The slots and the part that each entry was told are committed to the log before entries are told. A new keeper holds back the part of all entries that it does not hear, and a cut entry keeps its part when others join.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -37,6 +37,8 @@
 # A longer gap between two events means that the process was suspended; then
 # no upstream counts as silent for `SETTLE_TIME`.
 PAUSE_THRESHOLD = datetime.timedelta(seconds=1)
+# A change of the slots of limits is proposed again after this time.
+SLOTS_PROPOSAL_INTERVAL = datetime.timedelta(seconds=1)
 # An entry's doubt about an upstream expires after this long.
 DOUBT_EXPIRY = datetime.timedelta(seconds=6)
 # After the start or a pause, no upstream counts as silent for this long.
@@ -121,6 +123,7 @@
     # The term that this controller leads, as of its last pulse.
     _told_leading_term: int = 0
     _slots: permitslots.SlotTable = attrs.field(init=False)
+    _slots_proposal_due: datetime.timedelta = datetime.timedelta(0)
 
     def __attrs_post_init__(self) -> None:
         """Starts the timers for silent upstreams."""
@@ -341,7 +344,7 @@
         self.peers.evict_missing(now)
         self.limit_table.discard_ended(self.fleet)
         result = self._heartbeat_now(now) + self._send_status(now)
-        return result + self._send_slots(now)
+        return result + self._assign_slots(now)
 
     def _heartbeat_now(self, now: datetime.timedelta) -> list[Effect]:
         self._heartbeat_due = now + HEARTBEAT_INTERVAL
@@ -498,9 +501,10 @@
             return []
         if self.limit_keeper.term != self.control.agreement.term:
             self.limit_keeper.start(self.control.agreement.term, now)
-            self._slots.forget_all()
+            self._slots.start(now)
         if not self.limit_table.by_upstream or not self.limit_keeper.due(now):
             return []
+        self._slots.shares = self.control.ledger.state.slot_shares
         grants = self.limit_keeper.grant(
             self.limit_table,
             self._served_keys,
@@ -530,15 +534,25 @@
             return []
         return [(item.service, model) for model in item.models]
 
-    def _send_slots(self, now: datetime.timedelta) -> list[Effect]:
-        """Tells each linked entry of its slots if they changed."""
+    def _assign_slots(self, now: datetime.timedelta) -> list[Effect]:
+        """Commits who may use slots of limits; tells entries of theirs."""
         keeper = self.limit_keeper
         if not self.is_settled_leader or keeper.term != self._leading_term():
             return []
+        self._slots.shares = self.control.ledger.state.slot_shares
+        result: list[Effect] = []
+        wanted = self._slots.wanted_shares(now)
+        if wanted != self._slots.shares and now >= self._slots_proposal_due:
+            self._slots_proposal_due = now + SLOTS_PROPOSAL_INTERVAL
+            command = fleetmessages.AssignSlots(wanted)
+            result += self.propose(command, self._slots_proposal_due, now)[1]
         changes = self._slots.changes(
-            self.links, keeper.term, now - keeper.started_at, now
+            self.links, keeper.term, now - keeper.started_at
         )
-        return [effects.SendPeer(name, slot) for name, slot in changes.items()]
+        result += [
+            effects.SendPeer(name, slot) for name, slot in changes.items()
+        ]
+        return result
 
     # ---- The log --------------------------------------------------------
 
--- a/figford/fleetmessages.py
+++ b/figford/fleetmessages.py
@@ -153,6 +153,21 @@
     permits: list[Permit]
 
 
+@attrs.frozen
+class SlotShare:
+    """The part of each limit that the slots of an entry are: one in `of`."""
+
+    entry: str
+    of: int
+
+
+@attrs.frozen
+class AssignSlots:
+    """Command: these entries, in this order, may use slots of limits."""
+
+    shares: list[SlotShare]
+
+
 @attrs.frozen
 class PermitSlot:
     """The time slots that an entry uses while it hears no leader.
--- a/figford/ledger.py
+++ b/figford/ledger.py
@@ -51,6 +51,7 @@
     witness_by_data_centre: dict[str, Witness] = attrs.field(factory=dict)
     routes_version: int = 0
     routes_document: bytes = b""
+    slot_shares: list[fleetmessages.SlotShare] = attrs.field(factory=list)
 
 
 @attrs.define
@@ -79,6 +80,8 @@
                 return self._grant_witness(entry.command, entry.at)
             case fleetmessages.StoreRoutes():
                 return self._store_routes(entry.command)
+            case fleetmessages.AssignSlots(shares):
+                self.state.slot_shares = shares
             case messages.RaiseVersion(version):
                 self.state.version = max(self.state.version, version)
         return messages.Done()
--- a/figford/messages.py
+++ b/figford/messages.py
@@ -224,6 +224,7 @@
     | RaiseVersion
     | ReadVersion
     | fleetmessages.StoreRoutes
+    | fleetmessages.AssignSlots
 )
 
 
--- a/figford/permitslots.py
+++ b/figford/permitslots.py
@@ -1,7 +1,8 @@
 """The time slots of limits that the keeper assigns to entries.
 
 An entry that hears no keeper uses its slots; until it is heard again, the
-keeper grants only what the slots of such entries leave.
+keeper grants only what the slots of such entries leave. The log holds who may
+have slots, so that a new keeper knows entries that it never heard.
 """
 
 import datetime
@@ -20,59 +21,101 @@
 
 @attrs.define
 class SlotTable:
-    """The slots of all entries, and what linked ones were told of them."""
+    """The entries with slots, as committed, and what they were told.
+
+    `leading_since` is when this controller began to lead: entries that it
+    has not heard may have been heard by others until then.
+    """
 
     peers: membership.PeerTable
-    _told_by_entry: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    shares: list[fleetmessages.SlotShare] = attrs.field(factory=list)
+    leading_since: datetime.timedelta = datetime.timedelta(0)
+    _told_by_entry: dict[str, fleetmessages.SlotShare] = attrs.field(
+        factory=dict
+    )
+
+    # ---- Who has slots --------------------------------------------------
+
+    def wanted_shares(
+        self, now: datetime.timedelta
+    ) -> list[fleetmessages.SlotShare]:
+        """Returns what should be committed: all entries that may serve.
 
-    def entries(self, now: datetime.timedelta) -> list[str]:
-        """Returns the entries with slots: live ones, or behind a cut."""
+        One that is silent keeps the part that it was told.
+        """
+        of_by_entry = {share.entry: share.of for share in self.shares}
+        names = {
+            name for name in of_by_entry if not self._has_ended(name, now)
+        }
+        names |= {
+            peer.instance
+            for peer in self.peers.live(now)
+            if peer.voter is None and not peer.draining
+        }
         return [
-            name
-            for name, known in sorted(self.peers.by_instance.items())
-            if known.peer.voter is None
-            and known.heard_at is not None
-            and now - known.heard_at < RESERVATION_TIME
-            and not (
-                known.peer.draining
-                and now - known.heard_at > STOPPED_ENTRY_RETENTION
+            fleetmessages.SlotShare(
+                name,
+                (
+                    len(names)
+                    if self._is_heard(name, now)
+                    else of_by_entry.get(name, len(names))
+                ),
             )
+            for name in sorted(names)
         ]
 
     def unreserved_part(self, now: datetime.timedelta) -> float:
         """Returns the part of each limit that isolated entries don't use."""
-        entries = self.entries(now)
-        isolated = sum(
-            now - self.peers.by_instance[name].heard_at
-            > limits.CONTACT_TIMEOUT
-            for name in entries
+        reserved = sum(
+            1 / share.of
+            for share in self.shares
+            if not self._is_heard(share.entry, now)
+            and not self._has_ended(share.entry, now)
         )
-        return 1.0 - isolated / max(1, len(entries))
+        return max(0.0, 1.0 - reserved)
+
+    def _is_heard(self, name: str, now: datetime.timedelta) -> bool:
+        known = self.peers.by_instance.get(name)
+        return (
+            known is not None
+            and known.heard_at is not None
+            and now - known.heard_at <= limits.CONTACT_TIMEOUT
+        )
+
+    def _has_ended(self, name: str, now: datetime.timedelta) -> bool:
+        """Returns whether an entry can't be using its slots any more."""
+        known = self.peers.by_instance.get(name)
+        if known is None or known.heard_at is None:
+            return now - self.leading_since >= RESERVATION_TIME
+        silence = now - known.heard_at
+        return silence >= RESERVATION_TIME or (
+            known.peer.draining and silence > STOPPED_ENTRY_RETENTION
+        )
+
+    # ---- Telling entries ------------------------------------------------
 
     def forget(self, entry: str) -> None:
         """Records that an entry must be told anew."""
         self._told_by_entry.pop(entry, None)
 
-    def forget_all(self) -> None:
-        """Records that all entries must be told anew."""
+    def start(self, now: datetime.timedelta) -> None:
+        """Starts a term as the keeper; all entries must be told anew."""
+        self.leading_since = now
         self._told_by_entry.clear()
 
     def changes(
-        self,
-        links: set[str],
-        term: int,
-        elapsed: datetime.timedelta,
-        now: datetime.timedelta,
+        self, links: set[str], term: int, elapsed: datetime.timedelta
     ) -> dict[str, fleetmessages.PermitSlot]:
         """Returns the slots to tell linked entries, by entry.
 
         `elapsed` is the time since the slots with the number 0 began.
         """
-        entries = self.entries(now)
         changed = {}
-        for index, name in enumerate(entries):
-            slot = (index, len(entries))
-            if name in links and self._told_by_entry.get(name) != slot:
-                self._told_by_entry[name] = slot
-                changed[name] = fleetmessages.PermitSlot(term, *slot, elapsed)
+        for index, share in enumerate(self.shares):
+            name = share.entry
+            if name in links and self._told_by_entry.get(name) != share:
+                self._told_by_entry[name] = share
+                changed[name] = fleetmessages.PermitSlot(
+                    term, index % share.of, share.of, elapsed
+                )
         return changed
