Tests: ports are free on all loopback addresses

Ports were probed on 127.0.0.1 only, and the processes listen on other loopback addresses, so a run beside it could hold the port there.

--- a/figford/tools/deployment.py
+++ b/figford/tools/deployment.py
@@ -26,6 +26,7 @@
 from figford import operators
 
 HOST = "127.0.0.1"
+ANY_ADDRESS = "0.0.0.0"
 WAIT_SECONDS = 60.0
 POLL_SECONDS = 0.05
 PORT_RANGE = (12_000, 32_000)
@@ -40,7 +41,7 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns loopback ports that were free when checked.
+    """Returns ports that were free on all addresses when checked.
 
     They lie below the operating system's ephemeral port range, so that no
     outgoing connection can occupy them.
@@ -52,7 +53,7 @@
         if port in allocated or port in _allocated_ports:
             continue
         with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((HOST, port))
+            probe.bind((ANY_ADDRESS, port))
             allocated.append(port)
     _allocated_ports.update(allocated)
     return allocated
