--- a/figford/controller.py
+++ b/figford/controller.py
@@ -300,7 +300,7 @@
                 return self._on_limits(instance, told)
             case fleetmessages.PermitRequest():
                 if self.is_settled_leader:
-                    self.limit_keeper.request(instance, message, now)
+                    self.limit_keeper.receive_request(instance, message, now)
                 return []
         # Other message types are not meant for controllers.
         return []
--- a/figford/entry.py
+++ b/figford/entry.py
@@ -146,7 +146,7 @@
             case fleetmessages.UpstreamLimits(told):
                 return self._on_limits(instance, told)
             case fleetmessages.PermitGrant():
-                granted = self.permits.granted(instance, message, now)
+                granted = self.permits.receive_grant(instance, message, now)
                 return [PermitsChanged()] if granted else []
             case fleetmessages.PermitSlot():
                 self.permits.assign_slot(instance, message, now)
--- a/figford/fleetmessages.py
+++ b/figford/fleetmessages.py
@@ -155,10 +155,10 @@
 
 @attrs.frozen
 class SlotShare:
-    """The part of each limit that the slots of an entry are: one in `of`."""
+    """The part of each limit that an entry has as slots: 1 / `divisor`."""
 
     entry: str
-    of: int
+    divisor: int
 
 
 @attrs.frozen
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -274,8 +274,8 @@
             rate = rate_by_key.get(key)
             if rate is None or call.state is not forwarding.State.WAITING:
                 continue
-            left = call.arrived_at + _max_queue_time(call) - now
-            if ahead[key] and ahead[key] > rate * left.total_seconds():
+            remaining = call.arrived_at + _max_queue_time(call) - now
+            if ahead[key] and ahead[key] > rate * remaining.total_seconds():
                 call.refuse(
                     self.no_capacity("upstreams are at the limits they named")
                 )
--- a/figford/limitkeeper.py
+++ b/figford/limitkeeper.py
@@ -78,7 +78,7 @@
 
     # ---- Demand ---------------------------------------------------------
 
-    def request(
+    def receive_request(
         self,
         entry: str,
         request: fleetmessages.PermitRequest,
--- a/figford/limits.py
+++ b/figford/limits.py
@@ -29,6 +29,7 @@
 # entry that was lost do not stay free for longer.
 ISOLATED_SERVICE = datetime.timedelta(minutes=5)
 
+# A service and a model; None where the service has no models.
 Key = tuple[str, str | None]
 
 
--- a/figford/permits.py
+++ b/figford/permits.py
@@ -112,7 +112,7 @@
             raise AssertionError("a request to a limited upstream needs one")
         self._expiries_by_upstream[upstream] = valid[1:]
 
-    def granted(
+    def receive_grant(
         self,
         instance: str,
         grant: fleetmessages.PermitGrant,
--- a/figford/permitslots.py
+++ b/figford/permitslots.py
@@ -43,9 +43,11 @@
 
         One that is silent keeps the part that it was told.
         """
-        of_by_entry = {share.entry: share.of for share in self.shares}
+        divisor_by_entry = {
+            share.entry: share.divisor for share in self.shares
+        }
         names = {
-            name for name in of_by_entry if not self._has_ended(name, now)
+            name for name in divisor_by_entry if not self._has_ended(name, now)
         }
         names |= {
             peer.instance
@@ -58,7 +60,7 @@
                 (
                     len(names)
                     if self._is_heard(name, now)
-                    else of_by_entry.get(name, len(names))
+                    else divisor_by_entry.get(name, len(names))
                 ),
             )
             for name in sorted(names)
@@ -67,7 +69,7 @@
     def unreserved_part(self, now: datetime.timedelta) -> float:
         """Returns the part of each limit that isolated entries don't use."""
         reserved = sum(
-            1 / share.of
+            1 / share.divisor
             for share in self.shares
             if not self._is_heard(share.entry, now)
             and not self._has_ended(share.entry, now)
@@ -116,6 +118,6 @@
             if name in links and self._told_by_entry.get(name) != share:
                 self._told_by_entry[name] = share
                 changed[name] = fleetmessages.PermitSlot(
-                    term, index % share.of, share.of, elapsed
+                    term, index % share.divisor, share.divisor, elapsed
                 )
         return changed
--- a/figford/tests/test_limitedforwarding.py
+++ b/figford/tests/test_limitedforwarding.py
@@ -49,7 +49,7 @@
         grant = fleetmessages.PermitGrant(
             1, request.sequence, [fleetmessages.Permit(name, 1, count)]
         )
-        assert self.forwarder.permits.granted(KEEPER, grant, now)
+        assert self.forwarder.permits.receive_grant(KEEPER, grant, now)
         self.forwarder.permits_changed()
 
     def sent_to(self) -> list[str]:
--- a/figford/tests/test_limitkeeper.py
+++ b/figford/tests/test_limitkeeper.py
@@ -51,7 +51,7 @@
     for step in range(round(seconds * SECOND / STEP)):
         at = now + step * STEP
         for entry, request in wants.items():
-            keeper.request(entry, request, at)
+            keeper.receive_request(entry, request, at)
         for entry, grant in keeper.grant(table, keys, part, at).items():
             count = sum(permit.count for permit in grant.permits)
             granted[entry] = granted.get(entry, 0) + count
@@ -95,14 +95,14 @@
 def test_an_entry_gets_no_permit_that_it_can_t_use() -> None:
     keeper, table = new_keeper(u=4.0, v=4.0)
     run(keeper, table, 3, {})
-    keeper.request("e1", want(9, 0, "u"), NOW + 3 * SECOND)
+    keeper.receive_request("e1", want(9, 0, "u"), NOW + 3 * SECOND)
     grants = keeper.grant(table, keys, 1.0, NOW + 3 * SECOND)
     assert [item.upstream for item in grants["e1"].permits] == ["v"]
 
 
 def test_an_old_request_is_not_granted() -> None:
     keeper, table = new_keeper(u=4.0)
-    keeper.request("e1", want(9), NOW)
+    keeper.receive_request("e1", want(9), NOW)
     late = NOW + 2 * SECOND + limits.REQUEST_VALIDITY
     assert keeper.grant(table, keys, 1.0, late) == {}
 
--- a/figford/tests/test_permits.py
+++ b/figford/tests/test_permits.py
@@ -34,7 +34,7 @@
         request.sequence,
         [fleetmessages.Permit("u", incarnation, 1)],
     )
-    return own.granted(sender, message, NOW + delay)
+    return own.receive_grant(sender, message, NOW + delay)
 
 
 def test_a_permit_is_for_one_request() -> None:
--- a/figford/tests/test_permitslots.py
+++ b/figford/tests/test_permitslots.py
@@ -86,7 +86,7 @@
     table = new_table("e1", "e2", "e3", now=now)
     table.peers.update_from_peer(peer("e0"), now)
     wanted = table.wanted_shares(now)
-    assert {share.entry: share.of for share in wanted} == {
+    assert {share.entry: share.divisor for share in wanted} == {
         "e0": 5,
         "e1": 5,
         "e2": 5,
--- a/figford/tools/limitworld.py
+++ b/figford/tools/limitworld.py
@@ -307,7 +307,7 @@
 
     def _granted(self, entry: str, grant: fleetmessages.PermitGrant) -> None:
         forwarder = self.entry_forwarders[int(entry)]
-        if forwarder.permits.granted("keeper", grant, self.clock.now()):
+        if forwarder.permits.receive_grant("keeper", grant, self.clock.now()):
             forwarder.permits_changed()
 
     # ---- Time -----------------------------------------------------------
@@ -340,7 +340,7 @@
             request = forwarder.permit_request()
             if request is not None and index not in self.isolated:
                 self.messages["requests"] += 1
-                self.keeper.request(str(index), request, now)
+                self.keeper.receive_request(str(index), request, now)
         self._grant()
 
     def _request(self, forwarder: forwarders.Forwarder) -> None:
