Upstreams that crash under requests are logged with their suspects

Logs named requests, but not what they have in common, nor which of them had begun when an upstream ended. Entries now write `upstream crashed` and count it; `attempt ended` names prompt parts. No request goes elsewhere than before.

--- /dev/null
+++ b/figford/crashes.py
@@ -0,0 +1,120 @@
+"""Which requests were beginning at an upstream when it crashed.
+
+An upstream crashed if attempts at it break and no connection of this entry to
+it is left. A request whose answer had not begun by then may be the cause.
+"""
+
+import datetime
+import hashlib
+import typing
+
+import attrs
+
+from figford import fleetmessages
+from figford import wire
+
+# The connections of a process that ended are all closed within this time.
+SETTLE_TIME = datetime.timedelta(milliseconds=20)
+# An answer has begun with this many events: an upstream may still send the
+# first one of an answer that ends its process.
+BEGUN_EVENTS = 2
+# Requests per crash and prompt parts per request that are told.
+MAX_SUSPECTS = 64
+MAX_PARTS = 32
+PART_NAME_LENGTH = 40
+
+
+def part_names(head: wire.CallHead) -> list[str]:
+    """Returns the prompt parts that a request may share with others.
+
+    The last part is the request's own.
+
+    >>> part_names(wire.CallHead("a", None, None, parts=("x", "y", "z")))
+    ['x', 'y']
+    """
+    return [part[:PART_NAME_LENGTH] for part in head.parts[:-1][:MAX_PARTS]]
+
+
+def request_digest(
+    method: bytes, target: bytes, body: bytes, head: wire.CallHead
+) -> str:
+    """Returns the same text for a request and its repeats by the caller."""
+    digest = hashlib.blake2b(digest_size=8)
+    parts = ",".join(head.parts).encode("latin-1", "replace")
+    for item in (method, target, parts, body):
+        digest.update(len(item).to_bytes(8, "big") + item)
+    return digest.hexdigest()
+
+
+@attrs.define
+class _BrokenUpstream:
+    """The attempts at one upstream that broke at about the same time."""
+
+    upstream: str
+    incarnation: int
+    address: str
+    broken_at: datetime.timedelta
+    suspect_by_request: dict[str, fleetmessages.Suspect] = attrs.field(
+        factory=dict
+    )
+    answering: int = 0
+
+
+@attrs.frozen
+class Crash:
+    """A crash that this entry saw.
+
+    `answering` counts the requests whose answers had begun.
+    """
+
+    report: fleetmessages.CrashReport
+    answering: int
+
+
+@attrs.define
+class CrashCollector:
+    """Collects broken attempts until it is clear which upstreams crashed."""
+
+    _broken: dict[tuple[str, int], _BrokenUpstream] = attrs.field(factory=dict)
+
+    def record(
+        self,
+        upstream: str,
+        incarnation: int,
+        address: str,
+        suspect: fleetmessages.Suspect | None,
+        now: datetime.timedelta,
+    ) -> None:
+        """Records a broken attempt; `suspect` is None if it had begun."""
+        key = (upstream, incarnation)
+        broken = self._broken.get(key)
+        if broken is None:
+            broken = _BrokenUpstream(upstream, incarnation, address, now)
+            self._broken[key] = broken
+        if suspect is None:
+            broken.answering += 1
+        elif len(broken.suspect_by_request) < MAX_SUSPECTS:
+            broken.suspect_by_request[suspect.request] = suspect
+
+    def take_crashes(
+        self,
+        is_connected: typing.Callable[[str], bool],
+        now: datetime.timedelta,
+    ) -> list[Crash]:
+        """Returns the crashes that are clear by now.
+
+        `is_connected` tells whether a connection to an address is open.
+        """
+        found = []
+        for key, broken in list(self._broken.items()):
+            if now - broken.broken_at < SETTLE_TIME:
+                continue
+            del self._broken[key]
+            if not is_connected(broken.address):
+                report = fleetmessages.CrashReport(
+                    broken.upstream,
+                    broken.incarnation,
+                    list(broken.suspect_by_request.values()),
+                )
+                found.append(Crash(report, broken.answering))
+        return found
--- a/figford/exchanges.py
+++ b/figford/exchanges.py
@@ -345,6 +345,10 @@
             connection.transport.loseConnection()
         return None
 
+    def is_connected(self, address: str) -> bool:
+        """Returns whether a connection to an address is open."""
+        return any(connection.address == address for connection in self._open)
+
     def keep(self, connection: Connection) -> None:
         """Keeps an idle connection for the next request."""
         idle_connections = self._idle_by_address.setdefault(
--- a/figford/fleetmessages.py
+++ b/figford/fleetmessages.py
@@ -183,6 +183,27 @@
     elapsed: datetime.timedelta
 
 
+@attrs.frozen
+class Suspect:
+    """A request that was beginning when its upstream crashed.
+
+    `request` is the same for the caller's repeats of it; `parts` are the
+    prompt parts that it may share with other requests.
+    """
+
+    request: str
+    parts: list[str]
+
+
+@attrs.frozen
+class CrashReport:
+    """An upstream's crash, and the sender's requests that were beginning."""
+
+    upstream: str
+    incarnation: int
+    suspects: list[Suspect]
+
+
 @attrs.frozen
 class FleetStatus:
     """Status that the leading controller sends to the entries.
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -9,6 +9,7 @@
 import attrs
 import logbook
 
+from figford import crashes
 from figford import errors
 from figford import exchanges
 from figford import fleet as fleets
@@ -37,6 +38,8 @@
 # without any upstream are told to retry then.
 REPAIR_RETRY_AFTER = datetime.timedelta(milliseconds=1500)
 RETRY_AFTER_SPREAD = datetime.timedelta(milliseconds=800)
+# Requests that are named in the log line of a crash.
+MAX_LOGGED_SUSPECTS = 16
 # The part of the connections that an upstream accepts which may be idle.
 IDLE_FRACTION = 0.5
 
@@ -78,6 +81,9 @@
         factory=dict
     )
 
+    _crashes: crashes.CrashCollector = attrs.field(
+        factory=crashes.CrashCollector
+    )
     _demand: permitdemand.PermitDemand = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -237,6 +243,24 @@
         self._refuse_beyond_limits(now)
         for call in list(self.calls):
             call.check(now)
+        self._report_crashes(now)
+
+    def _report_crashes(self, now: datetime.timedelta) -> None:
+        """Counts and logs the upstreams that crashed under requests."""
+        for crash in self._crashes.take_crashes(self.pool.is_connected, now):
+            report = crash.report
+            self.metrics.event("upstream-crashed")
+            _log.info(
+                "upstream crashed",
+                upstream=report.upstream,
+                incarnation=report.incarnation,
+                beginning=len(report.suspects),
+                answering=crash.answering,
+                suspects=",".join(
+                    "/".join([item.request, *item.parts])
+                    for item in report.suspects[:MAX_LOGGED_SUSPECTS]
+                ),
+            )
 
     # ---- Limits ---------------------------------------------------------
 
@@ -362,6 +386,27 @@
         self.metrics.event(event.replace(" ", "-"))
         _log.info(event, upstream=target.upstream, rate=rate, before=before)
 
+    def attempt_broken(
+        self,
+        call: forwarding.ForwardedCall,
+        target: placements.Target,
+        has_begun: bool,
+    ) -> None:
+        """Records an attempt whose connection broke."""
+        suspect = fleetmessages.Suspect(
+            crashes.request_digest(
+                call.method, call.target, call.body, call.head
+            ),
+            crashes.part_names(call.head),
+        )
+        self._crashes.record(
+            target.upstream,
+            target.incarnation,
+            target.address,
+            None if has_begun else suspect,
+            self.clock.now(),
+        )
+
     def misdirected(self, target: placements.Target) -> None:
         """Stops using an address that now belongs to another upstream."""
         self.pool.drop(target.address)
@@ -377,6 +422,7 @@
             request=call.head.attempt,
             upstream=call.tried[-1] if call.tried else "",
             cause=reason,
+            parts=",".join(crashes.part_names(call.head)),
             entries=self.entries,
             table_version=self.table.version,
         )
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from figford import crashes
 from figford import errors
 from figford import eventstream
 from figford import exchanges
@@ -287,6 +288,7 @@
         except eventstream.EventOrderError as error:
             self._attempt_failed(attempt, str(error))
             return
+        attempt.events += len(events)
         if events:
             self._forward_data(head, b"".join(events), now)
 
@@ -311,7 +313,9 @@
         now = self.forwarder.clock.now()
         if self._is_stream(head):
             if self._events.pending or not self._response_started:
-                self._attempt_failed(attempt, "stream ended within an event")
+                self._connection_broken(
+                    attempt, "stream ended within an event"
+                )
                 return
             self._release(attempt)
             self.forwarder.placement.succeeded(attempt.target)
@@ -378,7 +382,15 @@
                 counted=False,
             )
             return
-        self._attempt_failed(attempt, f"answer {failure.value}")
+        if failure is exchanges.Failure.BROKEN:
+            self._connection_broken(attempt, f"answer {failure.value}")
+        else:
+            self._attempt_failed(attempt, f"answer {failure.value}")
+
+    def _connection_broken(self, attempt: _Attempt, reason: str) -> None:
+        """Handles an answer that ended early, maybe as its upstream did."""
+        self.forwarder.attempt_broken(self, attempt.target, attempt.has_begun)
+        self._attempt_failed(attempt, reason)
 
     def _attempt_failed(self, attempt: _Attempt, reason: str) -> None:
         now = self.forwarder.clock.now()
@@ -483,6 +495,12 @@
     head: wire.AnswerHead | None = None
     parts: list[bytes] = attrs.field(factory=list)
     size: int = 0
+    events: int = 0
+
+    @property
+    def has_begun(self) -> bool:
+        """Returns whether the upstream has begun to write the answer."""
+        return self.events >= crashes.BEGUN_EVENTS
 
     def __attrs_post_init__(self) -> None:
         """Counts the attempt at its target."""
--- a/figford/platform/dialect.py
+++ b/figford/platform/dialect.py
@@ -14,6 +14,8 @@
 _MODEL = b"figford-model"
 # The prompt's tokens and the maximum of output tokens, not usage so far.
 _TOKENS = b"figford-token-usage"
+# The parts of the prompt as ID:TOKENS, separated by commas.
+_PARTS = b"figford-prompt-prefix"
 _RESUME = b"last-event-id"
 _UPSTREAM = b"figford-expect-instance"
 _ACCOUNT = b"figford-tenant"
@@ -75,6 +77,15 @@
     return wire.LimitNotice(float(text))
 
 
+def _parts(headers: wire.HeaderList) -> tuple[str, ...]:
+    """Returns the names of a prompt's parts, of all headers together."""
+    items = b",".join(
+        value for name, value in headers if name.lower() == _PARTS
+    ).split(b",")
+    names = (item.partition(b":")[0].strip().lower() for item in items)
+    return tuple(name.decode("latin-1") for name in names if name)
+
+
 def _text(value: bytes | None) -> str | None:
     return None if value is None else value.decode("latin-1").strip()
 
@@ -114,6 +125,7 @@
             prompt_tokens=tokens[0],
             output_tokens=tokens[1],
             resume_after=_text(by_name.get(_RESUME)),
+            parts=_parts(headers),
         )
 
     def request_headers(
--- a/figford/tests/platform/test_dialect.py
+++ b/figford/tests/platform/test_dialect.py
@@ -38,9 +38,27 @@
         prompt_tokens=1460,
         output_tokens=80,
         resume_after="12",
+        parts=("5c1e07a2", "91bd3f06"),
     )
 
 
+@pytest.mark.parametrize(
+    "values, parts",
+    [
+        ([], ()),
+        ([b""], ()),
+        ([b"A1:5, b2:7"], ("a1", "b2")),
+        ([b"a1:5", b"b2:7"], ("a1", "b2")),
+        ([b"a1,,:,b2:x:y"], ("a1", "b2")),
+        ([b"\xff\xfe"], ("\xff\xfe",)),
+    ],
+)
+def test_parts_of_prompts_are_read(values: list, parts: tuple) -> None:
+    headers = [(b"Figford-Attempt-Id", b"a")]
+    headers += [(b"Figford-Prompt-Prefix", value) for value in values]
+    assert DIALECT.read_call(headers).parts == parts
+
+
 def test_a_call_without_an_id_is_refused() -> None:
     with pytest.raises(errors.BadRequest):
         DIALECT.read_call([(b"Host", b"h")])
--- /dev/null
+++ b/figford/tests/test_crashes.py
@@ -0,0 +1,68 @@
+"""A crash is told from a broken connection, and its suspects are named."""
+
+import datetime
+
+import pytest
+
+from figford import crashes
+from figford import fleetmessages
+from figford import wire
+
+MS = datetime.timedelta(milliseconds=1)
+NOW = datetime.timedelta(seconds=100)
+SUSPECT = fleetmessages.Suspect("r1", ["a"])
+
+
+def head(*parts: str) -> wire.CallHead:
+    return wire.CallHead("a1", None, None, parts=parts)
+
+
+def test_a_crash_names_the_requests_that_were_beginning() -> None:
+    collector = crashes.CrashCollector()
+    collector.record("u1", 7, "u1:1", SUSPECT, NOW)
+    collector.record("u1", 7, "u1:1", None, NOW + MS)
+    collector.record("u1", 7, "u1:1", SUSPECT, NOW + MS)
+    assert collector.take_crashes(lambda _: False, NOW + MS) == []
+    now = NOW + crashes.SETTLE_TIME
+    report = fleetmessages.CrashReport("u1", 7, [SUSPECT])
+    assert collector.take_crashes(lambda _: False, now) == [
+        crashes.Crash(report, answering=1)
+    ]
+    assert collector.take_crashes(lambda _: False, now) == []
+
+
+def test_a_reset_connection_beside_others_is_no_crash() -> None:
+    collector = crashes.CrashCollector()
+    collector.record("u1", 7, "u1:1", SUSPECT, NOW)
+    now = NOW + crashes.SETTLE_TIME
+    assert collector.take_crashes(lambda _: True, now) == []
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        (b"GET", b"/x", b"", head("p", "q")),
+        (b"POST", b"/y", b"", head("p", "q")),
+        (b"POST", b"/x", b"b", head("p", "q")),
+        (b"POST", b"/x", b"", head("p", "r")),
+    ],
+)
+def test_other_requests_have_other_digests(other: tuple) -> None:
+    digest = crashes.request_digest(b"POST", b"/x", b"", head("p", "q"))
+    assert digest != crashes.request_digest(*other)
+    assert digest == crashes.request_digest(
+        b"POST", b"/x", b"", head("p", "q")
+    )
+
+
+def test_what_a_crash_names_is_bounded() -> None:
+    collector = crashes.CrashCollector()
+    parts = tuple(f"{number:x}" * 50 for number in range(1000))
+    names = crashes.part_names(head(*parts))
+    assert len(names) == crashes.MAX_PARTS
+    assert max(map(len, names)) == crashes.PART_NAME_LENGTH
+    for number in range(1000):
+        suspect = fleetmessages.Suspect(str(number), names)
+        collector.record("u1", 7, "u1:1", suspect, NOW)
+    crash = collector.take_crashes(lambda _: False, NOW + 1000 * MS)[0]
+    assert len(crash.report.suspects) == crashes.MAX_SUSPECTS
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -10,6 +10,7 @@
 import attrs
 import pytest
 
+from figford import crashes
 from figford import errors
 from figford import exchanges
 from figford import fleet as fleets
@@ -64,6 +65,13 @@
         self.sent.append((address, exchange))
         self.max_idle_times.append(max_idle)
 
+    def is_connected(self, address: str) -> bool:
+        """Returns whether an exchange with an address is in progress."""
+        return any(
+            sent_to == address and exchange.receiver is not None
+            for sent_to, exchange in self.sent
+        )
+
     def drop(self, address: str) -> None:
         """Records an address that is no longer used."""
         self.dropped.append(address)
@@ -181,6 +189,12 @@
         for part in parts:
             receiver.answer_data(part)
 
+    def take_crashes(self) -> list[crashes.Crash]:
+        """Returns the crashes that the forwarder would report a while on."""
+        return self.forwarder._crashes.take_crashes(
+            self.pool.is_connected, self.clock.now() + SECOND
+        )
+
     def idle(self) -> bool:
         """Returns whether no call is counted as in progress."""
         target_states = self.forwarder.placement.state_by_upstream.values()
@@ -380,6 +394,31 @@
     assert bench.responder.refusal.status == 503
 
 
+@pytest.mark.parametrize(
+    "events, cause", [(0, True), (1, True), (2, False), (3, False)]
+)
+def test_only_requests_that_were_beginning_are_suspects_of_a_crash(
+    events: int, cause: bool
+) -> None:
+    bench = Bench(routes.RetryMode.STREAM).begin()
+    name = bench.call.tried[0]
+    pieces = [event(number + 1) for number in range(events)]
+    bench.answer(200, *pieces, streamed=True)
+    bench.receiver.answer_failed(exchanges.Failure.BROKEN)
+    [crash] = bench.take_crashes()
+    assert crash.report.upstream == name
+    assert len(crash.report.suspects) == cause
+    assert crash.answering == (not cause)
+
+
+def test_a_stream_that_ends_within_its_first_event_is_a_suspect() -> None:
+    bench = Bench(routes.RetryMode.STREAM).begin()
+    bench.answer(200, b"id: 1\nda", streamed=True)
+    bench.receiver.answer_ended()
+    [crash] = bench.take_crashes()
+    assert len(crash.report.suspects) == 1
+
+
 def test_limits_that_answers_name_or_end_are_known() -> None:
     bench = Bench(routes.RetryMode.ONCE).begin()
     name = bench.call.tried[0]
--- a/figford/wire.py
+++ b/figford/wire.py
@@ -13,7 +13,11 @@
 
 @attrs.frozen
 class CallHead:
-    """The values of a caller's headers; sizes are in tokens."""
+    """The values of a caller's headers; sizes are in tokens.
+
+    `parts` names the parts of the prompt in order; the last one is the
+    request's own.
+    """
 
     attempt: str
     remaining: datetime.timedelta | None
@@ -22,6 +26,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     resume_after: str | None = None
+    parts: tuple[str, ...] = ()
 
 
 @attrs.frozen
