Failing tests: requests that crash upstreams are sent on and on

The stand-in upstreams can crash under requests with a prompt part or path; they start again as others.

--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -25,6 +25,7 @@
 from figford import fleetmessages
 from figford import formations
 from figford import routes
+from figford.tests.platform import crashmeter
 from figford.tests.platform import limitmeter
 from figford.tools import enginefleet
 
@@ -37,6 +38,10 @@
 PLAIN_COUNT = 2
 EVENTS_PER_STREAM = 6
 EVENT_INTERVAL_SECONDS = 0.02
+# A request that crashes its upstream does so this long after it arrived, and
+# the upstream is back after some more.
+CRASH_SECONDS = 0.05
+DOWN_SECONDS = 1.0
 SECOND = datetime.timedelta(seconds=1)
 MODELS = {
     "large": routes.Model("large", 4, 0.75, 1.0, 0.3 * SECOND, 0.1 * SECOND),
@@ -132,6 +137,8 @@
             self._answer(200, collections.Counter(upstream.runs))
         elif path == "/limit":
             self._set_limit(upstream.meter)
+        elif path == "/crashing":
+            self._set_crashing(upstream.crashing)
         else:
             self._count(upstream)
             self._serve(upstream)
@@ -142,6 +149,49 @@
             meter.set_rate(json.loads(self.content.read())["rate"])
         self._answer(200, {"total": meter.total, "most": meter.most})
 
+    def _set_crashing(
+        self, meter_by_name: dict[str, crashmeter.CrashMeter]
+    ) -> None:
+        """Adds the part or path that a POST names; tells what was counted."""
+        if self.method == b"POST":
+            name = json.loads(self.content.read())["name"]
+            meter_by_name[name] = crashmeter.CrashMeter()
+        counted = {
+            name: {"crashes": meter.crashes, "requests": meter.requests}
+            for name, meter in meter_by_name.items()
+        }
+        self._answer(200, counted)
+
+    def _crashing_meter(
+        self, upstream: "Upstream"
+    ) -> crashmeter.CrashMeter | None:
+        """Returns the meter of what makes this request crash upstreams."""
+        prefix = self.getHeader("figford-prompt-prefix") or ""
+        names = [item.partition(":")[0] for item in prefix.split(",")]
+        names.append(self.path.decode())
+        for name in names:
+            if name in upstream.crashing:
+                return upstream.crashing[name]
+        return None
+
+    def _crash(
+        self, upstream: "Upstream", meter: crashmeter.CrashMeter
+    ) -> None:
+        """Counts a request that crashes its upstream unless it is closed."""
+        violation = meter.record_request(now())
+        if violation is not None:
+            print(
+                f"{INVARIANT_BROKEN}: {upstream.engine.name}: {violation}",
+                flush=True,
+            )
+
+        def crash() -> None:
+            if not self._disconnected and upstream.engine.up:
+                meter.record_crash(now())
+                upstream.crash()
+
+        reactor.callLater(CRASH_SECONDS, crash)
+
     def _count(self, upstream: "Upstream") -> None:
         """Counts a request against the upstream's limit, and names it."""
         meter = upstream.meter
@@ -198,6 +248,10 @@
             return
         self.setHeader("figford-response-signature", f"sig-{attempt}")
         self.setHeader("figford-server-load", "1,0,13")
+        meter = self._crashing_meter(upstream)
+        if meter is not None:
+            self._crash(upstream, meter)
+            return
         upstream.runs.append(attempt)
         if upstream.plain:
             answer = {
@@ -236,6 +290,7 @@
         channel = http.HTTPChannel()
         channel.factory = self
         channel.requestFactory = UpstreamRequest
+        self.upstream.channels.append(channel)
         return channel
 
     def log(self, request: object) -> None:
@@ -252,17 +307,55 @@
     controllers: list[str]
     agent: client.Agent
     port: int
+    # By the part or path that crashes; shared by all upstreams.
+    crashing: dict[str, crashmeter.CrashMeter]
     runs: list[str | None] = attrs.field(factory=list)
     meter: limitmeter.LimitMeter = attrs.field(factory=limitmeter.LimitMeter)
     controller_index: int = 0
+    channels: list[http.HTTPChannel] = attrs.field(factory=list)
+    _listening: typing.Any = None
+    _starts: int = 1
 
     def start(self) -> None:
         """Starts to listen and to send heartbeats."""
-        reactor.listenTCP(self.port, UpstreamFactory(self), interface=HOST)
+        self._listen()
         task.LoopingCall(self.send_heartbeat).start(HEARTBEAT_SECONDS)
 
+    def _listen(self) -> None:
+        self._listening = reactor.listenTCP(
+            self.port, UpstreamFactory(self), interface=HOST
+        )
+
+    def crash(self) -> None:
+        """Resets all connections; starts again under another name."""
+        self.fleet.crash(self.engine.name, now())
+        self._listening.stopListening()
+        for channel in self.channels:
+            if channel.transport is not None:
+                channel.transport.abortConnection()
+        self.channels.clear()
+        reactor.callLater(DOWN_SECONDS, self._restart)
+
+    def _restart(self) -> None:
+        self._starts += 1
+        before = self.engine
+        self.engine = enginefleet.Engine(
+            name=f"{before.name.partition('.')[0]}.{self._starts}",
+            service=before.service,
+            domain=before.domain,
+            data_centre=before.data_centre,
+            address=before.address,
+            incarnation=int(time.time() * 1000),
+            staged=before.staged,
+        )
+        self.fleet.add(self.engine)
+        self._listen()
+        self.send_heartbeat()
+
     def send_heartbeat(self) -> None:
         """Reports to one controller; a failure selects the next one."""
+        if not self.engine.up:
+            return
         address = self.controllers[
             self.controller_index % len(self.controllers)
         ]
@@ -292,7 +385,8 @@
     pool = client.HTTPConnectionPool(reactor)
     agent = client.Agent(reactor, connectTimeout=1, pool=pool)
     start_ms = int(time.time() * 1000)
-    upstreams = []
+    upstreams: list[Upstream] = []
+    crashing: dict[str, crashmeter.CrashMeter] = {}
     for index in range(ENGINE_COUNT + PLAIN_COUNT):
         plain = index >= ENGINE_COUNT
         engine = enginefleet.Engine(
@@ -303,13 +397,12 @@
             address=f"{HOST}:{int(first_reported_port) + index}",
             incarnation=start_ms,
         )
-        if not plain:
-            fleet.add(engine)
+        fleet.add(engine)
         port = int(first_port) + index
         control = int(control_port) + int(port_step) * index
         controllers = [f"{ip}:{control}" for ip in ips]
         upstreams.append(
-            Upstream(engine, plain, fleet, controllers, agent, port)
+            Upstream(engine, plain, fleet, controllers, agent, port, crashing)
         )
 
     def step() -> None:
--- a/figford/tests/platform/test_processes.py
+++ b/figford/tests/platform/test_processes.py
@@ -258,6 +258,24 @@
         answer = self.call(self._upstream_address(index), "GET", "/limit")
         return json.loads(answer.body)["total"]
 
+    def crash_upstreams_by(self, name: str) -> None:
+        """Lets requests with a prompt part or path crash upstreams."""
+        body = json.dumps({"name": name}).encode()
+        self.call(self._upstream_address(0), "POST", "/crashing", body)
+
+    def crashes(self) -> dict[str, dict[str, int]]:
+        """Returns the crashes and requests by prompt part or path."""
+
+        def answered() -> Answer | None:
+            for index in range(standin.ENGINE_COUNT + standin.PLAIN_COUNT):
+                address = self._upstream_address(index)
+                found = self.call(address, "GET", "/crashing")
+                if found is not None and found.status == 200:
+                    return found
+            return None
+
+        return json.loads(self.wait("an upstream that is up", answered).body)
+
     def _upstream_address(self, index: int) -> str:
         return f"{standin.HOST}:{self.ports[4] + index}"
 
