Requests that crash upstreams are convicted by all entries together

Cause: the damage travels with a request, and each process forgets it. An entry repeats a request under which its upstream ended at the next one, the caller sends it again through another entry, and the next request with the part begins anew. Nothing looked at what such requests have in common. Fix: entries report crashes with the requests that were beginning to the leader of the log, which asks the others for answers that clear their parts, rules who may be repeated, and commits verdicts to the log. All ways to an upstream pass the verdicts: first sends, repeats, resumed streams and queued calls; attempts that have not begun are cancelled. Entries that hear no leader judge by their own evidence.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -11,6 +11,7 @@
 import attrs
 
 from figford import control as controls
+from figford import crashjudge
 from figford import effects
 from figford import fleet as fleets
 from figford import fleetmessages
@@ -39,6 +40,7 @@
 PAUSE_THRESHOLD = datetime.timedelta(seconds=1)
 # A change of the slots of limits is proposed again after this time.
 SLOTS_PROPOSAL_INTERVAL = datetime.timedelta(seconds=1)
+LIFT_DEADLINE = datetime.timedelta(seconds=2)
 # An entry's doubt about an upstream expires after this long.
 DOUBT_EXPIRY = datetime.timedelta(seconds=6)
 # After the start or a pause, no upstream counts as silent for this long.
@@ -99,6 +101,7 @@
     limit_keeper: limitkeeper.LimitKeeper = attrs.field(
         factory=limitkeeper.LimitKeeper
     )
+    judge: crashjudge.CrashJudge = attrs.field(factory=crashjudge.CrashJudge)
     stopping: bool = False
     # False only at the first start of a deployment, before its first request.
     callers_seen: bool = True
@@ -124,6 +127,7 @@
     _told_leading_term: int = 0
     _slots: permitslots.SlotTable = attrs.field(init=False)
     _slots_proposal_due: datetime.timedelta = datetime.timedelta(0)
+    _told_verdicts_revision: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Starts the timers for silent upstreams."""
@@ -176,6 +180,7 @@
             self.proposal_tracker.expire(now)
         )
         result += self._grant_permits(now)
+        result += self._judge_crashes(now)
         return result + self._plan(now)
 
     def synced(
@@ -197,11 +202,13 @@
             effects.SendPeer(
                 peer.instance, messages.Peers(self.controllers())
             ),
-            # Before the upstreams, so that no entry sends them too much.
+            # Before the upstreams, so that no entry sends them too much or
+            # what crashes them.
             effects.SendPeer(
                 peer.instance,
                 fleetmessages.UpstreamLimits(self.limit_table.all()),
             ),
+            effects.SendPeer(peer.instance, self._verdicts()),
             effects.SendPeer(
                 peer.instance,
                 fleetmessages.FleetUpdate(self.fleet.all_registrations()),
@@ -302,6 +309,15 @@
                 if self.is_settled_leader:
                     self.limit_keeper.receive_request(instance, message, now)
                 return []
+            case fleetmessages.CrashReport():
+                self.judge.receive_crash(instance, message, now)
+                return self._judge_crashes(now)
+            case fleetmessages.SurvivalReport():
+                self.judge.receive_survivals(message, now)
+                return []
+            case fleetmessages.VerdictDemand():
+                self.judge.receive_demand(instance, message, now)
+                return []
         # Other message types are not meant for controllers.
         return []
 
@@ -554,6 +570,55 @@
         ]
         return result
 
+    # ---- Requests that crash upstreams ----------------------------------
+
+    def _verdicts(self) -> fleetmessages.Verdicts:
+        state = self.control.ledger.state
+        return fleetmessages.Verdicts(
+            state.verdicts_revision, list(state.verdict_by_trait.values())
+        )
+
+    def lift_verdict(
+        self, trait: str, now: datetime.timedelta
+    ) -> list[Effect]:
+        """Proposes to end a verdict."""
+        command = fleetmessages.LiftVerdict(trait)
+        return self.propose(command, now + LIFT_DEADLINE, now)[1]
+
+    def _judge_crashes(self, now: datetime.timedelta) -> list[Effect]:
+        if not self.is_settled_leader:
+            return []
+        if self.judge.term != self.control.agreement.term:
+            self.judge.start(self.control.agreement.term, now)
+        verdicts = self.control.ledger.state.verdict_by_trait
+        result: list[Effect] = []
+        for decision in self.judge.decide(verdicts, now):
+            match decision:
+                case crashjudge.Query(query):
+                    result.append(SendAll(self._linked_entries(), query))
+                case crashjudge.Ruling(entries, ruling):
+                    linked = [name for name in entries if name in self.links]
+                    result.append(SendAll(linked, ruling))
+                case crashjudge.Grant(entry, grant):
+                    if entry in self.links:
+                        result.append(effects.SendPeer(entry, grant))
+                case crashjudge.Propose(command):
+                    deadline = now + crashjudge.PROPOSAL_INTERVAL
+                    result += self.propose(command, deadline, now)[1]
+        return result
+
+    def _tell_verdicts(self) -> list[Effect]:
+        """Tells entries of the verdicts that were committed or lifted."""
+        told = self._verdicts()
+        if told.revision == self._told_verdicts_revision:
+            return []
+        self._told_verdicts_revision = told.revision
+        changed = effects.StateChanged(
+            "verdicts in force",
+            (("traits", ",".join(item.trait for item in told.verdicts)),),
+        )
+        return [changed, SendAll(self._linked_entries(), told)]
+
     # ---- The log --------------------------------------------------------
 
     def _with_log_results(
@@ -565,6 +630,7 @@
             result += self._as_controller_effects(
                 self.proposal_tracker.route_result(answer)
             )
+        result += self._tell_verdicts()
         if self.view.version != self.me.version:
             result.append(effects.ConfigurationChanged(self.view.version))
             result += self._heartbeat_now(now)
--- a/figford/crashes.py
+++ b/figford/crashes.py
@@ -71,6 +71,14 @@
     answering: int
 
 
+@attrs.frozen
+class Reset:
+    """Broken connections to an upstream that did not crash."""
+
+    upstream: str
+    incarnation: int
+
+
 @attrs.define
 class CrashCollector:
     """Collects broken attempts until it is clear which upstreams crashed."""
@@ -96,25 +104,28 @@
         elif len(broken.suspect_by_request) < MAX_SUSPECTS:
             broken.suspect_by_request[suspect.request] = suspect
 
-    def take_crashes(
+    def take_settled(
         self,
         is_connected: typing.Callable[[str], bool],
         now: datetime.timedelta,
-    ) -> list[Crash]:
-        """Returns the crashes that are clear by now.
+    ) -> list[Crash | Reset]:
+        """Returns what it was that broke the attempts, once that is clear.
 
         `is_connected` tells whether a connection to an address is open.
         """
-        found = []
+        found: list[Crash | Reset] = []
         for key, broken in list(self._broken.items()):
             if now - broken.broken_at < SETTLE_TIME:
                 continue
             del self._broken[key]
-            if not is_connected(broken.address):
-                report = fleetmessages.CrashReport(
-                    broken.upstream,
-                    broken.incarnation,
-                    list(broken.suspect_by_request.values()),
-                )
-                found.append(Crash(report, broken.answering))
+            if is_connected(broken.address):
+                found.append(Reset(*key))
+                continue
+            report = fleetmessages.CrashReport(
+                broken.upstream,
+                broken.incarnation,
+                now - broken.broken_at,
+                list(broken.suspect_by_request.values()),
+            )
+            found.append(Crash(report, broken.answering))
         return found
--- a/figford/entry.py
+++ b/figford/entry.py
@@ -9,7 +9,9 @@
 
 import attrs
 
+from figford import crashguard
 from figford import effects
+from figford import evidence
 from figford import fleet as fleets
 from figford import fleetmessages
 from figford import membership
@@ -38,7 +40,28 @@
     status: fleetmessages.FleetStatus
 
 
-Effect = effects.Effect | FleetChanged | FleetStatusReceived | PermitsChanged
+@attrs.frozen
+class VerdictsChanged:
+    """Effect: requests with other traits are to be refused."""
+
+    verdicts: list[fleetmessages.Verdict]
+
+
+@attrs.frozen
+class CrashRuled:
+    """Effect: it is known which requests a crash is blamed on."""
+
+    ruling: fleetmessages.CrashRuling
+
+
+Effect = (
+    effects.Effect
+    | CrashRuled
+    | FleetChanged
+    | FleetStatusReceived
+    | PermitsChanged
+    | VerdictsChanged
+)
 
 
 @attrs.define
@@ -47,6 +70,7 @@
 
     peers: membership.PeerTable
     permits: permit_tables.Permits = attrs.field(factory=permit_tables.Permits)
+    guard: crashguard.CrashGuard = attrs.field(factory=crashguard.CrashGuard)
     fleet: fleets.FleetTable = attrs.field(factory=fleets.FleetTable)
     view: fleetmessages.RoutesView = fleetmessages.RoutesView(0, b"")
     links: set[str] = attrs.field(factory=set)
@@ -97,8 +121,38 @@
         if self.callers_seen:
             seen = fleetmessages.CallersSeen()
             result.append(effects.SendPeer(peer.instance, seen))
+        for report in self.guard.recent_reports(now):
+            result.append(effects.SendPeer(peer.instance, report))
         return result
 
+    def send_crash(
+        self, report: fleetmessages.CrashReport, now: datetime.timedelta
+    ) -> list[Effect]:
+        """Tells all controllers of a crash, and what clears its suspects."""
+        traits = {
+            trait
+            for suspect in report.suspects
+            for trait in evidence.clearable_traits(suspect)
+        }
+        survivals = self.guard.survivals(sorted(traits), now)
+        return [
+            effects.SendPeer(instance, message)
+            for instance in sorted(self.links)
+            for message in (survivals, report)
+        ]
+
+    def send_due_to_keeper(self, now: datetime.timedelta) -> list[Effect]:
+        """Tells the leader of new answers, and of refused requests."""
+        keeper = self.permits.keeper
+        if keeper is None or keeper not in self.links:
+            return []
+        due = (self.guard.take_survivals(now), self.guard.take_demand(now))
+        return [
+            effects.SendPeer(keeper, message)
+            for message in due
+            if message is not None
+        ]
+
     def send_limit(self, limit: fleetmessages.UpstreamLimit) -> list[Effect]:
         """Tells all controllers of a limit that an answer named or ended."""
         message = fleetmessages.UpstreamLimits([limit])
@@ -151,6 +205,18 @@
             case fleetmessages.PermitSlot():
                 self.permits.assign_slot(instance, message, now)
                 return []
+            case fleetmessages.SurvivalQuery():
+                reply = self.guard.answer_query(message, now)
+                return [effects.SendPeer(instance, reply)]
+            case fleetmessages.CrashRuling():
+                return [CrashRuled(message)]
+            case fleetmessages.Verdicts():
+                if not self.guard.apply(message):
+                    return []
+                return [VerdictsChanged(message.verdicts)]
+            case fleetmessages.ProbeGrant():
+                self.guard.grant_probe(message, now)
+                return []
         # Other message types are exchanged between controllers only.
         return []
 
--- a/figford/entrydaemon.py
+++ b/figford/entrydaemon.py
@@ -61,9 +61,11 @@
             self.metrics,
             self.config.budget,
             rng,
+            guard=self.state.guard,
         )
         self.forwarder.placement.on_doubt = self._send_doubt
         self.forwarder.on_limit = self._send_limit
+        self.forwarder.on_crash = self._send_crash
         self.ingress = ingresses.Ingress(
             self.forwarder, self._record_caller_request
         )
@@ -102,6 +104,14 @@
                         entries=status.entries,
                     )
                     self.forwarder.apply_fleet_status(status)
+                case entries.VerdictsChanged(verdicts):
+                    _log.info(
+                        "verdicts in force",
+                        traits=",".join(item.trait for item in verdicts),
+                    )
+                    self.forwarder.verdicts_changed()
+                case entries.CrashRuled(ruling):
+                    self.forwarder.crash_ruled(ruling)
                 case effects.ConfigurationChanged():
                     self.forwarder.apply_route_table(
                         self.read_table(self.state.view.document)
@@ -124,6 +134,9 @@
     def _send_limit(self, limit: fleetmessages.UpstreamLimit) -> None:
         self.carry_out(self.state.send_limit(limit))
 
+    def _send_crash(self, report: fleetmessages.CrashReport) -> None:
+        self.carry_out(self.state.send_crash(report, self.clock.now()))
+
     def _request_permits(self) -> None:
         request = self.forwarder.permit_request()
         if request is not None:
@@ -140,11 +153,15 @@
         self.metrics.set_state(
             "permits-isolated", permits.is_isolated(self.clock.now())
         )
+        guard = self.state.guard
+        self.metrics.set_state("verdicts", len(guard.verdicts))
+        self.metrics.set_state("verdicts-alone", len(guard.own_verdicts))
 
     def tick(self) -> None:
         """Runs what is due at this time."""
         now = self.clock.now()
         self.carry_out(self.state.tick(now))
+        self.carry_out(self.state.send_due_to_keeper(now))
         self._request_permits()
         self._check_stopped(now)
 
--- a/figford/errors.py
+++ b/figford/errors.py
@@ -165,6 +165,13 @@
     status = 503
 
 
+class CrashesUpstreams(Refusal):
+    """Requests with the same part or content have crashed upstreams."""
+
+    kind = "crashes-upstreams"
+    status = 503
+
+
 class NoQuorum(Refusal):
     """The replicated log is unavailable."""
 
--- a/figford/fleetmessages.py
+++ b/figford/fleetmessages.py
@@ -201,9 +201,93 @@
 
     upstream: str
     incarnation: int
+    # Time since the crash.
+    age: datetime.timedelta
     suspects: list[Suspect]
 
 
+@attrs.frozen
+class SurvivalQuery:
+    """Asks for answers with these traits that went on past the beginning."""
+
+    traits: list[str]
+
+
+@attrs.frozen
+class SurvivalReport:
+    """The time since the latest such answer, by trait; parallel lists."""
+
+    traits: list[str]
+    ages: list[datetime.timedelta]
+
+
+@attrs.frozen
+class CrashRuling:
+    """The requests that a crash is blamed on; the others may be repeated."""
+
+    upstream: str
+    incarnation: int
+    blamed: list[str]
+
+
+@attrs.frozen
+class Verdict:
+    """A trait of requests that crashes upstreams; they are refused."""
+
+    trait: str
+    crashes: int
+    # Requests that were let through to test whether the trait still crashes.
+    probes: int = 0
+
+
+@attrs.frozen
+class Verdicts:
+    """All verdicts in force; a higher revision replaces a lower one."""
+
+    revision: int
+    verdicts: list[Verdict]
+
+
+@attrs.frozen
+class VerdictDemand:
+    """Traits of requests that the sender refused lately."""
+
+    traits: list[str]
+
+
+@attrs.frozen
+class ProbeGrant:
+    """Lets the receiver send one request with a convicted trait."""
+
+    trait: str
+
+
+@attrs.frozen
+class Convict:
+    """Command: refuse requests with a trait."""
+
+    trait: str
+    crashes: int
+
+
+@attrs.frozen
+class RecordProbe:
+    """Command: one request with a convicted trait is let through.
+
+    Nothing happens if there were not `probes` before it.
+    """
+
+    trait: str
+    probes: int
+
+
+@attrs.frozen
+class LiftVerdict:
+    """Command: no longer refuse requests with a trait."""
+
+    trait: str
+
+
 @attrs.frozen
 class FleetStatus:
     """Status that the leading controller sends to the entries.
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -10,6 +10,7 @@
 import logbook
 
 from figford import crashes
+from figford import crashguard
 from figford import errors
 from figford import exchanges
 from figford import fleet as fleets
@@ -38,6 +39,8 @@
 # without any upstream are told to retry then.
 REPAIR_RETRY_AFTER = datetime.timedelta(milliseconds=1500)
 RETRY_AFTER_SPREAD = datetime.timedelta(milliseconds=800)
+# A request that crashes upstreams is refused for minutes at least.
+CONVICTED_RETRY_AFTER = datetime.timedelta(minutes=5)
 # Requests that are named in the log line of a crash.
 MAX_LOGGED_SUSPECTS = 16
 # The part of the connections that an upstream accepts which may be idle.
@@ -70,6 +73,8 @@
     on_limit: typing.Callable[[fleetmessages.UpstreamLimit], None] | None = (
         None
     )
+    guard: crashguard.CrashGuard = attrs.field(factory=crashguard.CrashGuard)
+    on_crash: typing.Callable[[fleetmessages.CrashReport], None] | None = None
     calls: set[forwarding.ForwardedCall] = attrs.field(factory=set)
     _fleet: fleets.FleetTable = attrs.field(factory=fleets.FleetTable)
     _fleet_changed_at: datetime.timedelta = datetime.timedelta(0)
@@ -81,9 +86,6 @@
         factory=dict
     )
 
-    _crashes: crashes.CrashCollector = attrs.field(
-        factory=crashes.CrashCollector
-    )
     _demand: permitdemand.PermitDemand = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -144,6 +146,8 @@
         self.calls.add(call)
         call.service = self._choose_service(call)
         self._budget(call.service).record_request(now)
+        if self._refuse_convicted(call, now):
+            return
         if not self.placement.has_any(call.service, self._model(call)):
             call.refuse(
                 self.no_capacity(
@@ -191,6 +195,9 @@
     def _place(
         self, call: forwarding.ForwardedCall, now: datetime.timedelta
     ) -> bool:
+        """Sends a call to a target, or refuses it; returns whether either."""
+        if self._refuse_convicted(call, now):
+            return True
         target = self.placement.choose(
             call.service, self._model(call), call.excluded_upstreams, now
         )
@@ -245,23 +252,101 @@
             call.check(now)
         self._report_crashes(now)
 
+    # ---- Requests that crash upstreams ----------------------------------
+
+    def _hears_leader(self, now: datetime.timedelta) -> bool:
+        return self.permits.hears_keeper(now, crashguard.LEADER_TIMEOUT)
+
     def _report_crashes(self, now: datetime.timedelta) -> None:
-        """Counts and logs the upstreams that crashed under requests."""
-        for crash in self._crashes.take_crashes(self.pool.is_connected, now):
-            report = crash.report
-            self.metrics.event("upstream-crashed")
-            _log.info(
-                "upstream crashed",
-                upstream=report.upstream,
-                incarnation=report.incarnation,
-                beginning=len(report.suspects),
-                answering=crash.answering,
-                suspects=",".join(
-                    "/".join([item.request, *item.parts])
-                    for item in report.suspects[:MAX_LOGGED_SUSPECTS]
-                ),
+        """Reports the upstreams that crashed; judges if no leader does."""
+        hears_leader = self._hears_leader(now)
+        for item in self.guard.take_settled(self.pool.is_connected, now):
+            match item:
+                case crashes.Reset(upstream, incarnation):
+                    ruling = fleetmessages.CrashRuling(
+                        upstream, incarnation, []
+                    )
+                    self.crash_ruled(ruling)
+                case crashes.Crash(report):
+                    self._log_crash(item)
+                    if hears_leader and self.on_crash is not None:
+                        self.on_crash(report)
+                    else:
+                        self._rule_alone(report)
+        own = self.guard.judge_alone(hears_leader, now)
+        for trait in own:
+            self.metrics.event("convicted-alone")
+            _log.info("request trait convicted alone", trait=trait)
+        if own:
+            self.verdicts_changed()
+
+    def _rule_alone(self, report: fleetmessages.CrashReport) -> None:
+        blamed = self.guard.table.blamed_requests(
+            report.upstream, report.incarnation
+        )
+        self.crash_ruled(
+            fleetmessages.CrashRuling(
+                report.upstream, report.incarnation, blamed
+            )
+        )
+
+    def _log_crash(self, crash: crashes.Crash) -> None:
+        report = crash.report
+        self.metrics.event("upstream-crashed")
+        _log.info(
+            "upstream crashed",
+            upstream=report.upstream,
+            incarnation=report.incarnation,
+            beginning=len(report.suspects),
+            answering=crash.answering,
+            suspects=",".join(
+                "/".join([item.request, *item.parts])
+                for item in report.suspects[:MAX_LOGGED_SUSPECTS]
+            ),
+        )
+
+    def crash_ruled(self, ruling: fleetmessages.CrashRuling) -> None:
+        """Repeats the requests that a crash is not blamed on."""
+        blamed = set(ruling.blamed)
+        for call in list(self.calls):
+            call.crash_ruled(
+                ruling.upstream,
+                ruling.incarnation,
+                call.suspect().request in blamed,
             )
 
+    def verdicts_changed(self) -> None:
+        """Refuses the calls that may crash their upstream or the next one."""
+        now = self.clock.now()
+        for call in list(self.calls):
+            waiting = call.state is forwarding.State.WAITING
+            if waiting or call.is_beginning:
+                self._refuse_convicted(call, now)
+
+    def _refuse_convicted(
+        self, call: forwarding.ForwardedCall, now: datetime.timedelta
+    ) -> bool:
+        """Refuses a call with a convicted trait; returns whether it did."""
+        trait = self.guard.convicted_trait(call.suspect)
+        if trait is None:
+            return False
+        self.guard.record_refused(trait)
+        if call.state is forwarding.State.WAITING and (
+            not call.tried and self.guard.take_probe(trait, now)
+        ):
+            self.metrics.event("probe-sent")
+            _log.info("probe sent", request=call.head.attempt, trait=trait)
+            return False
+        self.metrics.event("convicted-refused")
+        call.cause = trait
+        call.refuse_convicted(
+            errors.CrashesUpstreams(
+                "requests like this one have crashed upstreams",
+                retry_after=CONVICTED_RETRY_AFTER,
+            )
+        )
+        return True
+
     # ---- Limits ---------------------------------------------------------
 
     @property
@@ -393,17 +478,11 @@
         has_begun: bool,
     ) -> None:
         """Records an attempt whose connection broke."""
-        suspect = fleetmessages.Suspect(
-            crashes.request_digest(
-                call.method, call.target, call.body, call.head
-            ),
-            crashes.part_names(call.head),
-        )
-        self._crashes.record(
+        self.guard.collector.record(
             target.upstream,
             target.incarnation,
             target.address,
-            None if has_begun else suspect,
+            None if has_begun else call.suspect(),
             self.clock.now(),
         )
 
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -18,6 +18,7 @@
 from figford import errors
 from figford import eventstream
 from figford import exchanges
+from figford import fleetmessages
 from figford import placement
 from figford import routes
 from figford import wire
@@ -41,6 +42,9 @@
 # call would be unknown.
 FRESH_CONNECTION_MAX_IDLE = datetime.timedelta(seconds=1)
 GROUP_STALLED = "group stands still"
+# The leader rules on a crash within this time; without a ruling, a request
+# that may have caused it is not repeated.
+RULING_TIMEOUT = datetime.timedelta(milliseconds=250)
 BUFFER_LIMIT_BYTES = 8 << 20
 # The status of an answer by another upstream than the expected one.
 MISDIRECTED = 421
@@ -54,6 +58,16 @@
     ENDED = "over"
 
 
+@attrs.frozen
+class _HeldRetry:
+    """A retry that waits until it is known who is blamed for a crash."""
+
+    upstream: str
+    incarnation: int
+    reason: str
+    until: datetime.timedelta
+
+
 class Responder(typing.Protocol):
     """The connection to the caller."""
 
@@ -99,6 +113,8 @@
     first_data_at: datetime.timedelta | None = None
     cause: str = ""
     _attempt: _Attempt | None = None
+    _held_retry: _HeldRetry | None = None
+    _suspect: fleetmessages.Suspect | None = None
     _response_started: bool = False
     _events: eventstream.EventSplitter = attrs.field(
         factory=eventstream.EventSplitter
@@ -118,6 +134,22 @@
         """Returns the upstreams that are not tried again for this call."""
         return self.tried + self.unreachable
 
+    def suspect(self) -> fleetmessages.Suspect:
+        """Returns what identifies this request in crashes of upstreams."""
+        if self._suspect is None:
+            self._suspect = fleetmessages.Suspect(
+                crashes.request_digest(
+                    self.method, self.target, self.body, self.head
+                ),
+                crashes.part_names(self.head),
+            )
+        return self._suspect
+
+    @property
+    def is_beginning(self) -> bool:
+        """Returns whether an upstream may be about to begin the answer."""
+        return self._attempt is not None and not self._attempt.has_begun
+
     def start(self, target: placement.Target) -> None:
         """Sends the request to a target, or resumes its stream there."""
         now = self.forwarder.clock.now()
@@ -164,6 +196,32 @@
         self._end("refused", refusal.status, refusal.kind)
         self.responder.refuse(refusal)
 
+    def refuse_convicted(self, refusal: errors.Refusal) -> None:
+        """Refuses a request that crashes upstreams; cancels its attempt."""
+        self._held_retry = None
+        self._drop_attempt()
+        self._refuse_after_attempt(refusal)
+
+    def crash_ruled(
+        self, upstream: str, incarnation: int, blamed: bool
+    ) -> None:
+        """Retries after a crash unless this request is blamed for it."""
+        held = self._held_retry
+        if held is None or (held.upstream, held.incarnation) != (
+            upstream,
+            incarnation,
+        ):
+            return
+        self._held_retry = None
+        refusal = errors.UpstreamFailed(
+            held.reason, run_state=errors.RunState.UNKNOWN
+        )
+        if blamed:
+            self.forwarder.metrics.event("retry-refused-after-crash")
+            self.refuse(refusal)
+        else:
+            self._retry_or_refuse(held.reason, refusal)
+
     def caller_left(self) -> None:
         """Cancels the attempt after the caller disconnected."""
         if self.state is State.ENDED:
@@ -178,6 +236,9 @@
         if now >= self.deadline:
             self._end_at_deadline()
             return
+        held = self._held_retry
+        if held is not None and now >= held.until:
+            self.crash_ruled(held.upstream, held.incarnation, blamed=True)
         if self._attempt is None:
             return
         reason = self._stall_reason(self._attempt, now)
@@ -291,6 +352,8 @@
         attempt.events += len(events)
         if events:
             self._forward_data(head, b"".join(events), now)
+        if attempt.has_begun:
+            self._record_survival(attempt)
 
     def _is_stream(self, head: wire.AnswerHead) -> bool:
         return head.streamed and 200 <= head.status < 300
@@ -317,16 +380,26 @@
                     attempt, "stream ended within an event"
                 )
                 return
+            self._record_survival(attempt)
             self._release(attempt)
             self.forwarder.placement.succeeded(attempt.target)
             self._end("answered", head.status, "")
             self.responder.finish()
             return
+        self._record_survival(attempt)
         if head.status >= 500:
             self._upstream_failed(attempt, head, now)
             return
         self._deliver(attempt, head)
 
+    def _record_survival(self, attempt: _Attempt) -> None:
+        """Records that the upstream outlived the beginning of the answer."""
+        if not attempt.survived:
+            attempt.survived = True
+            self.forwarder.guard.record_survival(
+                self.suspect(), self.forwarder.clock.now()
+            )
+
     def _upstream_failed(
         self,
         attempt: _Attempt,
@@ -388,9 +461,28 @@
             self._attempt_failed(attempt, f"answer {failure.value}")
 
     def _connection_broken(self, attempt: _Attempt, reason: str) -> None:
-        """Handles an answer that ended early, maybe as its upstream did."""
-        self.forwarder.attempt_broken(self, attempt.target, attempt.has_begun)
-        self._attempt_failed(attempt, reason)
+        """Handles an answer that ended early, maybe as its upstream did.
+
+        A request that may have been the cause is not repeated until that is
+        ruled out.
+        """
+        now = self.forwarder.clock.now()
+        target = attempt.target
+        self.forwarder.attempt_broken(self, target, attempt.has_begun)
+        if (
+            attempt.has_begun
+            or not self.route.repeatable
+            or not self.forwarder.guard.may_be_blamed(self.suspect(), now)
+        ):
+            self._attempt_failed(attempt, reason)
+            return
+        self.cause = reason
+        self.forwarder.placement.failed(target, now)
+        self._drop_attempt()
+        self.state = State.WAITING
+        self._held_retry = _HeldRetry(
+            target.upstream, target.incarnation, reason, now + RULING_TIMEOUT
+        )
 
     def _attempt_failed(self, attempt: _Attempt, reason: str) -> None:
         now = self.forwarder.clock.now()
@@ -496,6 +588,7 @@
     parts: list[bytes] = attrs.field(factory=list)
     size: int = 0
     events: int = 0
+    survived: bool = False
 
     @property
     def has_begun(self) -> bool:
--- a/figford/ledger.py
+++ b/figford/ledger.py
@@ -15,6 +15,7 @@
 # Outcomes of this many latest submissions are kept to answer retransmissions.
 MAX_SUBMISSION_OUTCOMES = 2_000
 MAX_CLAIMS_PER_ACCOUNT = 10_000
+MAX_VERDICTS = 256
 
 
 @attrs.define
@@ -52,6 +53,10 @@
     routes_version: int = 0
     routes_document: bytes = b""
     slot_shares: list[fleetmessages.SlotShare] = attrs.field(factory=list)
+    verdicts_revision: int = 0
+    verdict_by_trait: dict[str, fleetmessages.Verdict] = attrs.field(
+        factory=dict
+    )
 
 
 @attrs.define
@@ -82,6 +87,13 @@
                 return self._store_routes(entry.command)
             case fleetmessages.AssignSlots(shares):
                 self.state.slot_shares = shares
+            case fleetmessages.Convict(trait, crashes):
+                self._convict(trait, crashes)
+            case fleetmessages.RecordProbe(trait, probes):
+                self._record_probe(trait, probes)
+            case fleetmessages.LiftVerdict(trait):
+                if self.state.verdict_by_trait.pop(trait, None) is not None:
+                    self.state.verdicts_revision += 1
             case messages.RaiseVersion(version):
                 self.state.version = max(self.state.version, version)
         return messages.Done()
@@ -114,6 +126,24 @@
             self.state.routes_document = command.document
         return fleetmessages.RoutesStored(self.state.routes_version)
 
+    def _convict(self, trait: str, crashes: int) -> None:
+        """Adds a verdict; the oldest is dropped when there are too many."""
+        verdicts = self.state.verdict_by_trait
+        if trait in verdicts:
+            return
+        verdicts[trait] = fleetmessages.Verdict(trait, crashes)
+        while len(verdicts) > MAX_VERDICTS:
+            del verdicts[next(iter(verdicts))]
+        self.state.verdicts_revision += 1
+
+    def _record_probe(self, trait: str, probes: int) -> None:
+        verdict = self.state.verdict_by_trait.get(trait)
+        if verdict is not None and verdict.probes == probes:
+            self.state.verdict_by_trait[trait] = attrs.evolve(
+                verdict, probes=probes + 1
+            )
+            self.state.verdicts_revision += 1
+
     def _submit(self, command: messages.Submit) -> messages.Outcome:
         outcomes = self.state.outcome_by_submission
         first_outcome = outcomes.get(command.submission)
--- a/figford/messages.py
+++ b/figford/messages.py
@@ -225,6 +225,9 @@
     | ReadVersion
     | fleetmessages.StoreRoutes
     | fleetmessages.AssignSlots
+    | fleetmessages.Convict
+    | fleetmessages.RecordProbe
+    | fleetmessages.LiftVerdict
 )
 
 
@@ -647,6 +650,13 @@
     | fleetmessages.PermitRequest
     | fleetmessages.PermitGrant
     | fleetmessages.PermitSlot
+    | fleetmessages.CrashReport
+    | fleetmessages.SurvivalQuery
+    | fleetmessages.SurvivalReport
+    | fleetmessages.CrashRuling
+    | fleetmessages.Verdicts
+    | fleetmessages.VerdictDemand
+    | fleetmessages.ProbeGrant
 )
 
 
--- a/figford/permits.py
+++ b/figford/permits.py
@@ -160,6 +160,14 @@
         self.keeper, self.term = instance, term
         self._keeper_heard_at = now
 
+    def hears_keeper(
+        self, now: datetime.timedelta, timeout: datetime.timedelta
+    ) -> bool:
+        """Returns whether a sign of a keeper is no older than `timeout`."""
+        return (
+            self.keeper is not None and now - self._keeper_heard_at <= timeout
+        )
+
     def may_request(self, now: datetime.timedelta) -> bool:
         """Returns whether a request could be sent to the keeper now."""
         return self.keeper is not None and now >= self._request_due
--- a/figford/tests/test_crashes.py
+++ b/figford/tests/test_crashes.py
@@ -22,20 +22,23 @@
     collector.record("u1", 7, "u1:1", SUSPECT, NOW)
     collector.record("u1", 7, "u1:1", None, NOW + MS)
     collector.record("u1", 7, "u1:1", SUSPECT, NOW + MS)
-    assert collector.take_crashes(lambda _: False, NOW + MS) == []
+    assert collector.take_settled(lambda _: False, NOW + MS) == []
     now = NOW + crashes.SETTLE_TIME
-    report = fleetmessages.CrashReport("u1", 7, [SUSPECT])
-    assert collector.take_crashes(lambda _: False, now) == [
+    report = fleetmessages.CrashReport("u1", 7, crashes.SETTLE_TIME, [SUSPECT])
+    assert collector.take_settled(lambda _: False, now) == [
         crashes.Crash(report, answering=1)
     ]
-    assert collector.take_crashes(lambda _: False, now) == []
+    assert collector.take_settled(lambda _: False, now) == []
 
 
 def test_a_reset_connection_beside_others_is_no_crash() -> None:
     collector = crashes.CrashCollector()
     collector.record("u1", 7, "u1:1", SUSPECT, NOW)
     now = NOW + crashes.SETTLE_TIME
-    assert collector.take_crashes(lambda _: True, now) == []
+    assert collector.take_settled(lambda _: True, now) == [
+        crashes.Reset("u1", 7)
+    ]
+    assert collector.take_settled(lambda _: True, now) == []
 
 
 @pytest.mark.parametrize(
@@ -64,5 +67,5 @@
     for number in range(1000):
         suspect = fleetmessages.Suspect(str(number), names)
         collector.record("u1", 7, "u1:1", suspect, NOW)
-    crash = collector.take_crashes(lambda _: False, NOW + 1000 * MS)[0]
+    crash = collector.take_settled(lambda _: False, NOW + 1000 * MS)[0]
     assert len(crash.report.suspects) == crashes.MAX_SUSPECTS
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -189,9 +189,9 @@
         for part in parts:
             receiver.answer_data(part)
 
-    def take_crashes(self) -> list[crashes.Crash]:
+    def take_crashes(self) -> list[crashes.Crash | crashes.Reset]:
         """Returns the crashes that the forwarder would report a while on."""
-        return self.forwarder._crashes.take_crashes(
+        return self.forwarder.guard.take_settled(
             self.pool.is_connected, self.clock.now() + SECOND
         )
 
