All requests with a part add to its blame; others in the batch don't tie it

Cause: a part got the share of one request per crash, however many requests had it; and parts were held inseparable if the same crashes were blamed on them, even if no request had both.

--- a/figford/evidence.py
+++ b/figford/evidence.py
@@ -92,11 +92,11 @@
 
 @attrs.frozen
 class _Blame:
-    """The part of a crash's blame that falls on a trait."""
+    """The share of a crash's blame that falls on requests with a trait."""
 
     at: datetime.timedelta
-    request: str
     weight: float
+    requests: frozenset[str]
 
 
 @attrs.define
@@ -282,12 +282,17 @@
             accused = [
                 suspect for suspect in suspects if unclear[suspect.request]
             ]
+            requests_by_trait: dict[str, set[str]] = {}
             for suspect in accused or suspects:
-                weight = 1.0 / len(accused or suspects)
-                blame = _Blame(crash.at, suspect.request, weight)
                 names = unclear[suspect.request] or clearable_traits(suspect)
-                for trait in {*names, request_trait(suspect.request)}:
-                    blames.setdefault(trait, []).append(blame)
+                for trait in (*names, request_trait(suspect.request)):
+                    requests_by_trait.setdefault(trait, set()).add(
+                        suspect.request
+                    )
+            for trait, requests in requests_by_trait.items():
+                weight = len(requests) / len(accused or suspects)
+                blame = _Blame(crash.at, weight, frozenset(requests))
+                blames.setdefault(trait, []).append(blame)
         return blames
 
     def _score(self, trait: str, blames: list[_Blame]) -> float:
@@ -306,8 +311,8 @@
             ):
                 continue
             counted_at = blame.at
-            repeated = is_part(trait) and blame.request in seen
-            seen.add(blame.request)
+            repeated = is_part(trait) and blame.requests <= seen
+            seen |= blame.requests
             score += blame.weight * (REPEAT_WEIGHT if repeated else 1.0)
         return max(0.0, score - len(survivals))
 
@@ -318,8 +323,8 @@
 
         `crashes` counts those that nothing explains.
 
-        Parts that come with the same crashes can't be told apart: they are
-        convicted together, at a higher score.
+        Parts that always come in the same requests can't be told apart: they
+        are convicted together, at a higher score.
         """
         scores = {
             trait: self._score(trait, blames[trait])
@@ -333,9 +338,7 @@
             trait for trait, score in scores.items() if score > best - _EPSILON
         )
         inseparable = [
-            trait
-            for trait in leading
-            if _crash_times(blames[trait]) == _crash_times(blames[leading[0]])
+            trait for trait in leading if blames[trait] == blames[leading[0]]
         ]
         threshold = (
             PART_THRESHOLD if len(inseparable) == 1 else INSEPARABLE_THRESHOLD
@@ -373,7 +376,3 @@
 ) -> bool:
     """Returns whether more answers came since `at` than are remembered."""
     return len(times) == SURVIVALS_PER_TRAIT and at < times[0]
-
-
-def _crash_times(blames: list[_Blame]) -> set[datetime.timedelta]:
-    return {blame.at for blame in blames}
--- a/figford/tests/test_evidence.py
+++ b/figford/tests/test_evidence.py
@@ -193,3 +193,18 @@
         assert table.score(trait, ()) >= min(at_least, 1.0)
     # What is convicted explains its crashes.
     assert table.judge(set(found)) == {}
+
+
+def test_parts_of_different_requests_are_convicted_one_by_one() -> None:
+    """All upstreams are few, so that each crash has requests with both."""
+    crashes = [(at, [f"r{at} d", f"s{at} e"]) for at in range(3)]
+    [first] = judged(crashes)
+    assert first in {"part:d", "part:e"}
+    other = "e" if first == "part:d" else "d"
+    more = [(at + 3, [f"t{at} {other}"]) for at in range(2)]
+    assert set(table_of(crashes + more).judge({first})) == {f"part:{other}"}
+
+
+def test_all_requests_with_a_part_add_to_its_blame() -> None:
+    crashes = [(at, [f"r{at} d", f"s{at} d", f"t{at} b"]) for at in range(3)]
+    assert judged(crashes) == {"part:d"}
