Crashes count when entries have answered; a lifted verdict ends its evidence

The guarantee of the entry's way to an upstream (first sends, queue, repeats, resumption, attempts in progress, probes) has tests in test_crashforwarding.py.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -127,7 +127,7 @@
     _told_leading_term: int = 0
     _slots: permitslots.SlotTable = attrs.field(init=False)
     _slots_proposal_due: datetime.timedelta = datetime.timedelta(0)
-    _told_verdicts_revision: int = 0
+    _told_verdicts: fleetmessages.Verdicts = fleetmessages.Verdicts(0, [])
 
     def __attrs_post_init__(self) -> None:
         """Starts the timers for silent upstreams."""
@@ -610,9 +610,13 @@
     def _tell_verdicts(self) -> list[Effect]:
         """Tells entries of the verdicts that were committed or lifted."""
         told = self._verdicts()
-        if told.revision == self._told_verdicts_revision:
+        if told.revision == self._told_verdicts.revision:
             return []
-        self._told_verdicts_revision = told.revision
+        in_force = {verdict.trait for verdict in told.verdicts}
+        for verdict in self._told_verdicts.verdicts:
+            if verdict.trait not in in_force:
+                self.judge.verdict_lifted(verdict.trait)
+        self._told_verdicts = told
         changed = effects.StateChanged(
             "verdicts in force",
             (("traits", ",".join(item.trait for item in told.verdicts)),),
--- a/figford/crashguard.py
+++ b/figford/crashguard.py
@@ -80,11 +80,30 @@
         if told.revision <= self.revision:
             return False
         self.revision = told.revision
+        before = self._verdict_by_trait
         self._verdict_by_trait = {
             verdict.trait: verdict for verdict in told.verdicts
         }
+        for trait in before:
+            if trait not in self._verdict_by_trait:
+                self._forget(trait)
         return True
 
+    def _forget(self, trait: str) -> None:
+        """Forgets the evidence against a trait that is no longer convicted."""
+        self.table.forget(trait)
+        self._own_verdicts.pop(trait, None)
+        kept = [
+            (at, report)
+            for at, report in self._recent
+            if not any(
+                trait in evidence.traits(suspect)
+                for suspect in report.suspects
+            )
+        ]
+        self._recent.clear()
+        self._recent.extend(kept)
+
     def convicted_trait(
         self, suspect_of: typing.Callable[[], fleetmessages.Suspect]
     ) -> str | None:
--- a/figford/evidence.py
+++ b/figford/evidence.py
@@ -30,6 +30,9 @@
 # a repeat of the same request adds half, since the request may be the cause.
 PART_THRESHOLD = 1.5
 REPEAT_WEIGHT = 0.5
+# A part that was answered before may begin to crash upstreams, with other
+# weights for example; that needs more crashes than a part never answered.
+CLEARED_WEIGHT = 0.5
 # Parts that can't be told apart are convicted together at this score.
 INSEPARABLE_THRESHOLD = 3.0
 REQUEST_THRESHOLD = 2.0
@@ -40,6 +43,8 @@
 # Crashes within this time may have one cause, such as a dark fabric domain.
 SAME_CAUSE_TIME = datetime.timedelta(milliseconds=200)
 _EPSILON = 1e-6
+# An upstream and its incarnation.
+CrashKey = tuple[str, int]
 _PART = "part:"
 _REQUEST = "request:"
 
@@ -132,7 +137,7 @@
 class EvidenceTable:
     """Crashes and the answers that clear traits, for a limited time."""
 
-    _crash_by_incarnation: collections.OrderedDict[tuple[str, int], _Crash] = (
+    _crash_by_incarnation: collections.OrderedDict[CrashKey, _Crash] = (
         attrs.field(factory=collections.OrderedDict)
     )
     _part_survivals: _Survivals = attrs.field(factory=_Survivals)
@@ -175,6 +180,15 @@
             self._part_survivals if is_part(trait) else self._request_survivals
         )
 
+    def forget(self, trait: str) -> None:
+        """Forgets the crashes under requests with a trait."""
+        for key, crash in list(self._crash_by_incarnation.items()):
+            if any(
+                trait in traits(suspect)
+                for suspect in crash.suspect_by_request.values()
+            ):
+                del self._crash_by_incarnation[key]
+
     def _discard_old(self, now: datetime.timedelta) -> None:
         crashes = self._crash_by_incarnation
         for key, crash in list(crashes.items()):
@@ -238,14 +252,19 @@
 
     # ---- Judging --------------------------------------------------------
 
-    def judge(self, convicted: typing.Container[str]) -> dict[str, int]:
+    def judge(
+        self,
+        convicted: typing.Container[str],
+        unanswered: typing.Container[CrashKey] = (),
+    ) -> dict[str, int]:
         """Returns the traits to convict, with the crashes blamed on each.
 
-        `convicted` are those convicted before.
+        `convicted` are those convicted before. Crashes that are `unanswered`
+        do not count yet: answers may clear their suspects.
         """
         found: dict[str, int] = {}
         while True:
-            blames = self._blames(convicted, found)
+            blames = self._blames(convicted, found, unanswered)
             times = {blame.at for item in blames.values() for blame in item}
             new = self._guilty_parts(
                 blames, len(times)
@@ -257,17 +276,20 @@
 
     def score(self, trait: str, convicted: typing.Container[str]) -> float:
         """Returns the score of a trait."""
-        blames = self._blames(convicted, {}).get(trait, [])
+        blames = self._blames(convicted, (), ()).get(trait, [])
         return self._score(trait, blames)
 
     def _blames(
         self,
         convicted: typing.Container[str],
         found: typing.Container[str],
+        unanswered: typing.Container[CrashKey],
     ) -> dict[str, list[_Blame]]:
         """Returns who is blamed for the crashes that nothing explains."""
         blames: dict[str, list[_Blame]] = {}
-        for crash in self._crash_by_incarnation.values():
+        for key, crash in self._crash_by_incarnation.items():
+            if key in unanswered:
+                continue
             suspects = list(crash.suspect_by_request.values())
             if any(
                 trait in convicted or trait in found
@@ -291,6 +313,7 @@
                     )
             for trait, requests in requests_by_trait.items():
                 weight = len(requests) / len(accused or suspects)
+                weight *= 1.0 if accused else CLEARED_WEIGHT
                 blame = _Blame(crash.at, weight, frozenset(requests))
                 blames.setdefault(trait, []).append(blame)
         return blames
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -323,6 +323,21 @@
             if waiting or call.is_beginning:
                 self._refuse_convicted(call, now)
 
+    def _is_probe(
+        self,
+        call: forwarding.ForwardedCall,
+        trait: str,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Returns whether a call may be sent, once, to test a verdict."""
+        if call.probed_trait is None and not call.tried:
+            if self.guard.take_probe(trait, now):
+                call.probed_trait = trait
+                self.metrics.event("probe-sent")
+                _log.info("probe sent", request=call.head.attempt, trait=trait)
+        is_first = call.state is forwarding.State.SENT or not call.tried
+        return call.probed_trait == trait and is_first
+
     def _refuse_convicted(
         self, call: forwarding.ForwardedCall, now: datetime.timedelta
     ) -> bool:
@@ -331,11 +346,7 @@
         if trait is None:
             return False
         self.guard.record_refused(trait)
-        if call.state is forwarding.State.WAITING and (
-            not call.tried and self.guard.take_probe(trait, now)
-        ):
-            self.metrics.event("probe-sent")
-            _log.info("probe sent", request=call.head.attempt, trait=trait)
+        if self._is_probe(call, trait, now):
             return False
         self.metrics.event("convicted-refused")
         call.cause = trait
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -112,6 +112,8 @@
     retry_count: int = 0
     first_data_at: datetime.timedelta | None = None
     cause: str = ""
+    # The convicted trait that this request tests.
+    probed_trait: str | None = None
     _attempt: _Attempt | None = None
     _held_retry: _HeldRetry | None = None
     _suspect: fleetmessages.Suspect | None = None
--- a/figford/tools/crashworld.py
+++ b/figford/tools/crashworld.py
@@ -77,6 +77,9 @@
 class Policy(typing.Protocol):
     """Decides what entries refuse and repeat."""
 
+    def serves(self, entry: str) -> bool:
+        """Returns whether an entry takes requests."""
+
     def refuses(self, request: Request, now: datetime.timedelta) -> bool:
         """Returns whether a request is refused before it is sent."""
 
@@ -171,6 +174,8 @@
         )
 
     def _arrive(self, request: Request) -> None:
+        if not self.policy.serves(request.entry):
+            return
         if self.policy.refuses(request, self.now):
             if request.crashing_part is None:
                 self.figures.sound_convicted += 1
@@ -260,6 +265,10 @@
     _repeated: list[Request] = attrs.field(factory=list)
     _refused: list[Request] = attrs.field(factory=list)
 
+    def serves(self, entry: str) -> bool:
+        """Returns true."""
+        return True
+
     def refuses(self, request: Request, now: datetime.timedelta) -> bool:
         """Returns false."""
         return False
@@ -354,8 +363,12 @@
     _repeated: list[Request] = attrs.field(factory=list)
     _refused: list[Request] = attrs.field(factory=list)
 
+    def serves(self, entry: str) -> bool:
+        """Returns whether the entry runs and knows its routes."""
+        return self.control.guard(entry) is not None
+
     def refuses(self, request: Request, now: datetime.timedelta) -> bool:
-        """Returns whether the entry is down or knows a convicted trait."""
+        """Returns whether the entry knows a convicted trait."""
         guard = self.control.guard(request.entry)
         if guard is None:
             return True
