Answers without end take bounded memory and time

Now the rest of an answer that nobody waits for is read for 64 KB and 1 s at the most, and an answer is read no faster than its caller reads it; a stream that waits for its caller does not count as stalled. Same class, by reading: events are searched once instead of from the beginning with each chunk, chunks that arrive together are handled together, bodies are kept as one buffer and bounded for all answers together, and so is the report of an upstream at a controller. Fuzz of the parser in test_exchanges.py.

--- a/figford/controllerdaemon.py
+++ b/figford/controllerdaemon.py
@@ -35,6 +35,7 @@
 # a quorum confirmed.
 APPLY_DEADLINE = datetime.timedelta(milliseconds=500)
 ORDER_TIMEOUT = datetime.timedelta(milliseconds=1000)
+REPORT_LIMIT_BYTES = 1 << 20
 # Well above a network round trip within a region.
 REPORT_QUERY_TIMEOUT = datetime.timedelta(milliseconds=400)
 # After SIGTERM, this controller keeps answering for this long while
@@ -425,7 +426,7 @@
 
     daemon: ControllerDaemon
     query: controllers.QueryOrderCount
-    _parts: list[bytes] = attrs.field(factory=list)
+    _body: bytearray = attrs.field(factory=bytearray)
     _timer: typing.Any = None
     _exchange: exchanges.Exchange | None = None
 
@@ -445,13 +446,16 @@
 
     def answer_data(self, data: bytes) -> None:
         """Collects a part of the body."""
-        self._parts.append(data)
+        self._body += data
+        if len(self._body) > REPORT_LIMIT_BYTES and self._exchange:
+            self._exchange.cancel()
+            self.answer_failed(exchanges.Failure.INVALID)
 
     def answer_ended(self) -> None:
         """Passes the report to the planner."""
         self._stop_timer()
         try:
-            order_count = self.daemon.orders.read_report(b"".join(self._parts))
+            order_count = self.daemon.orders.read_report(bytes(self._body))
         except errors.MessageError as error:
             self.daemon.message_refused(error)
             return
--- a/figford/eventstream.py
+++ b/figford/eventstream.py
@@ -6,7 +6,8 @@
 
 # Events take a few hundred bytes; a longer one is taken for an event that
 # never ends.
-EVENT_LIMIT_BYTES = 1 << 20
+EVENT_LIMIT_BYTES = 1 << 18
+_LONGEST_SEPARATOR_BYTES = 4
 
 
 class EventOrderError(errors.FigfordError):
@@ -28,7 +29,9 @@
     """
 
     last_id: str | None = None
-    _buffer: bytes = b""
+    _buffer: bytearray = attrs.field(factory=bytearray)
+    # Bytes of the buffer in which no event ends.
+    _searched: int = 0
 
     @property
     def pending(self) -> bool:
@@ -37,7 +40,8 @@
 
     def restart(self) -> None:
         """Drops the incomplete event of the previous upstream."""
-        self._buffer = b""
+        self._buffer.clear()
+        self._searched = 0
 
     def feed(self, data: bytes) -> list[bytes]:
         """Returns the complete events that follow the last one.
@@ -47,10 +51,14 @@
         self._buffer += data
         events = []
         while True:
-            end = _end_of_event(self._buffer)
+            end = _end_of_event(self._buffer, self._searched)
             if end < 0:
+                overlap = _LONGEST_SEPARATOR_BYTES - 1
+                self._searched = max(0, len(self._buffer) - overlap)
                 break
-            event, self._buffer = self._buffer[:end], self._buffer[end:]
+            event = bytes(self._buffer[:end])
+            del self._buffer[:end]
+            self._searched = 0
             if self._is_next(event):
                 events.append(event)
         if len(self._buffer) > EVENT_LIMIT_BYTES:
@@ -73,11 +81,11 @@
         return True
 
 
-def _end_of_event(buffer: bytes) -> int:
+def _end_of_event(buffer: bytearray, start: int) -> int:
     ends = [
         position + len(separator)
         for separator in (b"\n\n", b"\r\n\r\n")
-        if (position := buffer.find(separator)) >= 0
+        if (position := buffer.find(separator, start)) >= 0
     ]
     return min(ends, default=-1)
 
--- a/figford/exchanges.py
+++ b/figford/exchanges.py
@@ -27,6 +27,10 @@
 KEEP_ALIVE_MARGIN = datetime.timedelta(milliseconds=700)
 DEFAULT_KEEP_ALIVE = datetime.timedelta(seconds=4)
 MAX_IDLE_PER_UPSTREAM = 24
+# An answer that nobody waits for is read to its end, so that its connection
+# can be kept, only if it is about this short.
+IGNORED_LIMIT_BYTES = 64 << 10
+IGNORED_TIMEOUT = datetime.timedelta(seconds=1)
 # TCP keepalive probes, which detect peers that vanished without a reset.
 KEEPALIVE_IDLE_SECONDS = 2
 KEEPALIVE_INTERVAL_SECONDS = 1
@@ -71,6 +75,9 @@
     # Idle connections to the upstream that may be kept after this one.
     max_idle_connections: int = MAX_IDLE_PER_UPSTREAM
     sent: bool = False
+    paused: bool = False
+    # Set while the rest of the answer is read and ignored.
+    ignored_since: datetime.timedelta | None = None
     _connection: "Connection | None" = None
     _connecting: typing.Any = None
 
@@ -82,6 +89,23 @@
         elif self._connecting is not None:
             self._connecting.cancel()
 
+    def ignore_rest(self, now: datetime.timedelta) -> None:
+        """Ignores the rest of the answer; keeps the connection if it ends."""
+        self.receiver = None
+        self.ignored_since = now
+
+    def pause(self) -> None:
+        """Stops reading the answer until `resume` is called."""
+        self.paused = True
+        if self._connection is not None:
+            self._connection.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Reads the answer again."""
+        self.paused = False
+        if self._connection is not None:
+            self._connection.transport.resumeProducing()
+
     def fail(self, failure: Failure) -> None:
         """Reports a failure to the receiver, at most once."""
         receiver, self.receiver = self.receiver, None
@@ -103,6 +127,7 @@
         self.idle_since = datetime.timedelta(0)
         self.max_idle_connections = MAX_IDLE_PER_UPSTREAM
         self._open = False
+        self._ignored_bytes = 0
 
     def connectionMade(self) -> None:
         """Sets the socket options that detect dead connections."""
@@ -132,6 +157,7 @@
         """Sends a request."""
         self._exchange = exchange
         self._head = None
+        self._ignored_bytes = 0
         self.max_idle_connections = exchange.max_idle_connections
         exchange._connection = self
         headers = list(exchange.headers)
@@ -148,6 +174,8 @@
         data += self._http.send(h11.EndOfMessage()) or b""
         exchange.sent = True
         self.transport.write(data)
+        if exchange.paused:
+            self.transport.pauseProducing()
 
     def dataReceived(self, data: bytes) -> None:
         """Parses received bytes and reports the resulting events."""
@@ -163,15 +191,22 @@
             self._fail(Failure.INVALID)
 
     def _report_events(self) -> None:
+        """Reports events; data in many small chunks is reported as one."""
+        data: list[bytes] = []
         while self._exchange is not None:
             event = self._http.next_event()
+            if isinstance(event, h11.Data):
+                data.append(bytes(event.data))
+                continue
+            if data:
+                self._on_data(b"".join(data))
+                data.clear()
             match event:
                 case h11.Response():
                     self._on_head(event)
-                case h11.Data():
-                    self._on_data(bytes(event.data))
                 case h11.EndOfMessage():
-                    self._on_end()
+                    if self._exchange is not None:
+                        self._on_end()
                 case h11.InformationalResponse():
                     continue
                 case _:
@@ -195,11 +230,27 @@
 
     def _on_data(self, data: bytes) -> None:
         exchange = self._exchange
-        if exchange is not None and exchange.receiver is not None:
+        if exchange is None:
+            return
+        if exchange.receiver is not None:
             exchange.receiver.answer_data(data)
+            return
+        self._ignored_bytes += len(data)
+        if self._ignored_bytes > IGNORED_LIMIT_BYTES:
+            self._fail(Failure.INVALID)
+
+    def abort_ignored(self, now: datetime.timedelta) -> None:
+        """Aborts an answer that is ignored and doesn't end."""
+        exchange = self._exchange
+        if exchange is None or exchange.ignored_since is None:
+            return
+        if now - exchange.ignored_since > IGNORED_TIMEOUT:
+            self._fail(Failure.INVALID)
 
     def _on_end(self) -> None:
         exchange, self._exchange = self._exchange, None
+        if exchange is not None and exchange.paused and self._open:
+            self.transport.resumeProducing()
         self._keep_or_close()
         if exchange is None:
             return
@@ -371,8 +422,10 @@
             connection.transport.loseConnection()
 
     def close_expired(self) -> None:
-        """Closes idle connections past their keep-alive time."""
+        """Closes idle connections past their time, and ignored answers."""
         now = self.clock.now()
+        for connection in list(self._open):
+            connection.abort_ignored(now)
         for idle_connections in self._idle_by_address.values():
             while (
                 idle_connections and now >= idle_connections[0].reusable_until
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -75,6 +75,8 @@
     )
     guard: crashguard.CrashGuard = attrs.field(factory=crashguard.CrashGuard)
     on_crash: typing.Callable[[fleetmessages.CrashReport], None] | None = None
+    # Of answers that are not streams, in progress.
+    buffered_bytes: int = 0
     calls: set[forwarding.ForwardedCall] = attrs.field(factory=set)
     _fleet: fleets.FleetTable = attrs.field(factory=fleets.FleetTable)
     _fleet_changed_at: datetime.timedelta = datetime.timedelta(0)
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -45,7 +45,9 @@
 # The leader rules on a crash within this time; without a ruling, a request
 # that may have caused it is not repeated.
 RULING_TIMEOUT = datetime.timedelta(milliseconds=250)
+# Of one answer that is not a stream, and of all together.
 BUFFER_LIMIT_BYTES = 8 << 20
+BUFFERS_LIMIT_BYTES = 32 << 20
 # The status of an answer by another upstream than the expected one.
 MISDIRECTED = 421
 
@@ -118,6 +120,7 @@
     _held_retry: _HeldRetry | None = None
     _suspect: fleetmessages.Suspect | None = None
     _response_started: bool = False
+    _paused: bool = False
     _events: eventstream.EventSplitter = attrs.field(
         factory=eventstream.EventSplitter
     )
@@ -178,6 +181,7 @@
             max_idle_connections=self.forwarder.max_idle_connections(
                 target.service
             ),
+            paused=self._paused,
         )
         once = not self.route.repeatable
         self.forwarder.pool.send(
@@ -224,6 +228,19 @@
         else:
             self._retry_or_refuse(held.reason, refusal)
 
+    def pause(self) -> None:
+        """Stops reading the answer while its caller is slow."""
+        self._paused = True
+        if self._attempt is not None and self._attempt.exchange is not None:
+            self._attempt.exchange.pause()
+
+    def resume(self) -> None:
+        """Reads the answer again."""
+        self._paused = False
+        if self._attempt is not None and self._attempt.exchange is not None:
+            self._attempt.active_at = self.forwarder.clock.now()
+            self._attempt.exchange.resume()
+
     def caller_left(self) -> None:
         """Cancels the attempt after the caller disconnected."""
         if self.state is State.ENDED:
@@ -272,7 +289,7 @@
 
     def _stall_reason(self, attempt: _Attempt, now: datetime.timedelta) -> str:
         """Returns why an attempt is abandoned; empty if it is not."""
-        if not self.route.repeatable:
+        if not self.route.repeatable or self._paused:
             return ""
         idle_for = now - attempt.active_at
         if self.route.retry_mode is not routes.RetryMode.STREAM:
@@ -341,9 +358,12 @@
         if head is None:
             return
         if not self._is_stream(head):
-            attempt.parts.append(data)
-            attempt.size += len(data)
-            if attempt.size > BUFFER_LIMIT_BYTES:
+            attempt.body += data
+            self.forwarder.buffered_bytes += len(data)
+            if (
+                len(attempt.body) > BUFFER_LIMIT_BYTES
+                or self.forwarder.buffered_bytes > BUFFERS_LIMIT_BYTES
+            ):
                 self._attempt_failed(attempt, "answer too large")
             return
         try:
@@ -433,7 +453,7 @@
         if head.status < 500:
             self.forwarder.placement.succeeded(attempt.target)
         self.first_data_at = self.forwarder.clock.now()
-        body = b"".join(attempt.parts)
+        body = bytes(attempt.body)
         self._end("answered", head.status, "")
         length = (b"Content-Length", str(len(body)).encode())
         self.responder.begin(head.status, [*head.headers, length])
@@ -550,6 +570,7 @@
         """Releases the slot at a target, once."""
         if attempt is self._attempt:
             self._attempt = None
+            self.forwarder.buffered_bytes -= len(attempt.body)
             self.forwarder.placement.finished(attempt.target)
 
     def _drop_attempt(
@@ -569,7 +590,7 @@
         if ran and exchange.sent:
             self.may_have_run = True
         if keep_connection:
-            exchange.receiver = None
+            exchange.ignore_rest(self.forwarder.clock.now())
         else:
             exchange.cancel()
 
@@ -587,8 +608,7 @@
     active_at: datetime.timedelta
     exchange: exchanges.Exchange | None = None
     head: wire.AnswerHead | None = None
-    parts: list[bytes] = attrs.field(factory=list)
-    size: int = 0
+    body: bytearray = attrs.field(factory=bytearray)
     events: int = 0
     survived: bool = False
 
--- a/figford/ingress.py
+++ b/figford/ingress.py
@@ -9,8 +9,10 @@
 import typing
 
 import logbook
+from twisted.internet import interfaces
 from twisted.python import failure as failures
 from twisted.web import http
+from zope import interface
 
 from figford import errors
 from figford import forwarder as forwarders
@@ -30,8 +32,12 @@
 DEFAULT_REQUEST_TIMEOUT = datetime.timedelta(seconds=30)
 
 
+@interface.implementer(interfaces.IPushProducer)
 class CallerRequest(http.Request):
-    """One request of a caller, which is also the responder of its call."""
+    """One request of a caller, which is also the responder of its call.
+
+    It pauses the answer while the caller reads more slowly than it comes.
+    """
 
     call: forwarding.ForwardedCall | None = None
     caller_gone = False
@@ -102,6 +108,21 @@
         for name, value in headers:
             self.responseHeaders.addRawHeader(name, value)
         self._close_if_stopping()
+        if self.call is not None:
+            self.registerProducer(self, True)
+
+    def pauseProducing(self) -> None:
+        """Pauses the answer while the caller is slow."""
+        if self.call is not None:
+            self.call.pause()
+
+    def resumeProducing(self) -> None:
+        """Resumes the answer."""
+        if self.call is not None:
+            self.call.resume()
+
+    def stopProducing(self) -> None:
+        """Does nothing; the loss of the connection is reported elsewhere."""
 
     def _close_if_stopping(self) -> None:
         if self.channel.factory.ingress.stopping:
@@ -111,6 +132,8 @@
     def finish(self) -> None:
         """Completes the answer."""
         if not self.caller_gone:
+            if self.producer is not None:
+                self.unregisterProducer()
             super().finish()
 
     def write(self, data: bytes) -> None:
--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -32,6 +32,39 @@
 HEARTBEAT_SECONDS = 0.3
 STEP_SECONDS = 0.05
 HOST = "127.0.0.1"
+_ENDLESS_HEAD = (
+    b"HTTP/1.1 200 OK\r\nFigford-Attempt-Id: ATTEMPT\r\n"
+    b"Figford-Response-Signature: s\r\n"
+)
+_ENDLESS_STREAM = _ENDLESS_HEAD + b"Content-Type: text/event-stream\r\n"
+_CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+_EVENT = b"id: 1\ndata: piece 1\n\n"
+# What comes before the element of an answer that never ends, and what is
+# repeated of it.
+ENDLESS_BY_KIND = {
+    "status line": (b"HTTP/1.1 200 ", b"x"),
+    "head line": (_ENDLESS_HEAD + b"X-Long: ", b"x"),
+    "head": (_ENDLESS_HEAD, b"X-More: y\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "chunk header": (_ENDLESS_HEAD + _CHUNKED, b"0"),
+    "trailer": (
+        _ENDLESS_STREAM + _CHUNKED + b"16\r\n" + _EVENT + b"\r\n0\r\n",
+        b"X-More: y\r\n",
+    ),
+    "body": (_ENDLESS_HEAD + b"\r\n", b"x"),
+    "chunked body": (_ENDLESS_HEAD + _CHUNKED, b"1\r\nx\r\n"),
+    "event": (_ENDLESS_STREAM + b"\r\n" + _EVENT, b"x"),
+    "chunked event": (_ENDLESS_STREAM + _CHUNKED, b"1\r\nx\r\n"),
+    "comments": (
+        _ENDLESS_STREAM + b"\r\n" + _EVENT,
+        b": " + b"x" * 2000 + b"\n\n",
+    ),
+    "body of a rejection": (
+        b"HTTP/1.1 503 Busy\r\nFigford-Attempt-Id: ATTEMPT\r\n"
+        b"Figford-Not-Executed: 1\r\n\r\n",
+        b"x",
+    ),
+}
 # Prefix of the line printed for an order that would break an invariant.
 INVARIANT_BROKEN = "invariant broken"
 ENGINE_COUNT = 6
@@ -139,6 +172,8 @@
             self._set_limit(upstream.meter)
         elif path == "/crashing":
             self._set_crashing(upstream.crashing)
+        elif path == "/endless":
+            self._set_endless(upstream)
         else:
             self._count(upstream)
             self._serve(upstream)
@@ -162,6 +197,12 @@
         }
         self._answer(200, counted)
 
+    def _set_endless(self, upstream: "Upstream") -> None:
+        """Sets what answers never end; tells how many are under way."""
+        if self.method == b"POST":
+            upstream.endless = json.loads(self.content.read())["kind"]
+        self._answer(200, {"open": upstream.endless_open})
+
     def _crashing_meter(
         self, upstream: "Upstream"
     ) -> crashmeter.CrashMeter | None:
@@ -248,6 +289,9 @@
             return
         self.setHeader("figford-response-signature", f"sig-{attempt}")
         self.setHeader("figford-server-load", "1,0,13")
+        if upstream.endless is not None:
+            EndlessAnswer(upstream, self, attempt).begin()
+            return
         meter = self._crashing_meter(upstream)
         if meter is not None:
             self._crash(upstream, meter)
@@ -275,6 +319,35 @@
         reactor.callLater(EVENT_INTERVAL_SECONDS, self._stream, number + 1)
 
 
+class EndlessAnswer:
+    """Sends an answer of which one element never ends."""
+
+    def __init__(
+        self, upstream: "Upstream", request: UpstreamRequest, attempt: str
+    ) -> None:
+        """Sends on the connection of a request, below its channel."""
+        self._upstream = upstream
+        self._request = request
+        self._transport = request.channel.transport
+        self._before, self._repeated = ENDLESS_BY_KIND[upstream.endless]
+        self._before = self._before.replace(b"ATTEMPT", attempt.encode())
+
+    def begin(self) -> None:
+        """Sends what comes before the endless element."""
+        self._upstream.endless_open += 1
+        self._transport.write(self._before)
+        self._go_on()
+
+    def _go_on(self) -> None:
+        if self._request._disconnected:
+            self._upstream.endless_open -= 1
+            return
+        if len(self._transport.dataBuffer) < 1 << 20:
+            count = max(1, 65536 // len(self._repeated))
+            self._transport.write(self._repeated * count)
+        reactor.callLater(0.002, self._go_on)
+
+
 class UpstreamFactory(http.HTTPFactory):
     """Serves the port of one upstream."""
 
@@ -311,6 +384,9 @@
     crashing: dict[str, crashmeter.CrashMeter]
     runs: list[str | None] = attrs.field(factory=list)
     meter: limitmeter.LimitMeter = attrs.field(factory=limitmeter.LimitMeter)
+    # The element of answers that never ends; None if they end.
+    endless: str | None = None
+    endless_open: int = 0
     controller_index: int = 0
     channels: list[http.HTTPChannel] = attrs.field(factory=list)
     _listening: typing.Any = None
--- a/figford/tests/platform/test_processes.py
+++ b/figford/tests/platform/test_processes.py
@@ -276,6 +276,23 @@
 
         return json.loads(self.wait("an upstream that is up", answered).body)
 
+    def make_endless(self, index: int, kind: str | None) -> None:
+        """Lets an element of an upstream's answers never end."""
+        body = json.dumps({"kind": kind}).encode()
+        self.call(self._upstream_address(index), "POST", "/endless", body)
+
+    def endless_answers(self, index: int) -> int:
+        """Returns how many answers that never end are under way."""
+        answer = self.call(self._upstream_address(index), "GET", "/endless")
+        return json.loads(answer.body)["open"]
+
+    def memory_bytes(self, ip: str) -> int:
+        """Returns the resident memory of a process."""
+        pid = self.process_by_name[ip].pid
+        status = pathlib.Path(f"/proc/{pid}/status").read_text()
+        line = next(x for x in status.splitlines() if x.startswith("VmRSS"))
+        return int(line.split()[1]) * 1024
+
     def _upstream_address(self, index: int) -> str:
         return f"{standin.HOST}:{self.ports[4] + index}"
 
--- a/figford/tests/test_exchanges.py
+++ b/figford/tests/test_exchanges.py
@@ -3,6 +3,8 @@
 import datetime
 
 import attrs
+import hypothesis
+from hypothesis import strategies
 import pytest
 from twisted.internet import error as internet_errors
 from twisted.internet import task
@@ -228,3 +230,119 @@
     assert bench.kept() == 1
     other.dataReceived(OK)
     assert bench.kept() == 1 and bench.transport.disconnecting
+
+
+NOT_RUN = (
+    b"HTTP/1.1 503 Busy\r\nFigford-Attempt-Id: a1\r\n"
+    b"Figford-Not-Executed: 1\r\nContent-Length: 1000000\r\n\r\n"
+)
+
+
+def test_the_rest_of_an_answer_is_ignored_for_some_bytes_only() -> None:
+    bench = Bench()
+    exchange = bench.connection._exchange
+    bench.connection.dataReceived(NOT_RUN)
+    exchange.ignore_rest(bench.clock.now())
+    bench.connection.dataReceived(b"x" * exchanges.IGNORED_LIMIT_BYTES)
+    assert not bench.transport.aborted
+    bench.connection.dataReceived(b"x")
+    assert bench.transport.aborted and bench.receiver.ends == []
+
+
+def test_the_rest_of_an_answer_is_ignored_for_some_time_only() -> None:
+    bench = Bench()
+    bench.pool._open.add(bench.connection)
+    exchange = bench.connection._exchange
+    bench.connection.dataReceived(NOT_RUN)
+    exchange.ignore_rest(bench.clock.now())
+    bench.clock.time += exchanges.IGNORED_TIMEOUT
+    bench.pool.close_expired()
+    assert not bench.transport.aborted
+    bench.clock.time += SECOND
+    bench.pool.close_expired()
+    assert bench.transport.aborted and bench.receiver.ends == []
+
+
+def test_many_small_chunks_are_reported_as_one() -> None:
+    reported = []
+
+    class Recorder(Receiver):
+        def answer_data(self, data: bytes) -> None:
+            reported.append(data)
+
+    bench = Bench(receiver=Recorder())
+    bench.connection.dataReceived(
+        b"HTTP/1.1 200 OK\r\nFigford-Attempt-Id: a1\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 5000
+    )
+    assert reported == [b"x" * 5000]
+    bench.connection.dataReceived(b"2\r\nyz\r\n0\r\n\r\n")
+    assert reported[1:] == [b"yz"] and bench.receiver.ends == ["whole"]
+
+
+def test_a_paused_answer_that_ended_leaves_a_usable_connection() -> None:
+    bench = Bench()
+    exchange = bench.connection._exchange
+    exchange.pause()
+    assert bench.transport.producerState == "paused"
+    bench.connection.dataReceived(OK)
+    assert bench.transport.producerState == "producing"
+    assert bench.kept() == 1
+
+
+def test_a_paused_exchange_stays_paused_on_its_connection() -> None:
+    bench = Bench()
+    bench.connection.dataReceived(OK)
+    exchange = attrs.evolve(bench.exchange(), paused=True)
+    bench.connection.begin(exchange)
+    assert bench.transport.producerState == "paused"
+    exchange.resume()
+    assert bench.transport.producerState == "producing"
+
+
+_ELEMENTS = [
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"Figford-Attempt-Id: a1\r\n",
+    b"Content-Type: text/event-stream\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"Content-Length: 5\r\n",
+    b"Connection: close\r\n",
+    b"\r\n",
+    b"5\r\n",
+    b"hello",
+    b"id: 1\ndata: x\n\n",
+    b"0\r\n\r\n",
+    b"\xff\x00",
+    b"x" * 70_000,
+]
+
+
+@hypothesis.given(
+    pieces=strategies.lists(
+        strategies.one_of(
+            strategies.sampled_from(_ELEMENTS), strategies.binary(max_size=8)
+        ),
+        max_size=30,
+    ),
+    cut=strategies.sampled_from([None, 1, 7, 1000]),
+    clean=strategies.booleans(),
+)
+def test_any_bytes_end_an_exchange_at_most_once(pieces, cut, clean) -> None:
+    """Bytes that are no answer end it with a failure, and are not kept."""
+    bench = Bench()
+    data = b"".join(pieces)
+    size = cut or max(1, len(data))
+    for start in range(0, min(len(data), 20 * size), size):
+        if not bench.transport.aborted:
+            bench.connection.dataReceived(data[start : start + size])
+    assert len(bench.connection._http._receive_buffer) <= 32_000 + size
+    if not bench.transport.aborted:
+        bench.lose(
+            internet_errors.ConnectionDone
+            if clean
+            else internet_errors.ConnectionLost
+        )
+    assert len(bench.receiver.ends) == 1
+    if not clean and bench.receiver.ends == ["whole"]:
+        assert b"HTTP/1.1 200 OK" in data
