One malformed heartbeat or unexpected error ends no process

The class of the incident, looked for elsewhere: damage that travels with a message or request while each process that it ends forgets it. - A heartbeat with text that UTF-8 can't encode ended the controller that sent it on; the upstream then reported to the next one. An address with a port like a superscript raised at each entry that chose the upstream, and ended it if the request was queued. A broken invariant still ends the process. - A route table that a process can't read ended each process that got it. - Events whose id is a superscript digit raised instead of being passed on. Operators list verdicts at /verdicts and lift them at a controller.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -578,6 +578,10 @@
             state.verdicts_revision, list(state.verdict_by_trait.values())
         )
 
+    def known_verdicts(self) -> list[fleetmessages.Verdict]:
+        """Returns the committed verdicts."""
+        return self._verdicts().verdicts
+
     def lift_verdict(
         self, trait: str, now: datetime.timedelta
     ) -> list[Effect]:
--- a/figford/controllerdaemon.py
+++ b/figford/controllerdaemon.py
@@ -22,7 +22,6 @@
 from figford import membership
 from figford import messages
 from figford import nodes
-from figford import routes
 from figford import store
 from figford import wire
 
@@ -46,7 +45,6 @@
 LOGGED_ACTIONS = (formations.Action.CLOSE, formations.Action.LEAVE)
 SUCCESSES = (formations.Result.BEGUN, formations.Result.HELD)
 
-ReadTable = typing.Callable[[bytes], routes.RouteTable]
 Reply = typing.Callable[[errors.Refusal | None, bytes], None]
 
 
@@ -84,7 +82,6 @@
 
     dialect: wire.Dialect = attrs.field(kw_only=True)
     orders: OrderFormat = attrs.field(kw_only=True)
-    read_table: ReadTable = attrs.field(kw_only=True)
     pages_factory: typing.Callable[..., typing.Any] = attrs.field(kw_only=True)
     pool: exchanges.Pool = attrs.field(init=False)
     _writer: durable.DurableWriter = attrs.field(init=False)
@@ -207,7 +204,10 @@
             on_outcome(outcome)
 
     def _configured(self) -> None:
-        self.state.table = self.read_table(self.state.view.document)
+        table = self.read_route_table()
+        if table is None:
+            return
+        self.state.table = table
         _log.info(
             "route table in force",
             version=self.state.view.version,
@@ -233,6 +233,7 @@
         self.metrics.set_state(
             "permits-granted", self.state.limit_keeper.granted
         )
+        self.metrics.set_state("verdicts", len(self.state.known_verdicts()))
 
     # ---- Pages ----------------------------------------------------------
 
@@ -311,6 +312,15 @@
         self._on_outcome_by_proposal[proposal] = on_outcome
         self.carry_out(new_effects)
 
+    def lift_verdict(self, trait: str) -> bool:
+        """Proposes to lift a verdict; returns whether there is one."""
+        known = {verdict.trait for verdict in self.state.known_verdicts()}
+        if trait not in known:
+            return False
+        _log.info("verdict to be lifted", trait=trait)
+        self.apply_or_exit(self.state.lift_verdict, trait, self.clock.now())
+        return True
+
     # ---- Stopping -------------------------------------------------------
 
     def stop(self) -> None:
--- a/figford/entry.py
+++ b/figford/entry.py
@@ -141,6 +141,10 @@
             for message in (survivals, report)
         ]
 
+    def known_verdicts(self) -> list[fleetmessages.Verdict]:
+        """Returns the verdicts that this entry was told."""
+        return self.guard.verdicts
+
     def send_due_to_keeper(self, now: datetime.timedelta) -> list[Effect]:
         """Tells the leader of new answers, and of refused requests."""
         keeper = self.permits.keeper
--- a/figford/entrydaemon.py
+++ b/figford/entrydaemon.py
@@ -17,7 +17,6 @@
 from figford import membership
 from figford import nodes
 from figford import placement
-from figford import routes
 from figford import wire
 
 _log = logbook.Logger(__name__)
@@ -30,15 +29,12 @@
 # Requests still in progress this long before the stop timeout are aborted.
 STOP_MARGIN = datetime.timedelta(milliseconds=400)
 
-ReadTable = typing.Callable[[bytes], routes.RouteTable]
-
 
 @attrs.define(eq=False)
 class EntryDaemon(nodes.NodeDaemon):
     """One entry process."""
 
     dialect: wire.Dialect = attrs.field(kw_only=True)
-    read_table: ReadTable = attrs.field(kw_only=True)
     ready_factory: typing.Callable[..., typing.Any] = attrs.field(kw_only=True)
     forwarder: forwarders.Forwarder = attrs.field(init=False)
     ingress: ingresses.Ingress = attrs.field(init=False)
@@ -113,9 +109,9 @@
                 case entries.CrashRuled(ruling):
                     self.forwarder.crash_ruled(ruling)
                 case effects.ConfigurationChanged():
-                    self.forwarder.apply_route_table(
-                        self.read_table(self.state.view.document)
-                    )
+                    table = self.read_route_table()
+                    if table is not None:
+                        self.forwarder.apply_route_table(table)
                 case effects.StateChanged():
                     self.state_changed(effect)
 
--- a/figford/eventstream.py
+++ b/figford/eventstream.py
@@ -69,7 +69,7 @@
         event_id = _id_of(event)
         if event_id is None:
             return True
-        if event_id.isdigit() and self.last_id and self.last_id.isdigit():
+        if _is_number(event_id) and self.last_id and _is_number(self.last_id):
             step = int(event_id) - int(self.last_id)
             if step <= 0:
                 return False
@@ -81,6 +81,10 @@
         return True
 
 
+def _is_number(event_id: str) -> bool:
+    return event_id.isascii() and event_id.isdigit()
+
+
 def _end_of_event(buffer: bytearray, start: int) -> int:
     ends = [
         position + len(separator)
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -208,7 +208,7 @@
         if self.placement.limited(target):
             self.permits.withdraw(target.upstream, target.incarnation, now)
             self._demand.record_spent(self._key(call), now)
-        call.start(target)
+        self._isolated(call, call.start, target)
         return True
 
     # ---- Queue ----------------------------------------------------------
@@ -251,9 +251,34 @@
         self._refuse_late(now)
         self._refuse_beyond_limits(now)
         for call in list(self.calls):
-            call.check(now)
+            self._isolated(call, call.check, now)
         self._report_crashes(now)
 
+    def _isolated(
+        self,
+        call: forwarding.ForwardedCall,
+        action: typing.Callable[..., None],
+        *args: object,
+    ) -> None:
+        """Runs a step of one call; an unexpected error ends only that call.
+
+        Otherwise a request could end each entry to which it is repeated. A
+        broken invariant still ends the process.
+        """
+        try:
+            action(*args)
+        except AssertionError:
+            raise
+        except Exception:
+            self.metrics.event("call-failed")
+            _log.exception("call failed", request=call.head.attempt)
+            call.cancel(
+                errors.UpstreamFailed(
+                    "the request could not be forwarded",
+                    run_state=errors.RunState.UNKNOWN,
+                )
+            )
+
     # ---- Requests that crash upstreams ----------------------------------
 
     def _hears_leader(self, now: datetime.timedelta) -> bool:
@@ -352,7 +377,7 @@
             return False
         self.metrics.event("convicted-refused")
         call.cause = trait
-        call.refuse_convicted(
+        call.cancel(
             errors.CrashesUpstreams(
                 "requests like this one have crashed upstreams",
                 retry_after=CONVICTED_RETRY_AFTER,
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -202,8 +202,8 @@
         self._end("refused", refusal.status, refusal.kind)
         self.responder.refuse(refusal)
 
-    def refuse_convicted(self, refusal: errors.Refusal) -> None:
-        """Refuses a request that crashes upstreams; cancels its attempt."""
+    def cancel(self, refusal: errors.Refusal) -> None:
+        """Cancels the attempt and refuses the call."""
         self._held_retry = None
         self._drop_attempt()
         self._refuse_after_attempt(refusal)
--- a/figford/nodes.py
+++ b/figford/nodes.py
@@ -21,6 +21,7 @@
 from figford import metrics as metric_sets
 from figford import nodesettings
 from figford import pages
+from figford import routes
 from figford import settings
 
 _log = logbook.Logger(__name__)
@@ -37,6 +38,7 @@
 DIAL_TIMEOUT_SECONDS = 0.7
 DEPLOYMENT = "platform"
 
+ReadTable = typing.Callable[[bytes], routes.RouteTable]
 ReadSettings = typing.Callable[[pathlib.Path], nodesettings.NodeSettings]
 
 
@@ -71,6 +73,7 @@
     stopped: defer.Deferred = attrs.field(factory=defer.Deferred)
     hub: links.LinkHub = attrs.field(init=False)
     state: typing.Any = attrs.field(init=False)
+    read_table: ReadTable = attrs.field(kw_only=True)
     _ports: list[typing.Any] = attrs.field(factory=list)
     _loops: list[task.LoopingCall] = attrs.field(factory=list)
     _settings_file_stamp: tuple[int, int] = (0, 0)
@@ -234,6 +237,21 @@
             _log.exception("decision failed")
             os._exit(70)
 
+    def read_route_table(self) -> routes.RouteTable | None:
+        """Returns the route table in force; None if it can't be read.
+
+        It was checked when it was submitted, maybe by another version of this
+        program. All processes get it, so none may end because of it.
+        """
+        try:
+            return self.read_table(self.state.view.document)
+        except Exception:
+            self.metrics.event("route-table-unreadable")
+            _log.exception(
+                "route table unreadable", version=self.state.view.version
+            )
+            return None
+
     # ---- Links ----------------------------------------------------------
 
     def link_up(self, peer: messages.Peer) -> None:
@@ -283,6 +301,16 @@
         self.metrics.set_state("links", len(self.state.links))
         self.metrics.set_state("table-version", self.state.view.version)
 
+    def list_verdicts(self) -> list[dict[str, typing.Any]]:
+        """Returns the verdicts that this process knows, as plain data."""
+        return [
+            attrs.asdict(verdict) for verdict in self.state.known_verdicts()
+        ]
+
+    def lift_verdict(self, trait: str) -> bool:
+        """Begins to lift a verdict; only controllers do."""
+        return False
+
     def is_ready(self) -> bool:
         """Returns whether this process has a route table."""
         return self.state.view.version > 0
--- a/figford/pages.py
+++ b/figford/pages.py
@@ -1,10 +1,12 @@
 """HTTP pages that a process serves on ports other than the callers'."""
 
+import json
 import typing
 
 from twisted.web import http
 
 IDLE_SECONDS = 60
+MAX_TRAIT_BYTES = 200
 
 
 class PagesFactory(http.HTTPFactory):
@@ -37,7 +39,7 @@
 
 
 class MetricsRequest(http.Request):
-    """A request for the metrics or for the readiness of the process."""
+    """A request for metrics, readiness or verdicts of the process."""
 
     def process(self) -> None:
         """Answers the request."""
@@ -53,6 +55,15 @@
                 ready = port.is_ready()
                 status = http.OK if ready else http.SERVICE_UNAVAILABLE
                 self._answer(status, b"")
+            case b"/verdicts" if hasattr(port, "list_verdicts"):
+                verdicts = json.dumps(port.list_verdicts()).encode()
+                self._answer(http.OK, verdicts)
+            case b"/verdicts/lift" if (
+                hasattr(port, "lift_verdict") and self.method == b"POST"
+            ):
+                trait = self.content.read(MAX_TRAIT_BYTES)
+                lifted = port.lift_verdict(trait.decode("latin-1").strip())
+                self._answer(http.ACCEPTED if lifted else http.NOT_FOUND, b"")
             case _:
                 self._answer(http.NOT_FOUND, b"")
 
--- a/figford/platform/announcing.py
+++ b/figford/platform/announcing.py
@@ -1,5 +1,6 @@
 """Reads the heartbeats of the platform's upstreams."""
 
+import ipaddress
 import json
 import typing
 
@@ -14,7 +15,7 @@
     """
     try:
         return _registration(upstream, json.loads(body))
-    except (ValueError, TypeError, KeyError) as error:
+    except (ValueError, TypeError, KeyError, RecursionError) as error:
         raise errors.MessageError(
             f"heartbeat of {upstream[:80]!r} can't be read:"
             f" {type(error).__name__}: {error}"[:200]
@@ -25,9 +26,23 @@
     value = item[name]
     if isinstance(value, bool) or not isinstance(value, kind):
         raise ValueError(f"{name} is not {kind.__name__}")
+    if isinstance(value, str):
+        # Raises UnicodeEncodeError, a ValueError, for lone surrogates, which
+        # could not be sent on.
+        value.encode()
     return value
 
 
+def _address(item: typing.Any) -> str:
+    """Returns an IP address and a port that can be connected to."""
+    address = _typed(item, "address", str)
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host.strip("[]"))
+    if not (port.isascii() and port.isdigit() and 0 < int(port) < 1 << 16):
+        raise ValueError("address has no valid port")
+    return address
+
+
 def _registration(
     upstream: str, item: typing.Any
 ) -> fleetmessages.Registration:
@@ -36,10 +51,6 @@
     state = item["state"]
     if state not in ("ready", "draining"):
         raise ValueError("unknown state")
-    address = _typed(item, "address", str)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError("address has no port")
     start_ms = item.get("born", 0)
     if isinstance(start_ms, bool) or not isinstance(start_ms, int):
         raise ValueError("born is not an integer")
@@ -51,11 +62,11 @@
         incarnation=start_ms,
         sequence=_typed(item, "sequence", int),
         service=_typed(item, "service", str),
-        address=address,
+        address=_address(item),
         data_centre=_typed(item, "zone", str),
         slots=_typed(item, "slots", int),
         leaving=state == "draining",
-        domain=str(item.get("domain") or ""),
+        domain=_typed(item, "domain", str) if item.get("domain") else "",
         models=[_typed(model, "name", str) for model in models],
         staged=[_model_name(model) for model in staged],
         seat=read_seat(item.get("group")),
@@ -65,7 +76,7 @@
 def _model_name(model: typing.Any) -> str:
     """Returns a model's name, given as a string or as an object's field."""
     if isinstance(model, str):
-        return model
+        model = {"name": model}
     return _typed(model, "name", str)
 
 
--- a/figford/platform/dialect.py
+++ b/figford/platform/dialect.py
@@ -90,6 +90,14 @@
     return None if value is None else value.decode("latin-1").strip()
 
 
+def _header_value(text: str) -> bytes:
+    """Returns a text as the value of a header, in UTF-8 if need be."""
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError:
+        return text.encode("utf-8", "replace")
+
+
 def _keep_alive_timeout(value: bytes | None) -> datetime.timedelta | None:
     """Returns the timeout of a Keep-Alive header, in whole seconds."""
     for part in (value or b"").split(b","):
@@ -156,7 +164,7 @@
         )
         for name, value in optional:
             if value is not None:
-                result.append((name, str(value).encode("latin-1")))
+                result.append((name, _header_value(str(value))))
         return result
 
     def read_answer(
--- a/figford/platform/manifest.py
+++ b/figford/platform/manifest.py
@@ -24,7 +24,13 @@
     """
     try:
         return _table(_mapping(json.loads(document), "manifest"))
-    except (ValueError, TypeError, KeyError, OverflowError) as error:
+    except (
+        ValueError,
+        TypeError,
+        KeyError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise errors.ConfigurationInvalid(
             f"the manifest can't be read: {type(error).__name__}: {error}"
         ) from error
--- a/figford/tests/test_entrydaemon.py
+++ b/figford/tests/test_entrydaemon.py
@@ -6,6 +6,7 @@
 import attrs
 from twisted.internet import testing
 
+from figford import effects
 from figford import entrydaemon
 from figford import nodesettings
 from figford.platform import dialect
@@ -110,3 +111,16 @@
     clock.time += MS
     daemon.tick()
     assert ended == [False]
+
+
+def test_a_route_table_that_cannot_be_read_ends_no_entry() -> None:
+    """All entries get it, and each one that started again."""
+    daemon = make_daemon(Clock())
+    table = daemon.forwarder.table
+
+    def fail(document: bytes) -> None:
+        raise KeyError("a field of another version")
+
+    daemon.read_table = fail
+    daemon.carry_out([effects.ConfigurationChanged(3)])
+    assert daemon.forwarder.table is table
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -467,3 +467,46 @@
     bench.begin()
     exchange = bench.pool.sent[0][1]
     assert exchange.max_idle_connections == kept
+
+
+class BrokenPool(Pool):
+    """A pool that raises an unexpected error."""
+
+    def send(self, address, exchange, max_idle=None) -> None:
+        """Raises an error."""
+        raise ValueError("no such address")
+
+
+def test_an_unexpected_error_ends_one_call_only() -> None:
+    """It used to end the process, and the caller went on to the next one."""
+    bench = Bench(routes.RetryMode.ONCE, pool=BrokenPool())
+    bench.begin()
+    assert bench.responder.refusal.status in (502, 503)
+    assert bench.idle()
+
+
+def test_an_error_while_a_queued_call_starts_ends_one_call_only() -> None:
+    bench = Bench(routes.RetryMode.STREAM, pool=BrokenPool())
+    bench.place("u1")
+    target_state = bench.forwarder.placement.target_state("u1")
+    target_state.in_progress = 13
+    bench.begin()
+    target_state.in_progress = 0
+    bench.forwarder.tick()
+    assert bench.responder.ends == ["refused"] and bench.idle()
+
+
+def test_an_error_in_the_check_of_a_call_ends_one_call_only() -> None:
+    bench = Bench(routes.RetryMode.ONCE).begin()
+    bench.call.deadline = None
+    bench.forwarder.tick()
+    assert bench.responder.ends == ["refused"] and bench.idle()
+
+
+def test_a_broken_invariant_still_ends_the_process() -> None:
+    bench = Bench(routes.RetryMode.ONCE).begin()
+    target_state = bench.forwarder.placement.target_state(bench.call.tried[0])
+    target_state.in_progress = 0
+    bench.clock.time = bench.call.deadline
+    with pytest.raises(AssertionError):
+        bench.forwarder.tick()
--- a/figford/tests/test_ledger.py
+++ b/figford/tests/test_ledger.py
@@ -6,6 +6,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from figford import fleetmessages
 from figford import ledger
 from figford import messages
 
@@ -160,3 +161,40 @@
         for index in (1, 2, 3)
     ]
     assert outcomes[2] == messages.ClaimsFull()
+
+
+def apply_all(*commands: messages.Command) -> ledger.Ledger:
+    """Returns a ledger after commands, restored from its snapshot."""
+    applied = ledger.Ledger()
+    for index, command in enumerate(commands):
+        applied.apply(messages.Entry(index + 1, 1, 0 * HOUR, command))
+    restored = ledger.Ledger()
+    restored.load(messages.Snapshot(index + 1, 1, [], applied.dump()))
+    return restored
+
+
+def test_verdicts_are_kept_in_snapshots_and_numbered() -> None:
+    state = apply_all(
+        fleetmessages.Convict("part:d", 3),
+        fleetmessages.Convict("part:d", 9),
+        fleetmessages.Convict("part:e", 2),
+        fleetmessages.RecordProbe("part:e", 0),
+        fleetmessages.RecordProbe("part:e", 0),
+        fleetmessages.RecordProbe("part:x", 0),
+        fleetmessages.LiftVerdict("part:d"),
+        fleetmessages.LiftVerdict("part:x"),
+    ).state
+    assert list(state.verdict_by_trait.values()) == [
+        fleetmessages.Verdict("part:e", 2, 1)
+    ]
+    # Two convictions, one probe and one verdict that ended.
+    assert state.verdicts_revision == 4
+
+
+def test_verdicts_are_bounded() -> None:
+    commands = [
+        fleetmessages.Convict(f"part:{number}", 2)
+        for number in range(ledger.MAX_VERDICTS + 10)
+    ]
+    state = apply_all(*commands).state
+    assert len(state.verdict_by_trait) == ledger.MAX_VERDICTS
