Fault soak: prompt parts crash upstreams; the bite without verdicts is found

One part after the other crashes the stand-in upstreams while processes are killed, paused and restarted and links fail; the users' bound is checked for requests of entries that were not disturbed within the window.

--- a/figford/tests/platform/faultsoak.py
+++ b/figford/tests/platform/faultsoak.py
@@ -6,13 +6,15 @@
 both directions or block one direction of the connections to upstreams and of
 their reports, or cut a whole group off for long. Both series of faults
 overlap. Meanwhile upstreams name limits, which change and end, and count the
-requests of all entries. The guarantees are checked during the run against
-what callers and upstreams observe. The same seed gives the same series of
-faults, but the interleaving depends on the machine.
+requests of all entries, and one prompt part after the other crashes them. The
+guarantees are checked during the run against what callers and upstreams
+observe. The same seed gives the same series of faults, but the interleaving
+depends on the machine.
 """
 
 import collections
 import json
+import math
 import pathlib
 import random
 import signal
@@ -23,6 +25,7 @@
 import attrs
 import typer
 
+from figford.tests.platform import crashmeter
 from figford.tests.platform import relay
 from figford.tests.platform import standin
 from figford.tests.platform import test_processes
@@ -45,6 +48,9 @@
 # exceeded by what was sent within them.
 LIMITS_PER_SECOND = (0.5, 1.0, 1.5, None, None, None)
 LIMIT_SECONDS = (4.0, 12.0)
+# A part crashes upstreams for so long, then another one does.
+CRASHING_SECONDS = (20.0, 40.0)
+BETWEEN_CRASHING_SECONDS = (0.02, 0.2)
 # Retries of a call wait this long, and entries take this long to notice a
 # fault.
 SETTLE_SECONDS = 12.0
@@ -86,6 +92,8 @@
     upstream_relays: list[list[relay.Relay]] = attrs.field(init=False)
     shared_relays: list[relay.Relay] = attrs.field(init=False)
     disk_lost_at: float = -1e9
+    # When each process was last killed, stopped, paused or started.
+    disturbed_at_by_name: dict[str, float] = attrs.field(factory=dict)
     _attempts: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -195,6 +203,11 @@
     def inject_fault(self) -> None:
         """Injects one fault into a process or all controllers."""
         name = self.rng.choice((*CONTROLLERS, *ENTRIES))
+        self.disturbed_at_by_name[name] = math.inf
+        self._inject_fault_into(name)
+        self.disturbed_at_by_name[name] = time.monotonic()
+
+    def _inject_fault_into(self, name: str) -> None:
         match self.rng.randrange(6):
             case 0:
                 self.cluster.kill(name)
@@ -255,6 +268,36 @@
                 for index in range(count)
             )
 
+    def run_crashing_requests(self) -> None:
+        """Sends requests with parts that crash upstreams.
+
+        The users' bound holds for entries that were not disturbed lately.
+        """
+        rng = random.Random(f"{self.seed}/crashing")
+        window = crashmeter.WINDOW.total_seconds()
+        number = 0
+        while not self.finished.is_set():
+            number += 1
+            part = f"dead{number}"
+            self.cluster.crash_upstreams_by(part)
+            end = time.monotonic() + rng.uniform(*CRASHING_SECONDS)
+            while time.monotonic() < end and not self.finished.wait(
+                rng.uniform(*BETWEEN_CRASHING_SECONDS)
+            ):
+                entry = rng.choice(ENTRIES)
+                disturbed_at = self.disturbed_at_by_name.get(entry, -1e9)
+                if time.monotonic() - disturbed_at < window:
+                    continue
+                _, answer = self.send_request(
+                    entry,
+                    "/ask/x",
+                    Figford_Model=rng.choice(("large", "small")),
+                    Figford_Prompt_Prefix=(
+                        f"first:1,{part}:1,{rng.random()}:1"
+                    ),
+                )
+                self.count("crashing", answer)
+
     def cut_engines(self, rng: random.Random) -> None:
         """Cuts the largest group or half of the engines off for long."""
         engines = range(standin.ENGINE_COUNT)
@@ -307,6 +350,7 @@
         workers.append(threading.Thread(target=self.run_operator))
         workers.append(threading.Thread(target=self.run_relay_faults))
         workers.append(threading.Thread(target=self.run_limits))
+        workers.append(threading.Thread(target=self.run_crashing_requests))
         for worker in workers:
             worker.start()
         end = time.monotonic() + seconds
--- a/figford/tests/platform/test_faultsoak.py
+++ b/figford/tests/platform/test_faultsoak.py
@@ -24,6 +24,7 @@
         ("run-once", r"ran \d+ times"),
         ("stored-first", "acknowledged"),
         ("limits", "a limit of"),
+        ("verdicts", "after the fifth crash"),
     ],
 )
 def test_a_disabled_mechanism_is_found(
--- a/figford/tests/platform/test_processes.py
+++ b/figford/tests/platform/test_processes.py
@@ -156,12 +156,13 @@
         ]
 
     def members_by_group(self) -> dict[str, list[int]]:
-        """Returns the engines that are in each group, the head first."""
+        """Returns the engines that are up in each group, the head first."""
         rank_by_engine: dict[str, dict[int, int]] = {}
         for index in range(standin.ENGINE_COUNT):
             address = f"{standin.HOST}:{self.ports[4] + index}"
             answer = self.call(address, "GET", "/figford/report")
-            group = json.loads(answer.body).get("group")
+            report = json.loads(answer.body) if answer else {}
+            group = report.get("group")
             if group is not None:
                 ranks = rank_by_engine.setdefault(group["name"], {})
                 ranks[index] = group["rank"]
@@ -254,9 +255,12 @@
         self.call(self._upstream_address(index), "POST", "/limit", body)
 
     def requests_within_limit(self, index: int) -> int:
-        """Returns how many requests reached an upstream with a limit."""
+        """Returns how many requests reached an upstream with a limit.
+
+        None reach one that is down.
+        """
         answer = self.call(self._upstream_address(index), "GET", "/limit")
-        return json.loads(answer.body)["total"]
+        return json.loads(answer.body)["total"] if answer else 0
 
     def crash_upstreams_by(self, name: str) -> None:
         """Lets requests with a prompt part or path crash upstreams."""
--- a/figford/tests/platform/unsafe.py
+++ b/figford/tests/platform/unsafe.py
@@ -7,6 +7,7 @@
 import sys
 
 from figford import controllerdaemon
+from figford import crashguard
 from figford import permits
 from figford.platform import __main__ as program
 from figford.platform import controlpages
@@ -45,10 +46,16 @@
     permits.Permits.limited = lambda self, upstream, incarnation: False
 
 
+def refuse_no_crashing_requests() -> None:
+    """Lets entries send requests with convicted traits."""
+    crashguard.CrashGuard.convicted_trait = lambda self, suspect_of: None
+
+
 DISABLE_BY_MECHANISM = {
     "limits": ignore_limits,
     "run-once": retry_all_calls,
     "stored-first": acknowledge_at_once,
+    "verdicts": refuse_no_crashing_requests,
 }
 
 
