--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 	$(BIN)/python -m figford.tools.bench
 	$(BIN)/python -m figford.tools.bench_control
 	$(BIN)/python -m figford.tools.bench_limits
+	$(BIN)/python -m figford.tools.bench_crashes
 
 soak: $(STAMP)
 	$(BIN)/python -m figford.tools.soak --seed $(SEED) --steps $(STEPS)
--- a/figford/crashjudge.py
+++ b/figford/crashjudge.py
@@ -21,6 +21,9 @@
 # A crash whose suspects were all cleared counts after this time, in which
 # further answers may clear them.
 CLEARED_WAIT = datetime.timedelta(seconds=1)
+# Answers that come later shift the blame of crashes; this bounds how often
+# all crashes are judged again.
+SURVIVALS_WAIT = datetime.timedelta(milliseconds=500)
 # A verdict is proposed again if it was not committed within this time.
 PROPOSAL_INTERVAL = datetime.timedelta(seconds=1)
 # A probe may cost a group.
@@ -159,8 +162,11 @@
         """Adds answers that went on past their beginning."""
         for trait, age in zip(report.traits, report.ages):
             self.table.add_survival(trait, now - age)
-        if self._judge_due is None:
-            self._judge_due = now
+        self._judge_by(now + SURVIVALS_WAIT)
+
+    def _judge_by(self, due: datetime.timedelta) -> None:
+        if self._judge_due is None or due < self._judge_due:
+            self._judge_due = due
 
     def receive_demand(
         self,
@@ -222,7 +228,7 @@
             if now >= count_from:
                 del self._count_from_by_key[key]
         if self._count_from_by_key:
-            self._judge_due = min(self._count_from_by_key.values())
+            self._judge_by(min(self._count_from_by_key.values()))
         unanswered = {*self._open_by_key, *self._count_from_by_key}
         found = self.table.judge(verdicts, unanswered)
         for trait, crashes in found.items():
@@ -232,7 +238,7 @@
             ):
                 continue
             self._proposed_at_by_trait[trait] = now
-            self._judge_due = now + PROPOSAL_INTERVAL
+            self._judge_by(now + PROPOSAL_INTERVAL)
             if len(verdicts) >= MAX_VERDICTS:
                 idlest = min(verdicts, key=self._last_demand)
                 decisions.append(Propose(fleetmessages.LiftVerdict(idlest)))
--- a/figford/tools/bench_crashes.py
+++ b/figford/tools/bench_crashes.py
@@ -5,11 +5,18 @@
 """
 
 import random
+import timeit
+import tracemalloc
 import typing
 
 import attrs
 
+from figford import codec
+from figford import crashguard
+from figford import crashjudge
 from figford import evidence
+from figford import fleetmessages
+from figford import messages
 from figford.tools import crashworld
 
 SECONDS = 60.0
@@ -113,8 +120,85 @@
     )
 
 
+def full_table() -> evidence.EvidenceTable:
+    """Returns a table at its bounds: crashes, suspects, answers."""
+    table = evidence.EvidenceTable()
+    second = crashworld.SECOND
+    for number in range(evidence.MAX_TRAITS):
+        for at in range(evidence.SURVIVALS_PER_TRAIT):
+            table.add_survival(evidence.part_trait(f"p{number}"), at * second)
+            table.add_survival(
+                evidence.request_trait(f"r{number}"), at * second
+            )
+    for number in range(evidence.MAX_CRASHES):
+        report = crash_report(number)
+        table.add_crash(report, (60 + number) * second)
+    return table
+
+
+def crash_report(number: int) -> fleetmessages.CrashReport:
+    """Returns a report of a batch of 13 requests with three parts each."""
+    suspects = [
+        fleetmessages.Suspect(
+            f"{number:08x}{item:08x}",
+            [f"{number:06x}{item:06x}{part}" for part in range(3)],
+        )
+        for item in range(13)
+    ]
+    return fleetmessages.CrashReport(
+        f"i-{number:010x}", 1, crashworld.SECOND, suspects
+    )
+
+
+def microseconds(action: typing.Callable[[], object], count: int) -> float:
+    """Returns the mean time of an action."""
+    return timeit.timeit(action, number=count) / count * 1e6
+
+
+def costs() -> typing.Iterator[str]:
+    """Yields rows: the time, memory and size of what entries and leader do."""
+    tracemalloc.start()
+    table = full_table()
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    yield f"| evidence at its bounds, memory | {held / 1e6:.1f} MB |"
+    judged_us = microseconds(lambda: table.judge(()), 10)
+    yield f"| judging 128 crashes of 13 requests | {judged_us / 1e3:.1f} ms |"
+    verdicts = fleetmessages.Verdicts(
+        1,
+        [
+            fleetmessages.Verdict(evidence.part_trait(f"{i:012x}"), 3)
+            for i in range(crashjudge.MAX_VERDICTS)
+        ],
+    )
+    guard = crashguard.CrashGuard()
+    guard.apply(verdicts)
+    suspect = crash_report(1).suspects[0]
+    now = crashworld.SECOND
+    sent_us = microseconds(
+        lambda: guard.convicted_trait(lambda: suspect), 20_000
+    )
+    yield f"| check of a request against 200 verdicts | {sent_us:.1f} us |"
+    begun_us = microseconds(
+        lambda: guard.record_survival(suspect, now), 20_000
+    )
+    yield f"| record of an answer with three parts | {begun_us:.1f} us |"
+    parts = [trait for trait in evidence.traits(suspect)]
+    for name, message in (
+        ("crash report, 13 requests", crash_report(1)),
+        ("query of 3 traits", fleetmessages.SurvivalQuery(parts[:3])),
+        (
+            "reply on 3 traits",
+            fleetmessages.SurvivalReport(parts[:3], [now] * 3),
+        ),
+        ("200 verdicts", verdicts),
+    ):
+        size = len(codec.encode(message, messages.PeerMessage))
+        yield f"| {name} | {size} B |"
+
+
 def main() -> None:
-    """Prints the table."""
+    """Prints the table of policies and that of costs."""
     print(
         "| case | policy | crashes | by one part | sound answered, %"
         " | sound refused by verdict | wrong verdicts | messages |"
@@ -123,6 +207,11 @@
     for case in CASES:
         for name in POLICIES:
             print(row(case, name), flush=True)
+    print()
+    print("| cost | |")
+    print("| --- | --- |")
+    for cost in costs():
+        print(cost, flush=True)
 
 
 if __name__ == "__main__":
