Entries heed upstreams that say they leave or ask for a pause

An entry's own knowledge is built: both are kept by incarnation and pass the choice of a target, which all ways to an upstream use.

--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -159,10 +159,23 @@
             )
             return
         self._demand.record_arrival(self._key(call), now)
+        if self._refuse_paused(call, now):
+            return
         if not self._place(call, now):
             self._enqueue(call)
             self._refuse_beyond_limits(now)
 
+    def _refuse_paused(
+        self, call: forwarding.ForwardedCall, now: datetime.timedelta
+    ) -> bool:
+        """Refuses a call if all targets are paused for too long."""
+        end = self.placement.pause_end(call.service, self._model(call), now)
+        if end is None or end < call.arrived_at + _max_queue_time(call):
+            return False
+        detail = "all upstreams asked for a pause"
+        call.refuse(self.no_capacity(detail, end - now))
+        return True
+
     def _choose_service(self, call: forwarding.ForwardedCall) -> str:
         """Chooses a service by the weights of the route.
 
@@ -499,6 +512,27 @@
         if notice.rate is None:
             self._place_queued()
 
+    def notices_received(
+        self, target: placements.Target, head: wire.AnswerHead
+    ) -> None:
+        """Follows an answer that says its upstream leaves or wants a pause."""
+        if head.leaving and self.placement.leaving_noticed(target):
+            self.metrics.event("upstream-said-leaving")
+            _log.info("upstream said it leaves", upstream=target.upstream)
+        if head.pause_unreadable:
+            self.metrics.event("pause-unreadable")
+            _log.warning("pause unreadable", upstream=target.upstream)
+        if head.pause is None:
+            return
+        until = self.clock.now() + head.pause
+        if self.placement.pause_noticed(target, until):
+            self.metrics.event("upstream-paused")
+            _log.info(
+                "upstream paused",
+                upstream=target.upstream,
+                seconds=head.pause.total_seconds(),
+            )
+
     def _log_limit(
         self,
         target: placements.Target,
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -324,6 +324,7 @@
             self.forwarder.placement.load_reported(target, total, now)
         if head.status != MISDIRECTED:
             self.forwarder.limit_noticed(target, head.limit)
+            self.forwarder.notices_received(target, head)
         if head.not_run:
             self._not_run(attempt, head, now)
         elif 200 <= head.status < 300 and (not head.signed or head.encoded):
--- a/figford/placement.py
+++ b/figford/placement.py
@@ -64,6 +64,10 @@
     ejected_until: datetime.timedelta = datetime.timedelta(0)
     ejection_time: datetime.timedelta = INITIAL_EJECTION_TIME
     active_at: datetime.timedelta = datetime.timedelta(0)
+    # The incarnation whose answers said that it leaves or asked for a pause.
+    noticed_incarnation: int = 0
+    leaving: bool = False
+    paused_until: datetime.timedelta = datetime.timedelta(0)
 
     def expected_in_progress(self, now: datetime.timedelta) -> float:
         """Returns the estimated requests in progress, of all entries."""
@@ -166,6 +170,7 @@
             target
             for target in self.targets(service, model)
             if target.upstream not in tried
+            and self.takes_requests(target, now)
             and self.has_capacity(target, now)
             and self._may_send(target, now)
         ]
@@ -266,7 +271,52 @@
 
     def has_any(self, service: str, model: str | None) -> bool:
         """Returns whether a service has any target for a model."""
-        return bool(self.targets(service, model))
+        return any(
+            not self._notices(target).leaving
+            for target in self.targets(service, model)
+        )
+
+    # ---- What answers say of their upstream -----------------------------
+
+    def _notices(self, target: Target) -> TargetState:
+        """Returns the state of a target; notices of others don't count."""
+        target_state = self.target_state(target.upstream)
+        if target_state.noticed_incarnation != target.incarnation:
+            target_state.noticed_incarnation = target.incarnation
+            target_state.leaving = False
+            target_state.paused_until = datetime.timedelta(0)
+        return target_state
+
+    def takes_requests(self, target: Target, now: datetime.timedelta) -> bool:
+        """Returns whether a target neither leaves nor asked for a pause."""
+        target_state = self._notices(target)
+        return not target_state.leaving and target_state.paused_until <= now
+
+    def leaving_noticed(self, target: Target) -> bool:
+        """Records that a target leaves; returns whether that is new."""
+        target_state = self._notices(target)
+        is_new = not target_state.leaving
+        target_state.leaving = True
+        return is_new
+
+    def pause_noticed(self, target: Target, until: datetime.timedelta) -> bool:
+        """Records a pause; returns whether it ends later than known ones."""
+        target_state = self._notices(target)
+        if until <= target_state.paused_until:
+            return False
+        target_state.paused_until = until
+        return True
+
+    def pause_end(
+        self, service: str, model: str | None, now: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        """Returns when the first pause ends; None if not all are paused."""
+        ends = [
+            self._notices(target).paused_until
+            for target in self.targets(service, model)
+            if not self._notices(target).leaving
+        ]
+        return min(ends) if ends and min(ends) > now else None
 
     # ---- Load and health ------------------------------------------------
 
--- a/figford/platform/dialect.py
+++ b/figford/platform/dialect.py
@@ -24,11 +24,14 @@
 _NOT_RUN = b"figford-not-executed"
 _LOAD = b"figford-server-load"
 _LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
 # The id of the upstream that made a group fail.
 _AT_FAULT = b"at-server"
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
 _CONNECTION_HEADERS = frozenset(
@@ -71,10 +74,15 @@
     """Returns the limit that a header names; None if it can't be read."""
     if value is None:
         return wire.LimitNotice(None)
+    number = _decimal(value)
+    return None if number is None else wire.LimitNotice(number)
+
+
+def _decimal(value: bytes) -> float | None:
     text = value.strip()
     if not re.fullmatch(rb"\d{1,12}(\.\d{0,12})?", text):
         return None
-    return wire.LimitNotice(float(text))
+    return float(text)
 
 
 def _parts(headers: wire.HeaderList) -> tuple[str, ...]:
@@ -173,6 +181,8 @@
         """Returns the status and headers of an upstream's answer as values."""
         by_name = {name.lower(): value for name, value in headers}
         load = _numbers(by_name.get(_LOAD), 3)
+        asked = by_name.get(_RETRY_AFTER) if status == _UNAVAILABLE else None
+        pause = None if asked is None else _decimal(asked)
         media_type = by_name.get(b"content-type", b"").partition(b";")[0]
         return wire.AnswerHead(
             status=status,
@@ -191,6 +201,9 @@
             at_fault=_text(by_name.get(_AT_FAULT)),
             keep_alive_timeout=_keep_alive_timeout(by_name.get(b"keep-alive")),
             limit=_limit(by_name.get(_LIMIT)),
+            leaving=by_name.get(_LEAVING, b"").strip() == b"1",
+            pause=None if pause is None else datetime.timedelta(seconds=pause),
+            pause_unreadable=asked is not None and pause is None,
         )
 
     def retry_after(self, duration: datetime.timedelta) -> bytes:
--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -27,6 +27,7 @@
 from figford import routes
 from figford.tests.platform import crashmeter
 from figford.tests.platform import limitmeter
+from figford.tests.platform import noticemeter
 from figford.tools import enginefleet
 
 HEARTBEAT_SECONDS = 0.3
@@ -172,6 +173,11 @@
             self._set_limit(upstream.meter)
         elif path == "/crashing":
             self._set_crashing(upstream.crashing)
+        elif path == "/notices":
+            item = json.loads(self.content.read())
+            upstream.notices.pause_seconds = item.get("pause_seconds")
+            upstream.notices.leaving = item.get("leaving", False)
+            self._answer(200, {})
         elif path == "/endless":
             self._set_endless(upstream)
         else:
@@ -197,6 +203,31 @@
         }
         self._answer(200, counted)
 
+    def _give_notice(self, upstream: "Upstream") -> bool:
+        """Says that the upstream leaves; rejects a request with a pause.
+
+        What comes in the pause is served, and counted.
+        """
+        notices = upstream.notices
+        violation = notices.record_request(now())
+        if violation is not None:
+            print(
+                f"{INVARIANT_BROKEN}: {upstream.engine.name}: {violation}",
+                flush=True,
+            )
+        if notices.leaving:
+            self.setHeader("server-leaving", "1")
+            notices.tell_leaving(now())
+        if notices.pause_seconds is None or notices.is_paused(now()):
+            return False
+        pause = notices.pause_seconds
+        notices.ask_for_pause(pause * SECOND, now())
+        self.responseHeaders.removeHeader("figford-response-signature")
+        self.setHeader("figford-not-executed", "1")
+        self.setHeader("retry-after", str(pause))
+        self._answer(503, {})
+        return True
+
     def _set_endless(self, upstream: "Upstream") -> None:
         """Sets what answers never end; tells how many are under way."""
         if self.method == b"POST":
@@ -289,6 +320,8 @@
             return
         self.setHeader("figford-response-signature", f"sig-{attempt}")
         self.setHeader("figford-server-load", "1,0,13")
+        if self._give_notice(upstream):
+            return
         if upstream.endless is not None:
             EndlessAnswer(upstream, self, attempt).begin()
             return
@@ -384,6 +417,9 @@
     crashing: dict[str, crashmeter.CrashMeter]
     runs: list[str | None] = attrs.field(factory=list)
     meter: limitmeter.LimitMeter = attrs.field(factory=limitmeter.LimitMeter)
+    notices: noticemeter.NoticeMeter = attrs.field(
+        factory=noticemeter.NoticeMeter
+    )
     # The element of answers that never ends; None if they end.
     endless: str | None = None
     endless_open: int = 0
--- a/figford/tests/platform/test_processes.py
+++ b/figford/tests/platform/test_processes.py
@@ -280,6 +280,11 @@
 
         return json.loads(self.wait("an upstream that is up", answered).body)
 
+    def give_notice(self, index: int, **notice: object) -> None:
+        """Lets an upstream ask for pauses or say that it leaves."""
+        body = json.dumps(notice).encode()
+        self.call(self._upstream_address(index), "POST", "/notices", body)
+
     def make_endless(self, index: int, kind: str | None) -> None:
         """Lets an element of an upstream's answers never end."""
         body = json.dumps({"kind": kind}).encode()
--- a/figford/wire.py
+++ b/figford/wire.py
@@ -56,7 +56,8 @@
     `headers` are those that are forwarded. `not_run` is set where the
     upstream states that it did not run the request. `at_fault` names the
     member that made a group fail. `limit` is None if the answer's limit can't
-    be read.
+    be read. An upstream that is `leaving` takes no new requests; one that asks
+    for a `pause` takes none from this entry for that long.
     """
 
     status: int
@@ -70,6 +71,9 @@
     at_fault: str | None = None
     keep_alive_timeout: datetime.timedelta | None = None
     limit: LimitNotice | None = None
+    leaving: bool = False
+    pause: datetime.timedelta | None = None
+    pause_unreadable: bool = False
 
 
 @attrs.frozen
