--- a/figford/tests/test_eventstream.py
+++ b/figford/tests/test_eventstream.py
@@ -39,3 +39,10 @@
     splitter = eventstream.EventSplitter()
     with pytest.raises(eventstream.EventOrderError):
         splitter.feed(b"x" * (eventstream.EVENT_LIMIT_BYTES + 1))
+
+
+def test_an_id_of_other_digits_is_passed_on() -> None:
+    """Such an id was taken for a number and raised an error."""
+    splitter = eventstream.EventSplitter()
+    strange = b"id: \xb2\n\n"
+    assert splitter.feed(event(1) + strange) == [event(1), strange]
