Rulings on crashes are logged with scores; ends of requests name the digest

The logs of the incident could not tell whether answers cleared the request, or whether its score stayed too low: nothing named the leader's ruling, and the ends of requests did not say the digest under which crashes name them. No request goes elsewhere than before; a test of the log line was added.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -603,6 +603,8 @@
                 case crashjudge.Ruling(entries, ruling):
                     linked = [name for name in entries if name in self.links]
                     result.append(SendAll(linked, ruling))
+                    detail = self.judge.ruling_detail(ruling, verdicts)
+                    result.append(effects.StateChanged("crash ruled", detail))
                 case crashjudge.Grant(entry, grant):
                     if entry in self.links:
                         result.append(effects.SendPeer(entry, grant))
--- a/figford/crashjudge.py
+++ b/figford/crashjudge.py
@@ -38,6 +38,8 @@
 DEMAND_VALIDITY = datetime.timedelta(seconds=2)
 # The idlest verdict makes room for a new one.
 MAX_VERDICTS = 200
+# Requests that are named in the log line of a ruling.
+MAX_LOGGED_SUSPECTS = 16
 
 
 @attrs.frozen
@@ -218,6 +220,25 @@
             decisions.insert(0, Query(query))
         return decisions
 
+    def ruling_detail(
+        self,
+        ruling: fleetmessages.CrashRuling,
+        verdicts: typing.Container[str],
+    ) -> tuple[tuple[str, object], ...]:
+        """Returns what to log of a ruling, with the suspects' scores."""
+        scores = self.table.request_scores(
+            ruling.upstream, ruling.incarnation, verdicts
+        )
+        highest = sorted(scores.items(), key=lambda item: -item[1])
+        named = [f"{request}/{score:.2f}" for request, score in highest]
+        return (
+            ("upstream", ruling.upstream),
+            ("incarnation", ruling.incarnation),
+            ("suspects", len(scores)),
+            ("blamed", ",".join(ruling.blamed[:MAX_LOGGED_SUSPECTS])),
+            ("scores", ",".join(named[:MAX_LOGGED_SUSPECTS])),
+        )
+
     def _judge(
         self,
         verdicts: typing.Mapping[str, fleetmessages.Verdict],
--- a/figford/evidence.py
+++ b/figford/evidence.py
@@ -241,6 +241,26 @@
             if self._unclear(suspect, crash.at)
         ]
 
+    def request_scores(
+        self,
+        upstream: str,
+        incarnation: int,
+        convicted: typing.Container[str],
+    ) -> dict[str, float]:
+        """Returns the score of each request that is a suspect of a crash."""
+        crash = self._crash_by_incarnation.get((upstream, incarnation))
+        if crash is None:
+            return {}
+        blames = self._blames(convicted, (), ())
+        traits_by_request = {
+            request: request_trait(request)
+            for request in crash.suspect_by_request
+        }
+        return {
+            request: self._score(trait, blames.get(trait, []))
+            for request, trait in traits_by_request.items()
+        }
+
     def _unclear(
         self, suspect: fleetmessages.Suspect, at: datetime.timedelta
     ) -> list[str]:
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -571,6 +571,7 @@
         _log.info(
             "attempt ended",
             request=call.head.attempt,
+            digest=call.suspect().request,
             upstream=call.tried[-1] if call.tried else "",
             cause=reason,
             parts=",".join(crashes.part_names(call.head)),
@@ -605,6 +606,7 @@
         _log.info(
             "request ended",
             request=call.head.attempt,
+            digest=call.suspect().request,
             route=call.route.name,
             account=account,
             outcome=outcome,
--- a/figford/tests/test_crashjudge.py
+++ b/figford/tests/test_crashjudge.py
@@ -175,3 +175,21 @@
     for number in range(1000):
         judge.receive_crash("e1", report(f"u{number}"), NOW)
     assert len(judge._open_by_key) == evidence.MAX_CRASHES
+
+
+def test_a_ruling_is_logged_with_the_scores_of_its_suspects() -> None:
+    judge = leading_judge()
+    for number, at in ((1, 0 * SECOND), (2, SECOND)):
+        crash = report(f"u{number}", request("r1"), request(f"s{number}"))
+        judge.receive_crash("e1", crash, NOW + at)
+        judge.decide({}, NOW + at)
+        *_, ruling = [
+            item
+            for item in judge.decide({}, NOW + at + WAIT)
+            if isinstance(item, crashjudge.Ruling)
+        ]
+    detail = dict(judge.ruling_detail(ruling.message, {}))
+    assert detail["upstream"] == "u2" and detail["suspects"] == 2
+    first, second = detail["scores"].split(",")
+    assert first.startswith("r1/") and second.startswith("s2/")
+    assert detail["blamed"] == "r1,s2"
