Failing tests: a request that crashes upstreams and comes again is sent on

The stand-in has three plain upstreams, as the users do, and crashes by path and account too. The meter of crashes takes the crash after which its bound holds; the bound for parts is unchanged.

--- a/figford/tests/platform/crashmeter.py
+++ b/figford/tests/platform/crashmeter.py
@@ -1,21 +1,23 @@
 """Counts requests that crash upstreams, and those that come after the bound.
 
-The bound is the users': of the requests with something that crashes upstreams,
-at most `ALLOWED` reach upstreams later than `WINDOW` after the fifth crash.
+The bounds are the users': of the requests with a part that crashes upstreams,
+at most `ALLOWED` reach upstreams later than `WINDOW` after the fifth crash; of
+the repeats of one request, after the third.
 """
 
 import datetime
 
 import attrs
 
-CRASHES = 5
+PART_CRASHES = 5
+REQUEST_CRASHES = 3
 WINDOW = datetime.timedelta(seconds=3)
 ALLOWED = 3
 
 
 @attrs.define
 class CrashMeter:
-    """The crashes and the late requests of one prompt part or path.
+    """The crashes and the late requests of one prompt part or request.
 
     >>> meter, second = CrashMeter(), datetime.timedelta(seconds=1)
     >>> for at in range(5):
@@ -23,25 +25,26 @@
     >>> [meter.record_request(at * second) for at in (6, 8, 8, 8)]
     [None, None, None, None]
     >>> meter.record_request(9 * second)
-    '4 requests came 3 s after the fifth crash; allowed 3'
+    '4 requests came 3 s after crash 5; allowed 3'
     """
 
+    counted_crashes: int = PART_CRASHES
     crashes: int = 0
     requests: int = 0
     late: int = 0
-    _fifth_crash_at: datetime.timedelta | None = None
+    _counted_crash_at: datetime.timedelta | None = None
 
     def record_crash(self, now: datetime.timedelta) -> None:
         """Counts a crash of an upstream."""
         self.crashes += 1
-        if self.crashes == CRASHES:
-            self._fifth_crash_at = now
+        if self.crashes == self.counted_crashes:
+            self._counted_crash_at = now
 
     def record_request(self, now: datetime.timedelta) -> str | None:
         """Counts a request; returns a description if there are too many."""
         self.requests += 1
-        if self._fifth_crash_at is None or (
-            now - self._fifth_crash_at <= WINDOW
+        if self._counted_crash_at is None or (
+            now - self._counted_crash_at <= WINDOW
         ):
             return None
         self.late += 1
@@ -49,5 +52,5 @@
             return None
         return (
             f"{self.late} requests came {WINDOW.total_seconds():.0f} s after"
-            f" the fifth crash; allowed {ALLOWED}"
+            f" crash {self.counted_crashes}; allowed {ALLOWED}"
         )
--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -69,7 +69,7 @@
 # Prefix of the line printed for an order that would break an invariant.
 INVARIANT_BROKEN = "invariant broken"
 ENGINE_COUNT = 6
-PLAIN_COUNT = 2
+PLAIN_COUNT = 3
 EVENTS_PER_STREAM = 6
 EVENT_INTERVAL_SECONDS = 0.02
 # A request that crashes its upstream does so this long after it arrived, and
@@ -193,10 +193,12 @@
     def _set_crashing(
         self, meter_by_name: dict[str, crashmeter.CrashMeter]
     ) -> None:
-        """Adds the part or path that a POST names; tells what was counted."""
+        """Adds what a POST names; tells what was counted."""
         if self.method == b"POST":
-            name = json.loads(self.content.read())["name"]
-            meter_by_name[name] = crashmeter.CrashMeter()
+            item = json.loads(self.content.read())
+            meter_by_name[item["name"]] = crashmeter.CrashMeter(
+                item["counted_crashes"]
+            )
         counted = {
             name: {"crashes": meter.crashes, "requests": meter.requests}
             for name, meter in meter_by_name.items()
@@ -240,8 +242,9 @@
         """Returns the meter of what makes this request crash upstreams."""
         prefix = self.getHeader("figford-prompt-prefix") or ""
         names = [item.partition(":")[0] for item in prefix.split(",")]
-        names.append(self.path.decode())
-        for name in names:
+        path = self.path.decode()
+        account = self.getHeader("figford-tenant")
+        for name in (*names, path, f"{path} {account}"):
             if name in upstream.crashing:
                 return upstream.crashing[name]
         return None
@@ -413,7 +416,8 @@
     controllers: list[str]
     agent: client.Agent
     port: int
-    # By the part or path that crashes; shared by all upstreams.
+    # By the part, the path, or the path and account that crashes; shared by
+    # all upstreams.
     crashing: dict[str, crashmeter.CrashMeter]
     runs: list[str | None] = attrs.field(factory=list)
     meter: limitmeter.LimitMeter = attrs.field(factory=limitmeter.LimitMeter)
--- a/figford/tests/platform/test_crashingrequests.py
+++ b/figford/tests/platform/test_crashingrequests.py
@@ -17,7 +17,7 @@
 
 ENTRIES = ("127.0.0.21", "127.0.0.22")
 BETWEEN_REQUESTS_SECONDS = 0.1
-# Enough for five crashes, the users' window, and too many requests after it.
+# Enough for the crashes, the users' window, and too many requests after it.
 MEASURED_SECONDS = 5 + 2 * crashmeter.WINDOW.total_seconds()
 FIRST_PART, CRASHING_PART, OTHER_CRASHING_PART = "aa11", "dead01", "dead02"
 SMALL = {"Figford_Model": "small"}
@@ -27,8 +27,8 @@
 class Traffic:
     """Callers of all entries.
 
-    Each prompt has a last part of its own; requests without a model have no
-    prompt, so that those for one path are alike.
+    Each prompt has a last part of its own, unless one is named; requests
+    without a model have no prompt, so that those for one path are alike.
     """
 
     cluster: test_processes.ProcessCluster
@@ -39,30 +39,49 @@
     _finished: threading.Event = attrs.field(factory=threading.Event)
     _threads: list[threading.Thread] = attrs.field(factory=list)
 
-    def start(self, kind: str, path: str, *parts: str, **headers: str) -> None:
+    def start(
+        self,
+        kind: str,
+        path: str,
+        *parts: str,
+        own_part: str | None = None,
+        **headers: str,
+    ) -> None:
         """Starts a caller at each entry."""
         for entry in ENTRIES:
             thread = threading.Thread(
-                target=self._call, args=(kind, entry, path, parts, headers)
+                target=self._call,
+                args=(kind, entry, path, parts, own_part, headers),
             )
             self._threads.append(thread)
             thread.start()
 
     def _call(
-        self, kind: str, entry: str, path: str, parts: tuple, headers: dict
+        self,
+        kind: str,
+        entry: str,
+        path: str,
+        parts: tuple,
+        own_part: str | None,
+        headers: dict,
     ) -> None:
         while not self._finished.wait(BETWEEN_REQUESTS_SECONDS):
             answer = self.cluster.send_request(
-                path, entry, **headers, **self._prompt(parts, headers)
+                path,
+                entry,
+                **headers,
+                **self._prompt(parts, own_part, headers),
             )
             status = answer.status if answer else 0
             self.status_count_by_kind[kind][status] += 1
 
-    def _prompt(self, parts: tuple, headers: dict) -> dict[str, str]:
+    def _prompt(
+        self, parts: tuple, own_part: str | None, headers: dict
+    ) -> dict[str, str]:
         if "Figford_Model" not in headers:
             return {}
         self._requests += 1
-        names = [FIRST_PART, *parts, f"{self._requests:x}"]
+        names = [FIRST_PART, *parts, own_part or f"{self._requests:x}"]
         return {"Figford_Prompt_Prefix": ",".join(f"{n}:10" for n in names)}
 
     def stop(self) -> None:
@@ -160,3 +179,37 @@
     time.sleep(MEASURED_SECONDS)
     assert cluster.broken_invariants() == []
     assert traffic.status_count_by_kind["sound"][200] > 0
+
+
+def test_a_call_that_comes_again_does_not_crash_its_whole_service(
+    cluster, traffic
+) -> None:
+    """Answers to another account's reads at its path used to clear it."""
+    path = "/status/crashing"
+    cluster.crash_upstreams_by(f"{path} acme", crashmeter.REQUEST_CRASHES)
+    traffic.start("sound", path, X_Api_Key=test_processes.OTHER_KEY)
+    traffic.start("other", "/status/x")
+    time.sleep(1)
+    traffic.start("crashing", path)
+    time.sleep(MEASURED_SECONDS)
+    assert cluster.broken_invariants() == []
+    sound = traffic.status_count_by_kind["sound"]
+    served = sound[200]
+    cluster.wait("sound calls served", lambda: sound[200] > served + 20)
+    assert traffic.status_count_by_kind["crashing"][200] == 0
+
+
+def test_a_stream_that_comes_again_does_not_crash_one_after_the_other(
+    cluster, traffic
+) -> None:
+    """Its account's requests share its first part, and are answered."""
+    cluster.crash_upstreams_by(CRASHING_PART, crashmeter.REQUEST_CRASHES)
+    traffic.start("sound", "/ask/x", **SMALL)
+    time.sleep(1)
+    traffic.start("crashing", "/ask/x", own_part=CRASHING_PART, **SMALL)
+    time.sleep(MEASURED_SECONDS)
+    assert cluster.broken_invariants() == []
+    sound = traffic.status_count_by_kind["sound"]
+    served = sound[200]
+    cluster.wait("sound requests served", lambda: sound[200] > served + 20)
+    assert traffic.status_count_by_kind["crashing"][200] == 0
--- a/figford/tests/platform/test_processes.py
+++ b/figford/tests/platform/test_processes.py
@@ -16,6 +16,7 @@
 import attrs
 import pytest
 
+from figford.tests.platform import crashmeter
 from figford.tests.platform import relay
 from figford.tests.platform import standin
 from figford.tests.platform import test_manifest
@@ -24,6 +25,7 @@
 CONTROLLERS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
 ENTRY = "127.0.0.21"
 KEY = "key-1"
+OTHER_KEY = "key-2"
 # Far longer than any wait here takes; only ends a test that hangs.
 WAIT_TIMEOUT_SECONDS = 60.0
 POLL_SECONDS = 0.05
@@ -52,10 +54,20 @@
         "routes": [
             route | {"path_prefix": "/ask/", "service": "pool"},
             call | {"path_prefix": prefix, "max_attempts": 2},
+            call
+            | {
+                "name": "r3",
+                "path_prefix": "/status/",
+                "kind": "idempotent",
+                "max_attempts": 2,
+            },
         ],
         "services": [base["services"][0] | {"engine": engine}]
         + base["services"][1:],
-        "tenants": [{"name": "acme", "api_keys": [KEY], "priority": 1}],
+        "tenants": [
+            {"name": "acme", "api_keys": [KEY], "priority": 1},
+            {"name": "beta", "api_keys": [OTHER_KEY], "priority": 1},
+        ],
     }
 
 
@@ -262,13 +274,19 @@
         answer = self.call(self._upstream_address(index), "GET", "/limit")
         return json.loads(answer.body)["total"] if answer else 0
 
-    def crash_upstreams_by(self, name: str) -> None:
-        """Lets requests with a prompt part or path crash upstreams."""
-        body = json.dumps({"name": name}).encode()
+    def crash_upstreams_by(
+        self, name: str, counted_crashes: int = crashmeter.PART_CRASHES
+    ) -> None:
+        """Lets requests with a part, a path, or path and account crash.
+
+        The bound on further requests holds after the counted crashes.
+        """
+        item = {"name": name, "counted_crashes": counted_crashes}
+        body = json.dumps(item).encode()
         self.call(self._upstream_address(0), "POST", "/crashing", body)
 
     def crashes(self) -> dict[str, dict[str, int]]:
-        """Returns the crashes and requests by prompt part or path."""
+        """Returns the crashes and requests by what causes them."""
 
         def answered() -> Answer | None:
             for index in range(standin.ENGINE_COUNT + standin.PLAIN_COUNT):
--- a/figford/tests/test_crashforwarding.py
+++ b/figford/tests/test_crashforwarding.py
@@ -3,6 +3,7 @@
 import pytest
 
 from figford import crashes
+from figford import evidence
 from figford import exchanges
 from figford import fleetmessages
 from figford import forwarding
@@ -266,3 +267,54 @@
     served = bench.other("a10", "d", "own10")
     bench.forwarder.begin(served)
     assert served.state is forwarding.State.SENT
+
+
+def call_of(bench, **changed) -> forwarding.ForwardedCall:
+    """Returns a call like others but for these attributes."""
+    call = bench.other("a2")
+    call.headers = [(b"host", b"h.example")]
+    for name, value in changed.items():
+        setattr(call, name, value)
+    return call
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"account": routes.Account("acme", ("k1",), None)},
+        {"headers": [(b"Host", b"other.example")]},
+        {"target": b"/y"},
+        {"target": b"/x?page=1"},
+        {"body": b"other"},
+    ],
+)
+def test_a_request_of_another_caller_or_host_is_another_one(
+    bench, changed
+) -> None:
+    """Answers to reads of others at the same path cleared a request."""
+    request = call_of(bench).suspect().request
+    assert call_of(bench, **changed).suspect().request != request
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"headers": [(b"X-Other", b"1"), (b"Host", b"H.EXAMPLE")]},
+        {"target": b"/%78"},
+    ],
+)
+def test_a_request_that_comes_again_in_other_spelling_is_the_same(
+    bench, changed
+) -> None:
+    request = call_of(bench).suspect().request
+    assert call_of(bench, **changed).suspect().request == request
+
+
+def test_an_error_of_the_upstream_is_no_sign_that_a_request_is_sound(
+    bench,
+) -> None:
+    bench.begin().answer(500)
+    bench.receiver.answer_ended()
+    now = bench.clock.now()
+    for trait in evidence.traits(bench.call.suspect()):
+        assert not bench.forwarder.guard.table.is_cleared(trait, now)
--- a/figford/tests/test_fleetcrashes.py
+++ b/figford/tests/test_fleetcrashes.py
@@ -1,8 +1,9 @@
 """Crashing parts are convicted fleet-wide, under cuts, restarts, takeovers.
 
 Controllers and entries run in virtual time. At most `crashmeter.ALLOWED`
-requests with a part are sent later than its window after the fifth crash, by
-entries that are in touch, and no sound request is refused by a verdict.
+requests with a part are sent later than its window after the fifth crash, or
+repeats of one request after the third, by entries that are in touch, and no
+sound request is refused by a verdict.
 """
 
 import random
@@ -80,6 +81,9 @@
 
     world: crashworld.CrashWorld = attrs.field(init=False)
     meter: crashmeter.CrashMeter = attrs.field(factory=crashmeter.CrashMeter)
+    meter_by_request: dict[str, crashmeter.CrashMeter] = attrs.field(
+        factory=dict
+    )
     violations: list[str] = attrs.field(factory=list)
     rulings: list = attrs.field(factory=list)
     disturbed_at: dict = attrs.field(factory=dict)
@@ -112,6 +116,18 @@
         """Lets a share of the requests have the crashing part."""
         self.world.share_by_part[PART] = share
 
+    def send_again_and_again(self, request: str, *parts: str) -> None:
+        """Lets a request that crashes upstreams come again and again."""
+        self.meter_by_request[request] = crashmeter.CrashMeter(
+            crashmeter.REQUEST_CRASHES
+        )
+        suspect = fleetmessages.Suspect(request, list(parts))
+        self.world.send_again_and_again(suspect)
+
+    def meter_of(self, name: str) -> crashmeter.CrashMeter:
+        """Returns the meter of a part or of a request that comes again."""
+        return self.meter_by_request.get(name, self.meter)
+
     def disturb(self, *names: str) -> None:
         """Records that entries are cut off or restarted now."""
         for name in names:
@@ -125,12 +141,12 @@
         since = self.disturbed_at.get(entry)
         return since is None or self.now - since > crashmeter.WINDOW
 
-    def check(self) -> None:
+    def check(self, seconds: float = 5) -> None:
         """Checks the users' bound and that sound requests are served."""
         assert self.violations == []
         assert self.world.figures.sound_convicted == 0
         before = attrs.evolve(self.world.figures)
-        self.run_world(5)
+        self.run_world(seconds)
         served = self.world.figures.sound_answered - before.sound_answered
         assert served > 0.8 * (self.world.figures.sound - before.sound)
 
@@ -156,17 +172,18 @@
     net: CrashNet | None = None
 
     def _place(self, request) -> None:
-        before = len(self.figures.sent_by_part.get(PART, ()))
+        name = request.crashing_part
+        before = len(self.figures.sent_by_part.get(name, ()))
         super()._place(request)
-        sent = len(self.figures.sent_by_part.get(PART, ())) > before
+        sent = len(self.figures.sent_by_part.get(name, ())) > before
         if sent and self.net.in_touch(request.entry):
-            violation = self.net.meter.record_request(self.now)
+            violation = self.net.meter_of(name).record_request(self.now)
             if violation is not None:
                 self.net.violations.append(violation)
 
     def _crash(self, upstream, part) -> None:
         if part is not None:
-            self.net.meter.record_crash(self.now)
+            self.net.meter_of(part).record_crash(self.now)
         super()._crash(upstream, part)
 
 
@@ -325,3 +342,73 @@
     )
     net.run_world(2)
     assert net.verdicts() == set()
+
+
+def serve_calls_by_three_upstreams(net: CrashNet) -> None:
+    """Makes the world a service of calls that have no prompt parts."""
+    net.world.keep_upstreams(3)
+    net.world.with_parts = False
+    net.world.requests_per_second = 8.0
+
+
+def test_a_call_that_comes_again_is_convicted_by_its_third_crash(net) -> None:
+    serve_calls_by_three_upstreams(net)
+    net.run_world(2)
+    net.send_again_and_again("again")
+    net.run_world(30)
+    net.check(30)
+    assert net.verdicts() == {evidence.request_trait("again")}
+    assert net.meter_by_request["again"].crashes <= 3
+
+
+def test_a_stream_that_comes_again_is_convicted_by_its_third_crash(
+    net,
+) -> None:
+    """Its only part is in answers to others all the time."""
+    net.send_again_and_again("again", "first0")
+    net.run_world(30)
+    net.check()
+    assert net.verdicts() == {evidence.request_trait("again")}
+    assert net.meter_by_request["again"].crashes <= 3
+
+
+def test_requests_that_come_again_are_convicted_beside_other_crashes(
+    net,
+) -> None:
+    net.world.other_crashes = 1.0
+    net.run_world(10)
+    for number in range(3):
+        net.send_again_and_again(f"again{number}", "first0")
+    net.run_world(40)
+    net.world.other_crashes = 0.0
+    net.run_world(5)
+    net.check()
+    names = {evidence.request_trait(f"again{number}") for number in range(3)}
+    assert net.verdicts() == names
+
+
+def test_faults_in_series_keep_the_bound_of_requests_that_come_again(
+    net,
+) -> None:
+    serve_calls_by_three_upstreams(net)
+    net.send_again_and_again("again")
+    rng = random.Random(net.seed)
+    for _ in range(8):
+        match rng.randrange(3):
+            case 0:
+                names = rng.sample((*CONTROLLERS, *ENTRIES), 3)
+                for name in names:
+                    net.kill(name)
+                net.run_world(rng.uniform(0.1, 1.5))
+                for name in names:
+                    net.start(name)
+                net.disturb(*(name for name in names if name in ENTRIES))
+            case 1:
+                cut_site(net, rng.choice(SITES))
+            case _:
+                net.cut.clear()
+        net.run_world(rng.uniform(0.3, 5.0))
+    net.cut.clear()
+    net.run_world(12)
+    assert net.violations == []
+    assert net.verdicts() == {evidence.request_trait("again")}
--- a/figford/tools/crashworld.py
+++ b/figford/tools/crashworld.py
@@ -3,7 +3,8 @@
 Requests arrive at random entries and join the batch of a random upstream. One
 with a crashing part ends its upstream when its answer begins; the whole batch
 breaks. Requests of a broken batch are repeated by their entry if its policy
-allows that, and by their caller, once, at another entry.
+allows that, and by their caller, once, at another entry. Some requests come
+again and again, and crash each upstream.
 """
 
 import datetime
@@ -30,6 +31,8 @@
 FIRST_PARTS = 60
 KEYS = 10
 MAX_ATTEMPTS = 2
+# A request that comes again does so after this time.
+RETURN_SECONDS = (0.5, 4.0)
 
 
 @attrs.define(eq=False)
@@ -40,6 +43,7 @@
     entry: str
     key: int
     suspect: fleetmessages.Suspect
+    # The prompt part with which it crashes upstreams, or its digest.
     crashing_part: str | None = None
     caller_retries: int = 1
     attempts: int = 0
@@ -108,6 +112,8 @@
     requests_per_second: float = 60.0
     upstreams: int = 24
     slots: int = 13
+    # Whether requests have prompt parts.
+    with_parts: bool = True
     # The share of requests with each crashing part.
     share_by_part: dict[str, float] = attrs.field(factory=dict)
     # Crashes a second that no request causes.
@@ -124,6 +130,26 @@
         """Starts all upstreams."""
         self._fleet = [Upstream(f"u{i}") for i in range(self.upstreams)]
 
+    def keep_upstreams(self, count: int) -> None:
+        """Removes all upstreams but these."""
+        del self._fleet[count:]
+
+    def send_again_and_again(self, suspect: fleetmessages.Suspect) -> None:
+        """Sends a request that crashes upstreams, now and later again."""
+        self._arrive(
+            Request(
+                next(self._numbers),
+                self.rng.choice(self.entries),
+                0,
+                suspect,
+                suspect.request,
+            )
+        )
+        self._later(
+            self.rng.uniform(*RETURN_SECONDS),
+            lambda: self.send_again_and_again(suspect),
+        )
+
     def run(self, seconds: float) -> Figures:
         """Advances virtual time; returns all counts so far."""
         end = self.now + seconds * SECOND
@@ -156,7 +182,7 @@
     def _new_request(self) -> Request:
         number = next(self._numbers)
         first = f"first{int(FIRST_PARTS * self.rng.random() ** 2)}"
-        parts = [first]
+        parts = [first] if self.with_parts else []
         drawn = self.rng.random()
         crashing = None
         for part, share in self.share_by_part.items():
