A request that comes again is judged by its own crashes and answers

Callers saw every upstream of a service crash, again and again, under one request of one account: the users' rule (at most three attempts later than 3 s after the third crash) was broken, and sound calls had no upstream meanwhile.

Cause: a request was judged by evidence on something else. One with prompt parts was cleared by answers to others with its parts, and then others in the batch took its blame. One without was cleared by answers to other accounts and hosts at its path, and by errors of the upstream. What was left was weighed as if it were there by chance: shared with the batch, once for all crashes within 200 ms, against a threshold that other crashes raise.

Now the digest of a request holds host and client account, in one spelling of the path; only answers to itself clear it; each crash counts in full. The second crash convicts it if no other suspect was at an earlier one and there was at most one other crash in 10 s, the third in any case. Parts are judged as before; a trait that explains more crashes comes first, and a verdict on a request ends when one on its part is in force. An upstream that starts again under its name is another one to the evidence, also for an entry that doesn't know it yet.

Two tests changed: one on limits names the third plain upstream of the stand-in, one on digests builds the new identity and has more cases.

--- a/figford/crashes.py
+++ b/figford/crashes.py
@@ -6,6 +6,8 @@
 
 import datetime
 import hashlib
+import re
+import string
 import typing
 
 import attrs
@@ -22,6 +24,8 @@
 MAX_SUSPECTS = 64
 MAX_PARTS = 32
 PART_NAME_LENGTH = 40
+_ESCAPE = re.compile(rb"%([0-9A-Fa-f]{2})")
+_UNRESERVED = (string.ascii_letters + string.digits + "-._~").encode()
 
 
 def part_names(head: wire.CallHead) -> list[str]:
@@ -35,13 +39,54 @@
     return [part[:PART_NAME_LENGTH] for part in head.parts[:-1][:MAX_PARTS]]
 
 
-def request_digest(
-    method: bytes, target: bytes, body: bytes, head: wire.CallHead
-) -> str:
+@attrs.frozen
+class RequestIdentity:
+    """What a caller's request and its repeats have in common.
+
+    `caller` is the client account, or the key where there is none.
+    """
+
+    caller: str
+    host: bytes
+    method: bytes
+    target: bytes
+    parts: tuple[str, ...]
+    body: bytes
+
+
+def host_of(headers: wire.HeaderList) -> bytes:
+    """Returns the host that a request names, in lower case."""
+    for name, value in headers:
+        if name.lower() == b"host":
+            return value.lower()
+    return b""
+
+
+def canonical_target(target: bytes) -> bytes:
+    """Returns the same target for all spellings of its characters.
+
+    >>> canonical_target(b"/%7Ea/%2f?b")
+    b'/~a/%2F?b'
+    """
+
+    def spell(escape: re.Match[bytes]) -> bytes:
+        character = bytes([int(escape[1], 16)])
+        return character if character in _UNRESERVED else escape[0].upper()
+
+    return _ESCAPE.sub(spell, target)
+
+
+def request_digest(identity: RequestIdentity) -> str:
     """Returns the same text for a request and its repeats by the caller."""
     digest = hashlib.blake2b(digest_size=8)
-    parts = ",".join(head.parts).encode("latin-1", "replace")
-    for item in (method, target, parts, body):
+    for item in (
+        identity.caller.encode("utf-8", "replace"),
+        identity.host,
+        identity.method,
+        canonical_target(identity.target),
+        ",".join(identity.parts).encode("utf-8", "replace"),
+        identity.body,
+    ):
         digest.update(len(item).to_bytes(8, "big") + item)
     return digest.hexdigest()
 
--- a/figford/crashguard.py
+++ b/figford/crashguard.py
@@ -145,7 +145,7 @@
         self, suspect: fleetmessages.Suspect, now: datetime.timedelta
     ) -> None:
         """Records an answer that went on past its beginning."""
-        for trait in evidence.clearable_traits(suspect):
+        for trait in evidence.traits(suspect):
             self.table.add_survival(trait, now)
             if trait in self._watched:
                 self._survived_at_by_trait[trait] = now
@@ -154,10 +154,7 @@
         self, suspect: fleetmessages.Suspect, now: datetime.timedelta
     ) -> bool:
         """Returns whether a request has parts that no answer cleared."""
-        return bool(suspect.parts) and not all(
-            self.table.is_cleared(trait, now)
-            for trait in evidence.clearable_traits(suspect)
-        )
+        return bool(suspect.parts) and self.table.may_be_blamed(suspect, now)
 
     def take_settled(
         self,
@@ -240,7 +237,9 @@
                     del self._own_verdicts[trait]
             return []
         convicted = {*self._own_verdicts, *self._verdict_by_trait}
-        new = sorted(self.table.judge(convicted))
+        new = sorted(
+            self.table.judge(convicted, fresh_since=now - evidence.FRESH_TIME)
+        )
         for trait in (*self._own_verdicts, *new):
             self._own_verdicts[trait] = now + OWN_VERDICT_OVERLAP
         return new
--- a/figford/crashjudge.py
+++ b/figford/crashjudge.py
@@ -250,8 +250,12 @@
                 del self._count_from_by_key[key]
         if self._count_from_by_key:
             self._judge_by(min(self._count_from_by_key.values()))
-        unanswered = {*self._open_by_key, *self._count_from_by_key}
-        found = self.table.judge(verdicts, unanswered)
+        found = self.table.judge(
+            verdicts,
+            self._open_by_key,
+            self._count_from_by_key,
+            now - evidence.FRESH_TIME,
+        )
         for trait, crashes in found.items():
             proposed_at = self._proposed_at_by_trait.get(trait)
             if proposed_at is not None and (
@@ -264,6 +268,8 @@
                 idlest = min(verdicts, key=self._last_demand)
                 decisions.append(Propose(fleetmessages.LiftVerdict(idlest)))
             decisions.append(Propose(fleetmessages.Convict(trait, crashes)))
+        for trait in self.table.covered_requests(verdicts) & set(verdicts):
+            decisions.append(Propose(fleetmessages.LiftVerdict(trait)))
         return decisions
 
     def _last_demand(self, trait: str) -> datetime.timedelta:
--- a/figford/entry.py
+++ b/figford/entry.py
@@ -132,7 +132,7 @@
         traits = {
             trait
             for suspect in report.suspects
-            for trait in evidence.clearable_traits(suspect)
+            for trait in evidence.traits(suspect)
         }
         survivals = self.guard.survivals(sorted(traits), now)
         return [
--- a/figford/evidence.py
+++ b/figford/evidence.py
@@ -1,13 +1,19 @@
 """Judges which trait of requests crashes upstreams.
 
-A trait is a prompt part, which requests share, or one whole request. Each
-crash is blamed on the requests that were beginning at the upstream, but for
-those whose parts were all in answers that went on past their beginning; the
-blame is shared equally. A trait's score rises by its blame with each crash and
-falls by one with each such answer, to zero at the least (a cumulative sum
-test). A trait whose score reaches the threshold is convicted; the threshold is
-higher while there are many crashes without the trait. Crashes that a convicted
-part explains count against no other part.
+A trait is a prompt part, which requests share, or one whole request. The score
+of either rises with crashes and falls by one with each answer that went on
+past its beginning, to zero at the least (a cumulative sum test).
+
+A request is certain to be the same one when it comes again, so each crash that
+it was beginning at counts in full, whatever else was beginning there, and only
+answers to itself clear it. It is convicted at the second crash if no other
+suspect of it was at an earlier one, and at the third in any case.
+
+A part is at crashes by chance too. Each crash is blamed on the requests that
+were beginning at the upstream, but for those whose parts were all in answers;
+the blame is shared equally, and a part's score rises by its share. The
+threshold is higher while there are many crashes without the part. Crashes that
+a convicted trait explains count against no other.
 """
 
 import collections
@@ -35,13 +41,25 @@
 CLEARED_WEIGHT = 0.5
 # Parts that can't be told apart are convicted together at this score.
 INSEPARABLE_THRESHOLD = 3.0
-REQUEST_THRESHOLD = 2.0
-# The thresholds rise by NOISE_STEP with each doubling of the unexplained
-# crashes without the trait beyond this number.
+# Crashes that convict a request, if it is the only one that was at an earlier
+# crash too and there are few other crashes; and in any case.
+REPEATED_THRESHOLD = 2.0
+REQUEST_THRESHOLD = 3.0
+# More other crashes than this in the time before make it too likely that a
+# sound request is at a second crash by chance.
+MAX_OTHER_CRASHES = 1
+# All reports of a crash have come, and none is lost with its sender.
+FRESH_TIME = datetime.timedelta(seconds=2)
+NOISE_WINDOW = datetime.timedelta(seconds=10)
+# The threshold of parts rises by NOISE_STEP with each doubling of the
+# unexplained crashes without the part beyond this number.
 QUIET_CRASHES = 4
 NOISE_STEP = 0.5
-# Crashes within this time may have one cause, such as a dark fabric domain.
+# Crashes within this time may have one cause, such as a dark fabric domain;
+# parts are at several of them at once, a request at one.
 SAME_CAUSE_TIME = datetime.timedelta(milliseconds=200)
+# No upstream that crashed is back within this time, under its former name.
+RESTART_TIME = datetime.timedelta(seconds=1)
 _EPSILON = 1e-6
 # An upstream and its incarnation.
 CrashKey = tuple[str, int]
@@ -140,6 +158,10 @@
     _crash_by_incarnation: collections.OrderedDict[CrashKey, _Crash] = (
         attrs.field(factory=collections.OrderedDict)
     )
+    # Of those crashes.
+    _crash_count_by_request: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
     _part_survivals: _Survivals = attrs.field(factory=_Survivals)
     _request_survivals: _Survivals = attrs.field(factory=_Survivals)
 
@@ -150,18 +172,34 @@
     ) -> bool:
         """Adds an entry's report of a crash; returns whether it says more."""
         key = (report.upstream, report.incarnation)
+        at = now - report.age
         crash = self._crash_by_incarnation.get(key)
+        if crash is not None and at - crash.at > RESTART_TIME:
+            # The sender didn't know yet that the upstream had started again.
+            earlier = (f"{report.upstream}@{crash.at}", report.incarnation)
+            self._crash_by_incarnation[earlier] = crash
+            crash = None
         is_new = crash is None
         if crash is None:
-            crash = _Crash(now - report.age)
+            crash = _Crash(at)
             self._crash_by_incarnation[key] = crash
         before = len(crash.suspect_by_request)
         for suspect in report.suspects:
+            if suspect.request in crash.suspect_by_request:
+                continue
             if len(crash.suspect_by_request) < MAX_SUSPECTS_PER_CRASH:
-                crash.suspect_by_request.setdefault(suspect.request, suspect)
+                crash.suspect_by_request[suspect.request] = suspect
+                self._crash_count_by_request[suspect.request] += 1
         self._discard_old(now)
         return is_new or len(crash.suspect_by_request) > before
 
+    def _remove_crash(self, key: CrashKey) -> None:
+        crash = self._crash_by_incarnation.pop(key)
+        for request in crash.suspect_by_request:
+            self._crash_count_by_request[request] -= 1
+            if not self._crash_count_by_request[request]:
+                del self._crash_count_by_request[request]
+
     def add_survival(
         self,
         trait: str,
@@ -187,15 +225,15 @@
                 trait in traits(suspect)
                 for suspect in crash.suspect_by_request.values()
             ):
-                del self._crash_by_incarnation[key]
+                self._remove_crash(key)
 
     def _discard_old(self, now: datetime.timedelta) -> None:
         crashes = self._crash_by_incarnation
         for key, crash in list(crashes.items()):
             if now - crash.at > RETENTION:
-                del crashes[key]
+                self._remove_crash(key)
         while len(crashes) > MAX_CRASHES:
-            crashes.popitem(last=False)
+            self._remove_crash(next(iter(crashes)))
 
     def is_cleared(self, trait: str, at: datetime.timedelta) -> bool:
         """Returns whether an answer had cleared a trait by some time."""
@@ -218,8 +256,7 @@
         unclear = {
             trait
             for suspect in crash.suspect_by_request.values()
-            for trait in clearable_traits(suspect)
-            if not self.is_cleared(trait, crash.at)
+            for trait in self._unclear(suspect, crash.at)
         }
         if unclear:
             return sorted(unclear), True
@@ -241,6 +278,12 @@
             if self._unclear(suspect, crash.at)
         ]
 
+    def may_be_blamed(
+        self, suspect: fleetmessages.Suspect, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether a request has traits that no answer cleared."""
+        return bool(self._unclear(suspect, now))
+
     def request_scores(
         self,
         upstream: str,
@@ -251,95 +294,238 @@
         crash = self._crash_by_incarnation.get((upstream, incarnation))
         if crash is None:
             return {}
-        blames = self._blames(convicted, (), ())
-        traits_by_request = {
-            request: request_trait(request)
-            for request in crash.suspect_by_request
-        }
+        crashes_by_request = _crashes_by_request(
+            self._unexplained(convicted, (), ())
+        )
         return {
-            request: self._score(trait, blames.get(trait, []))
-            for request, trait in traits_by_request.items()
+            request: self._request_score(
+                request, crashes_by_request.get(request, [])
+            )
+            for request in crash.suspect_by_request
         }
 
     def _unclear(
         self, suspect: fleetmessages.Suspect, at: datetime.timedelta
     ) -> list[str]:
-        return [
+        """Returns the traits for which a request may be blamed.
+
+        A request at more than one crash may be the cause though all its parts
+        are cleared.
+        """
+        names = [
             trait
             for trait in clearable_traits(suspect)
             if not self.is_cleared(trait, at)
         ]
+        own = request_trait(suspect.request)
+        if (
+            own not in names
+            and self._crash_count_by_request.get(suspect.request, 0) > 1
+            and not self.is_cleared(own, at)
+        ):
+            names.append(own)
+        return names
 
     # ---- Judging --------------------------------------------------------
 
     def judge(
         self,
         convicted: typing.Container[str],
-        unanswered: typing.Container[CrashKey] = (),
+        unanswered: typing.Collection[CrashKey] = (),
+        doubtful: typing.Collection[CrashKey] = (),
+        fresh_since: datetime.timedelta = datetime.timedelta.min,
     ) -> dict[str, int]:
         """Returns the traits to convict, with the crashes blamed on each.
 
         `convicted` are those convicted before. Crashes that are `unanswered`
-        do not count yet: answers may clear their suspects.
+        do not count yet: answers may clear their suspects. Those that are
+        `doubtful`, as all parts at them are cleared, don't count for parts.
+        A second crash convicts a request if it came after `fresh_since`: of
+        older ones, reports of entries that have ended since may be missing.
         """
+        uncounted = {*unanswered, *doubtful}
         found: dict[str, int] = {}
         while True:
-            blames = self._blames(convicted, found, unanswered)
-            times = {blame.at for item in blames.values() for blame in item}
-            new = self._guilty_parts(
-                blames, len(times)
-            ) or self._guilty_requests(blames, len(times))
+            requests = self._guilty_requests(
+                convicted, found, unanswered, fresh_since
+            )
+            parts = self._guilty_parts(convicted, found, uncounted)
+            # What explains more crashes; the narrower trait if both do.
+            new = max(requests, parts, key=_most_crashes)
             if not new:
-                return found
-            for trait in new:
-                found[trait] = len(blames[trait])
+                break
+            found.update(new)
+        for trait in self.covered_requests(found):
+            found.pop(trait, None)
+        return found
+
+    def covered_requests(self, convicted: typing.Container[str]) -> set[str]:
+        """Returns the requests that have a convicted part."""
+        return {
+            request_trait(suspect.request)
+            for crash in self._crash_by_incarnation.values()
+            for suspect in crash.suspect_by_request.values()
+            if any(part_trait(part) in convicted for part in suspect.parts)
+        }
 
     def score(self, trait: str, convicted: typing.Container[str]) -> float:
         """Returns the score of a trait."""
-        blames = self._blames(convicted, (), ()).get(trait, [])
-        return self._score(trait, blames)
+        if is_part(trait):
+            blames, _ = self._blames(convicted, (), ())
+            return self._part_score(trait, blames.get(trait, []))
+        request = trait.removeprefix(_REQUEST)
+        crashes = _crashes_by_request(self._unexplained(convicted, (), ()))
+        return self._request_score(request, crashes.get(request, []))
 
-    def _blames(
+    # ---- Judging requests -----------------------------------------------
+
+    def _unexplained(
+        self,
+        convicted: typing.Container[str],
+        found: typing.Container[str],
+        unanswered: typing.Container[CrashKey],
+    ) -> list[_Crash]:
+        """Returns the crashes at which no convicted trait was."""
+        return [
+            crash
+            for key, crash in self._crash_by_incarnation.items()
+            if key not in unanswered
+            and not any(
+                trait in convicted or trait in found
+                for suspect in crash.suspect_by_request.values()
+                for trait in traits(suspect)
+            )
+        ]
+
+    def _request_score(self, request: str, crashes: list[_Crash]) -> float:
+        """Returns the score of a request that was at these crashes."""
+        times = self._request_survivals.times(request_trait(request))
+        survivals = collections.deque(times)
+        score = 0.0
+        for at in sorted(crash.at for crash in crashes):
+            while survivals and survivals[0] <= at:
+                survivals.popleft()
+                score = max(0.0, score - 1.0)
+            if not _were_forgotten(times, at):
+                score += 1.0
+        return max(0.0, score - len(survivals))
+
+    def _guilty_requests(
         self,
         convicted: typing.Container[str],
         found: typing.Container[str],
         unanswered: typing.Container[CrashKey],
-    ) -> dict[str, list[_Blame]]:
-        """Returns who is blamed for the crashes that nothing explains."""
+        fresh_since: datetime.timedelta,
+    ) -> dict[str, int]:
+        """Returns the requests to convict, with the number of crashes."""
+        unexplained = self._unexplained(convicted, found, unanswered)
+        crashes_by_request = _crashes_by_request(unexplained)
+        repeated: dict[str, float] = {}
+        for request, crashes in crashes_by_request.items():
+            if len(crashes) > 1:
+                score = self._request_score(request, crashes)
+                if score > REPEATED_THRESHOLD - _EPSILON:
+                    repeated[request] = score
+        if not repeated:
+            return {}
+        best = max(repeated.values())
+        if best > REQUEST_THRESHOLD - _EPSILON:
+            guilty = [name for name in repeated if repeated[name] == best]
+        else:
+            guilty = [
+                name
+                for name in repeated
+                if max(item.at for item in crashes_by_request[name])
+                > fresh_since
+                and _is_only_repeated(
+                    name, crashes_by_request[name], repeated, unexplained
+                )
+            ]
+        return {
+            request_trait(name): len(crashes_by_request[name])
+            for name in sorted(guilty)
+        }
+
+    # ---- Judging parts --------------------------------------------------
+
+    def _blames(
+        self,
+        convicted: typing.Container[str],
+        found: typing.Container[str],
+        uncounted: typing.Container[CrashKey],
+    ) -> tuple[dict[str, list[_Blame]], int]:
+        """Returns the blame of each part for the crashes that count.
+
+        The second value is their number. Crashes under a convicted request
+        without unclear parts don't count.
+        """
         blames: dict[str, list[_Blame]] = {}
+        count = 0
         for key, crash in self._crash_by_incarnation.items():
-            if key in unanswered:
-                continue
             suspects = list(crash.suspect_by_request.values())
-            if any(
-                trait in convicted or trait in found
+            if key in uncounted or any(
+                part_trait(part) in convicted or part_trait(part) in found
                 for suspect in suspects
-                for trait in traits(suspect)
+                for part in suspect.parts
             ):
                 continue
-            unclear = {
-                suspect.request: self._unclear(suspect, crash.at)
+            causes = [
+                suspect
                 for suspect in suspects
-            }
-            accused = [
-                suspect for suspect in suspects if unclear[suspect.request]
+                if request_trait(suspect.request) in convicted
+                or request_trait(suspect.request) in found
             ]
-            requests_by_trait: dict[str, set[str]] = {}
-            for suspect in accused or suspects:
-                names = unclear[suspect.request] or clearable_traits(suspect)
-                for trait in (*names, request_trait(suspect.request)):
-                    requests_by_trait.setdefault(trait, set()).add(
-                        suspect.request
-                    )
-            for trait, requests in requests_by_trait.items():
-                weight = len(requests) / len(accused or suspects)
-                weight *= 1.0 if accused else CLEARED_WEIGHT
-                blame = _Blame(crash.at, weight, frozenset(requests))
-                blames.setdefault(trait, []).append(blame)
-        return blames
-
-    def _score(self, trait: str, blames: list[_Blame]) -> float:
-        times = self._survivals(trait).times(trait)
+            if causes and not any(
+                self._unclear_parts(suspect, crash.at) for suspect in causes
+            ):
+                continue
+            count += 1
+            self._add_blames(blames, crash.at, suspects, causes)
+        return blames, count
+
+    def _add_blames(
+        self,
+        blames: dict[str, list[_Blame]],
+        at: datetime.timedelta,
+        suspects: list[fleetmessages.Suspect],
+        causes: list[fleetmessages.Suspect],
+    ) -> None:
+        """Adds the blame of one crash.
+
+        It falls on the parts that nothing cleared, or on all parts if nobody
+        is accused; on those of convicted requests (`causes`) alone, if any.
+        """
+        accused = [
+            suspect
+            for suspect in suspects
+            if self._unclear_parts(suspect, at) or not suspect.parts
+        ]
+        requests_by_part: dict[str, set[str]] = {}
+        for suspect in causes or accused or suspects:
+            names = (
+                self._unclear_parts(suspect, at)
+                if accused
+                else map(part_trait, suspect.parts)
+            )
+            for trait in names:
+                requests_by_part.setdefault(trait, set()).add(suspect.request)
+        for trait, requests in requests_by_part.items():
+            weight = len(requests) / len(accused or suspects)
+            weight *= 1.0 if accused else CLEARED_WEIGHT
+            blame = _Blame(at, weight, frozenset(requests))
+            blames.setdefault(trait, []).append(blame)
+
+    def _unclear_parts(
+        self, suspect: fleetmessages.Suspect, at: datetime.timedelta
+    ) -> list[str]:
+        return [
+            trait
+            for trait in map(part_trait, suspect.parts)
+            if not self.is_cleared(trait, at)
+        ]
+
+    def _part_score(self, trait: str, blames: list[_Blame]) -> float:
+        times = self._part_survivals.times(trait)
         survivals = collections.deque(times)
         score = 0.0
         seen: set[str] = set()
@@ -354,28 +540,28 @@
             ):
                 continue
             counted_at = blame.at
-            repeated = is_part(trait) and blame.requests <= seen
+            repeated = blame.requests <= seen
             seen |= blame.requests
             score += blame.weight * (REPEAT_WEIGHT if repeated else 1.0)
         return max(0.0, score - len(survivals))
 
     def _guilty_parts(
-        self, blames: dict[str, list[_Blame]], crashes: int
-    ) -> list[str]:
+        self,
+        convicted: typing.Container[str],
+        found: typing.Container[str],
+        uncounted: typing.Container[CrashKey],
+    ) -> dict[str, int]:
         """Returns the part with the highest score if it is guilty.
 
-        `crashes` counts those that nothing explains.
-
         Parts that always come in the same requests can't be told apart: they
         are convicted together, at a higher score.
         """
+        blames, crashes = self._blames(convicted, found, uncounted)
         scores = {
-            trait: self._score(trait, blames[trait])
-            for trait in blames
-            if is_part(trait)
+            trait: self._part_score(trait, blames[trait]) for trait in blames
         }
         if not scores:
-            return []
+            return {}
         best = max(scores.values())
         leading = sorted(
             trait for trait, score in scores.items() if score > best - _EPSILON
@@ -387,21 +573,48 @@
             PART_THRESHOLD if len(inseparable) == 1 else INSEPARABLE_THRESHOLD
         )
         threshold += _noise_margin(crashes - len(blames[leading[0]]))
-        return inseparable if best > threshold - _EPSILON else []
+        if best <= threshold - _EPSILON:
+            return {}
+        return {trait: len(blames[trait]) for trait in inseparable}
 
-    def _guilty_requests(
-        self, blames: dict[str, list[_Blame]], crashes: int
-    ) -> list[str]:
-        return sorted(
-            trait
-            for trait, blamed in blames.items()
-            if not is_part(trait)
-            and len(blamed) > 1
-            and self._score(trait, blamed)
-            > REQUEST_THRESHOLD
-            + _noise_margin(crashes - len(blamed))
-            - _EPSILON
-        )
+
+def _crashes_by_request(crashes: list[_Crash]) -> dict[str, list[_Crash]]:
+    result: dict[str, list[_Crash]] = {}
+    for crash in crashes:
+        for request in crash.suspect_by_request:
+            result.setdefault(request, []).append(crash)
+    return result
+
+
+def _is_only_repeated(
+    request: str,
+    crashes: list[_Crash],
+    repeated: typing.Container[str],
+    unexplained: list[_Crash],
+) -> bool:
+    """Returns whether only this request can explain its latest crash.
+
+    No other suspect of it may be one of the `repeated` ones, and there must
+    be few other crashes, or the request may be at a second one by chance.
+    """
+    latest = max(crashes, key=lambda crash: crash.at)
+    if any(
+        other in repeated
+        for other in latest.suspect_by_request
+        if other != request
+    ):
+        return False
+    others = [
+        crash
+        for crash in unexplained
+        if request not in crash.suspect_by_request
+        and latest.at - NOISE_WINDOW < crash.at <= latest.at
+    ]
+    return len(others) <= MAX_OTHER_CRASHES
+
+
+def _most_crashes(guilty: dict[str, int]) -> int:
+    return max(guilty.values(), default=0)
 
 
 def _noise_margin(other_crashes: int) -> float:
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -142,9 +142,17 @@
     def suspect(self) -> fleetmessages.Suspect:
         """Returns what identifies this request in crashes of upstreams."""
         if self._suspect is None:
+            caller = self.account.name if self.account else self.head.key
             self._suspect = fleetmessages.Suspect(
                 crashes.request_digest(
-                    self.method, self.target, self.body, self.head
+                    crashes.RequestIdentity(
+                        caller=caller or "",
+                        host=crashes.host_of(self.headers),
+                        method=self.method,
+                        target=self.target,
+                        parts=self.head.parts,
+                        body=self.body,
+                    )
                 ),
                 crashes.part_names(self.head),
             )
@@ -409,10 +417,10 @@
             self._end("answered", head.status, "")
             self.responder.finish()
             return
-        self._record_survival(attempt)
         if head.status >= 500:
             self._upstream_failed(attempt, head, now)
             return
+        self._record_survival(attempt)
         self._deliver(attempt, head)
 
     def _record_survival(self, attempt: _Attempt) -> None:
--- a/figford/tests/platform/test_upstreamlimits.py
+++ b/figford/tests/platform/test_upstreamlimits.py
@@ -91,7 +91,7 @@
     cluster, traffic
 ) -> None:
     """Each entry used to send as much as if there were no limit."""
-    limited, other = PLAIN
+    limited, *others = PLAIN
     cluster.name_limit(limited, 1.0)
     traffic.start("/book/x")
     time.sleep(MEASURED_SECONDS)
@@ -102,7 +102,8 @@
     # When the limit ends, so does what held requests back.
     cluster.name_limit(limited, None)
     before = sum(cluster.runs().values())
-    cluster.name_limit(other, 0.001)
+    for other in others:
+        cluster.name_limit(other, 0.001)
     cluster.wait(
         "requests that one limited upstream could not take",
         lambda: sum(cluster.runs().values()) > before + 200,
--- a/figford/tests/test_crashes.py
+++ b/figford/tests/test_crashes.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+import attrs
 import pytest
 
 from figford import crashes
@@ -41,21 +42,30 @@
     assert collector.take_settled(lambda _: True, now) == []
 
 
+IDENTITY = crashes.RequestIdentity(
+    "acme", b"h", b"POST", b"/x", ("p", "q"), b""
+)
+
+
 @pytest.mark.parametrize(
-    "other",
+    "changed",
     [
-        (b"GET", b"/x", b"", head("p", "q")),
-        (b"POST", b"/y", b"", head("p", "q")),
-        (b"POST", b"/x", b"b", head("p", "q")),
-        (b"POST", b"/x", b"", head("p", "r")),
+        {"caller": "beta"},
+        {"host": b"i"},
+        {"method": b"GET"},
+        {"target": b"/y"},
+        {"target": b"/x?a"},
+        {"target": b"/%2Fx"},
+        {"body": b"b"},
+        {"parts": ("p", "r")},
+        {"parts": ("p",)},
     ],
 )
-def test_other_requests_have_other_digests(other: tuple) -> None:
-    digest = crashes.request_digest(b"POST", b"/x", b"", head("p", "q"))
-    assert digest != crashes.request_digest(*other)
-    assert digest == crashes.request_digest(
-        b"POST", b"/x", b"", head("p", "q")
-    )
+def test_other_requests_have_other_digests(changed: dict) -> None:
+    digest = crashes.request_digest(IDENTITY)
+    other = attrs.evolve(IDENTITY, **changed)
+    assert digest != crashes.request_digest(other)
+    assert digest == crashes.request_digest(attrs.evolve(IDENTITY))
 
 
 def test_what_a_crash_names_is_bounded() -> None:
--- a/figford/tools/crashworld.py
+++ b/figford/tools/crashworld.py
@@ -531,7 +531,7 @@
         traits = {
             trait
             for suspect in report.suspects
-            for trait in evidence.clearable_traits(suspect)
+            for trait in evidence.traits(suspect)
         }
         known = self.guard(entry).survivals(sorted(traits), self._now)
         self._send(lambda now: self.judge.receive_survivals(known, now))
