A request that the leader asks about waits for its verdict at all entries

After the second crash under a request its caller came back in 60 ms, before the verdict, and took the third upstream of its service too. The leader's query, which reaches all entries after each crash, now holds back new attempts of the requests that it names, for 150 ms at most: a verdict refuses them, an answer or a ruling lets them go. Repeats that a ruling allows are not held back. Bench of the decision: requests that come again, and calls on three upstreams.

--- a/figford/crashguard.py
+++ b/figford/crashguard.py
@@ -27,6 +27,9 @@
 # Reports that a controller is sent when its link comes up.
 MAX_RECENT_REPORTS = 64
 DEMAND_INTERVAL = datetime.timedelta(seconds=1)
+# A request that the leader asks about is not sent again for this long, in
+# which a verdict on it comes.
+TRIAL_TIME = datetime.timedelta(milliseconds=150)
 # A probe that no request used within this time is void.
 PROBE_VALIDITY = datetime.timedelta(seconds=5)
 
@@ -49,6 +52,10 @@
     _watched: collections.OrderedDict[str, int] = attrs.field(
         factory=collections.OrderedDict
     )
+    # Requests that are not sent now, and until when.
+    _trial_end_by_trait: dict[str, datetime.timedelta] = attrs.field(
+        factory=dict
+    )
     _survived_at_by_trait: dict[str, datetime.timedelta] = attrs.field(
         factory=dict
     )
@@ -123,6 +130,18 @@
             None,
         )
 
+    def is_on_trial(
+        self,
+        suspect_of: typing.Callable[[], fleetmessages.Suspect],
+        now: datetime.timedelta,
+    ) -> bool:
+        """Returns whether a request waits for a verdict that may come."""
+        if not self._trial_end_by_trait:
+            return False
+        trait = evidence.request_trait(suspect_of().request)
+        ends_at = self._trial_end_by_trait.get(trait)
+        return ends_at is not None and now < ends_at
+
     def record_refused(self, trait: str) -> None:
         """Records that a request was refused because of a trait."""
         self._demanded.add(trait)
@@ -193,7 +212,16 @@
     def answer_query(
         self, query: fleetmessages.SurvivalQuery, now: datetime.timedelta
     ) -> fleetmessages.SurvivalReport:
-        """Answers a query, and reports on its traits for a while."""
+        """Answers a query, and reports on its traits for a while.
+
+        Requests that it names are on trial.
+        """
+        for trait, ends_at in list(self._trial_end_by_trait.items()):
+            if now >= ends_at:
+                del self._trial_end_by_trait[trait]
+        for trait in query.traits:
+            if not evidence.is_part(trait):
+                self._trial_end_by_trait[trait] = now + TRIAL_TIME
         for trait in query.traits:
             self._watched[trait] = REPORTS_PER_QUERY
             self._watched.move_to_end(trait)
--- a/figford/crashjudge.py
+++ b/figford/crashjudge.py
@@ -223,7 +223,7 @@
     def ruling_detail(
         self,
         ruling: fleetmessages.CrashRuling,
-        verdicts: typing.Container[str],
+        verdicts: typing.Collection[str],
     ) -> tuple[tuple[str, object], ...]:
         """Returns what to log of a ruling, with the suspects' scores."""
         scores = self.table.request_scores(
--- a/figford/evidence.py
+++ b/figford/evidence.py
@@ -288,14 +288,14 @@
         self,
         upstream: str,
         incarnation: int,
-        convicted: typing.Container[str],
+        convicted: typing.Collection[str],
     ) -> dict[str, float]:
         """Returns the score of each request that is a suspect of a crash."""
         crash = self._crash_by_incarnation.get((upstream, incarnation))
         if crash is None:
             return {}
         crashes_by_request = _crashes_by_request(
-            self._unexplained(convicted, (), ())
+            self._unexplained(convicted, ())
         )
         return {
             request: self._request_score(
@@ -330,7 +330,7 @@
 
     def judge(
         self,
-        convicted: typing.Container[str],
+        convicted: typing.Iterable[str],
         unanswered: typing.Collection[CrashKey] = (),
         doubtful: typing.Collection[CrashKey] = (),
         fresh_since: datetime.timedelta = datetime.timedelta.min,
@@ -344,17 +344,17 @@
         older ones, reports of entries that have ended since may be missing.
         """
         uncounted = {*unanswered, *doubtful}
+        known = set(convicted)
         found: dict[str, int] = {}
         while True:
-            requests = self._guilty_requests(
-                convicted, found, unanswered, fresh_since
-            )
-            parts = self._guilty_parts(convicted, found, uncounted)
+            requests = self._guilty_requests(known, unanswered, fresh_since)
+            parts = self._guilty_parts(known, uncounted)
             # What explains more crashes; the narrower trait if both do.
             new = max(requests, parts, key=_most_crashes)
             if not new:
                 break
             found.update(new)
+            known.update(new)
         for trait in self.covered_requests(found):
             found.pop(trait, None)
         return found
@@ -365,36 +365,31 @@
             request_trait(suspect.request)
             for crash in self._crash_by_incarnation.values()
             for suspect in crash.suspect_by_request.values()
-            if any(part_trait(part) in convicted for part in suspect.parts)
+            if _has_known_part(suspect, convicted)
         }
 
-    def score(self, trait: str, convicted: typing.Container[str]) -> float:
+    def score(self, trait: str, convicted: typing.Collection[str]) -> float:
         """Returns the score of a trait."""
         if is_part(trait):
-            blames, _ = self._blames(convicted, (), ())
+            blames, _ = self._blames(convicted, ())
             return self._part_score(trait, blames.get(trait, []))
         request = trait.removeprefix(_REQUEST)
-        crashes = _crashes_by_request(self._unexplained(convicted, (), ()))
+        crashes = _crashes_by_request(self._unexplained(convicted, ()))
         return self._request_score(request, crashes.get(request, []))
 
     # ---- Judging requests -----------------------------------------------
 
     def _unexplained(
         self,
-        convicted: typing.Container[str],
-        found: typing.Container[str],
+        known: typing.Collection[str],
         unanswered: typing.Container[CrashKey],
     ) -> list[_Crash]:
-        """Returns the crashes at which no convicted trait was."""
+        """Returns the crashes at which no `known` trait was."""
         return [
             crash
             for key, crash in self._crash_by_incarnation.items()
             if key not in unanswered
-            and not any(
-                trait in convicted or trait in found
-                for suspect in crash.suspect_by_request.values()
-                for trait in traits(suspect)
-            )
+            and not (known and _has_trait(crash, known))
         ]
 
     def _request_score(self, request: str, crashes: list[_Crash]) -> float:
@@ -412,13 +407,12 @@
 
     def _guilty_requests(
         self,
-        convicted: typing.Container[str],
-        found: typing.Container[str],
+        known: typing.Collection[str],
         unanswered: typing.Container[CrashKey],
         fresh_since: datetime.timedelta,
     ) -> dict[str, int]:
         """Returns the requests to convict, with the number of crashes."""
-        unexplained = self._unexplained(convicted, found, unanswered)
+        unexplained = self._unexplained(known, unanswered)
         crashes_by_request = _crashes_by_request(unexplained)
         repeated: dict[str, float] = {}
         for request, crashes in crashes_by_request.items():
@@ -450,8 +444,7 @@
 
     def _blames(
         self,
-        convicted: typing.Container[str],
-        found: typing.Container[str],
+        known: typing.Collection[str],
         uncounted: typing.Container[CrashKey],
     ) -> tuple[dict[str, list[_Blame]], int]:
         """Returns the blame of each part for the crashes that count.
@@ -463,17 +456,15 @@
         count = 0
         for key, crash in self._crash_by_incarnation.items():
             suspects = list(crash.suspect_by_request.values())
-            if key in uncounted or any(
-                part_trait(part) in convicted or part_trait(part) in found
-                for suspect in suspects
-                for part in suspect.parts
+            if key in uncounted or (
+                known
+                and any(_has_known_part(item, known) for item in suspects)
             ):
                 continue
             causes = [
                 suspect
                 for suspect in suspects
-                if request_trait(suspect.request) in convicted
-                or request_trait(suspect.request) in found
+                if known and request_trait(suspect.request) in known
             ]
             if causes and not any(
                 self._unclear_parts(suspect, crash.at) for suspect in causes
@@ -495,15 +486,19 @@
         It falls on the parts that nothing cleared, or on all parts if nobody
         is accused; on those of convicted requests (`causes`) alone, if any.
         """
+        unclear_by_request = {
+            suspect.request: self._unclear_parts(suspect, at)
+            for suspect in suspects
+        }
         accused = [
             suspect
             for suspect in suspects
-            if self._unclear_parts(suspect, at) or not suspect.parts
+            if unclear_by_request[suspect.request] or not suspect.parts
         ]
         requests_by_part: dict[str, set[str]] = {}
         for suspect in causes or accused or suspects:
             names = (
-                self._unclear_parts(suspect, at)
+                unclear_by_request[suspect.request]
                 if accused
                 else map(part_trait, suspect.parts)
             )
@@ -547,8 +542,7 @@
 
     def _guilty_parts(
         self,
-        convicted: typing.Container[str],
-        found: typing.Container[str],
+        known: typing.Collection[str],
         uncounted: typing.Container[CrashKey],
     ) -> dict[str, int]:
         """Returns the part with the highest score if it is guilty.
@@ -556,7 +550,7 @@
         Parts that always come in the same requests can't be told apart: they
         are convicted together, at a higher score.
         """
-        blames, crashes = self._blames(convicted, found, uncounted)
+        blames, crashes = self._blames(known, uncounted)
         scores = {
             trait: self._part_score(trait, blames[trait]) for trait in blames
         }
@@ -578,6 +572,20 @@
         return {trait: len(blames[trait]) for trait in inseparable}
 
 
+def _has_known_part(
+    suspect: fleetmessages.Suspect, known: typing.Container[str]
+) -> bool:
+    return any(part_trait(part) in known for part in suspect.parts)
+
+
+def _has_trait(crash: _Crash, known: typing.Container[str]) -> bool:
+    return any(
+        trait in known
+        for suspect in crash.suspect_by_request.values()
+        for trait in traits(suspect)
+    )
+
+
 def _crashes_by_request(crashes: list[_Crash]) -> dict[str, list[_Crash]]:
     result: dict[str, list[_Crash]] = {}
     for crash in crashes:
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -161,7 +161,7 @@
         self._demand.record_arrival(self._key(call), now)
         if self._refuse_paused(call, now):
             return
-        if not self._place(call, now):
+        if not self._place_first(call, now):
             self._enqueue(call)
             self._refuse_beyond_limits(now)
 
@@ -207,6 +207,14 @@
     def _key(self, call: forwarding.ForwardedCall) -> limits.Key:
         return call.service, self._model(call)
 
+    def _place_first(
+        self, call: forwarding.ForwardedCall, now: datetime.timedelta
+    ) -> bool:
+        """Places a call that was not sent yet, unless it is on trial."""
+        if self.guard.is_on_trial(call.suspect, now):
+            return False
+        return self._place(call, now)
+
     def _place(
         self, call: forwarding.ForwardedCall, now: datetime.timedelta
     ) -> bool:
@@ -245,7 +253,7 @@
             call = item[2]
             if call.state is not forwarding.State.WAITING:
                 continue
-            if not self._place(call, now):
+            if not self._place_first(call, now):
                 waiting.append(item)
         self._queue = waiting + self._queue
 
--- a/figford/tests/test_crashforwarding.py
+++ b/figford/tests/test_crashforwarding.py
@@ -3,6 +3,7 @@
 import pytest
 
 from figford import crashes
+from figford import crashguard
 from figford import evidence
 from figford import exchanges
 from figford import fleetmessages
@@ -318,3 +319,36 @@
     now = bench.clock.now()
     for trait in evidence.traits(bench.call.suspect()):
         assert not bench.forwarder.guard.table.is_cleared(trait, now)
+
+
+def test_a_request_on_trial_is_sent_only_when_it_is_not_convicted(
+    bench,
+) -> None:
+    """Its caller used to come back before the verdict, to a third upstream."""
+    trait = evidence.request_trait(bench.call.suspect().request)
+    guard = bench.forwarder.guard
+    query = fleetmessages.SurvivalQuery([trait])
+    guard.answer_query(query, bench.clock.now())
+    bench.begin()
+    other = bench.other("a2", "d", "other")
+    bench.forwarder.begin(other)
+    assert bench.call.state is forwarding.State.WAITING
+    assert other.state is forwarding.State.SENT
+    bench.clock.time += crashguard.TRIAL_TIME
+    bench.forwarder.tick()
+    assert bench.call.state is forwarding.State.SENT
+    guard.answer_query(query, bench.clock.now())
+    again = bench.other("a3", "d", "own")
+    bench.forwarder.begin(again)
+    bench.convict(trait)
+    assert again.responder.refusal.kind == "crashes-upstreams"
+    assert not again.may_have_run
+
+
+def test_a_repeat_that_a_ruling_allows_is_not_on_trial(bench) -> None:
+    bench.begin().crash()
+    trait = evidence.request_trait(bench.call.suspect().request)
+    query = fleetmessages.SurvivalQuery([trait])
+    bench.forwarder.guard.answer_query(query, bench.clock.now())
+    bench.rule(blamed=False)
+    assert len(bench.pool.sent) == 2
--- a/figford/tests/test_crashguard.py
+++ b/figford/tests/test_crashguard.py
@@ -114,3 +114,19 @@
     guard.record_refused("part:d")
     assert guard.take_demand(NOW + SECOND / 2) is None
     assert guard.take_demand(NOW + SECOND).traits == ["part:d"]
+
+
+def test_a_request_that_the_leader_asks_about_is_on_trial_for_a_while() -> (
+    None
+):
+    guard = crashguard.CrashGuard()
+    again, other = (fleetmessages.Suspect(name, ["a"]) for name in "rs")
+    assert not guard.is_on_trial(lambda: again, NOW)
+    traits = ["part:a", evidence.request_trait("r")]
+    guard.answer_query(fleetmessages.SurvivalQuery(traits), NOW)
+    assert guard.is_on_trial(lambda: again, NOW)
+    assert not guard.is_on_trial(lambda: other, NOW)
+    end = NOW + crashguard.TRIAL_TIME
+    assert not guard.is_on_trial(lambda: again, end)
+    guard.answer_query(fleetmessages.SurvivalQuery([]), end)
+    assert guard._trial_end_by_trait == {}
--- a/figford/tools/bench_crashes.py
+++ b/figford/tools/bench_crashes.py
@@ -1,7 +1,7 @@
 """Measures how many upstreams requests crash until they are refused.
 
-Prints a table of policies: upstreams lost, crashes of the worst part until the
-last request with it was sent, and what sound requests pay.
+Prints a table of policies: upstreams lost, crashes of the worst part or
+request until the last one was sent, and what sound requests pay.
 """
 
 import random
@@ -20,12 +20,16 @@
 from figford.tools import crashworld
 
 SECONDS = 60.0
+WARM_UP_SECONDS = 2.0
 SEEDS = range(3)
 
 
 @attrs.frozen
 class Case:
-    """A load; `shares` are those of requests with each crashing part."""
+    """A load; `shares` are those of requests with each crashing part.
+
+    `again` requests crash upstreams too, and come again and again.
+    """
 
     name: str
     shares: tuple[float, ...]
@@ -34,6 +38,8 @@
     upstreams: int = 24
     requests_per_second: float = 60.0
     other_crashes: float = 0.0
+    again: int = 0
+    with_parts: bool = True
 
 
 CASES = (
@@ -48,6 +54,26 @@
     Case("5%, batches of 4", (0.05,), slots=4, upstreams=60),
     Case("5%, batches of 32", (0.05,), slots=32, upstreams=6),
     Case("5%, 1 entry", (0.05,), entries=1),
+    Case("1 request again", (), again=1),
+    Case("3 again, 0.5 other crashes/s", (), other_crashes=0.5, again=3),
+    Case(
+        "1 call again, 3 upstreams, 8/s",
+        (),
+        slots=6,
+        upstreams=3,
+        requests_per_second=8.0,
+        again=1,
+        with_parts=False,
+    ),
+    Case(
+        "calls, none again, 0.2 other crashes/s",
+        (),
+        slots=6,
+        upstreams=3,
+        requests_per_second=8.0,
+        other_crashes=0.2,
+        with_parts=False,
+    ),
     Case("1%, 360 entries, 1,700/s", (0.01,), 360, 13, 500, 1700.0),
 )
 
@@ -85,16 +111,25 @@
         case.slots,
         {f"part{i}": share for i, share in enumerate(case.shares)},
         case.other_crashes,
+        case.with_parts,
     )
+    if case.again:
+        # Popular parts have been answered before.
+        world.run(WARM_UP_SECONDS)
+    for number in range(case.again):
+        parts = ["first0"] if case.with_parts else []
+        world.send_again_and_again(
+            fleetmessages.Suspect(f"again{number}", parts)
+        )
     seconds = SECONDS if case.requests_per_second < 1000 else SECONDS / 6
     world.run(seconds)
     if isinstance(policy, crashworld.Judged):
         control = policy.control
         world.figures.messages = control.messages
         convicted = set(control.verdicts)
-        crashing = {evidence.part_trait(name) for name in world.share_by_part}
-        wrong = len(convicted - crashing)
-        world.figures.wrong_verdicts = wrong
+        parts = set(map(evidence.part_trait, world.share_by_part))
+        requests = set(map(evidence.request_trait, world.crashing_requests))
+        world.figures.wrong_verdicts = len(convicted - parts - requests)
     return world.figures
 
 
@@ -200,7 +235,7 @@
 def main() -> None:
     """Prints the table of policies and that of costs."""
     print(
-        "| case | policy | crashes | by one part | sound answered, %"
+        "| case | policy | crashes | by one cause | sound answered, %"
         " | sound refused by verdict | wrong verdicts | messages |"
     )
     print("| --- | --- | --- | --- | --- | --- | --- | --- |")
--- a/figford/tools/crashworld.py
+++ b/figford/tools/crashworld.py
@@ -112,14 +112,15 @@
     requests_per_second: float = 60.0
     upstreams: int = 24
     slots: int = 13
-    # Whether requests have prompt parts.
-    with_parts: bool = True
     # The share of requests with each crashing part.
     share_by_part: dict[str, float] = attrs.field(factory=dict)
     # Crashes a second that no request causes.
     other_crashes: float = 0.0
+    # Whether requests have prompt parts.
+    with_parts: bool = True
     now: datetime.timedelta = 10 * SECOND
     figures: Figures = attrs.field(factory=Figures)
+    crashing_requests: set[str] = attrs.field(factory=set)
     _fleet: list[Upstream] = attrs.field(init=False)
     _numbers: typing.Iterator[int] = attrs.field(factory=itertools.count)
     _due: list[tuple[datetime.timedelta, int, typing.Callable]] = attrs.field(
@@ -136,6 +137,7 @@
 
     def send_again_and_again(self, suspect: fleetmessages.Suspect) -> None:
         """Sends a request that crashes upstreams, now and later again."""
+        self.crashing_requests.add(suspect.request)
         self._arrive(
             Request(
                 next(self._numbers),
@@ -191,6 +193,8 @@
                 parts.append(part)
             drawn -= share
         self.figures.sound += crashing is None
+        if crashing is not None:
+            self.crashing_requests.add(f"r{number}")
         return Request(
             number,
             self.rng.choice(self.entries),
@@ -569,6 +573,8 @@
                     )
             case crashjudge.Propose(fleetmessages.Convict(trait, count)):
                 self._later(self.commit, lambda _: self._convict(trait, count))
+            case crashjudge.Propose(fleetmessages.LiftVerdict(trait)):
+                self._later(self.commit, lambda _: self._lift(trait))
 
     def _ask(
         self,
@@ -581,6 +587,14 @@
 
     def _convict(self, trait: str, count: int) -> None:
         self.verdicts[trait] = fleetmessages.Verdict(trait, count)
+        self._tell_verdicts()
+
+    def _lift(self, trait: str) -> None:
+        if self.verdicts.pop(trait, None) is not None:
+            self.judge.verdict_lifted(trait)
+            self._tell_verdicts()
+
+    def _tell_verdicts(self) -> None:
         self.revision += 1
         told = fleetmessages.Verdicts(
             self.revision, list(self.verdicts.values())
