An upstream that started again is not ejected for its former failures

The failures, ejection and reported load of an upstream were kept by its name, so one that came back under its name after a crash got no requests for up to 6 s, and a failure of the former one that was noticed late counted too. They are now kept by incarnation, as its notices were. The new test fails on the former code.

--- a/figford/placement.py
+++ b/figford/placement.py
@@ -64,11 +64,21 @@
     ejected_until: datetime.timedelta = datetime.timedelta(0)
     ejection_time: datetime.timedelta = INITIAL_EJECTION_TIME
     active_at: datetime.timedelta = datetime.timedelta(0)
-    # The incarnation whose answers said that it leaves or asked for a pause.
-    noticed_incarnation: int = 0
+    # The incarnation that all but the requests in progress is known of.
+    incarnation: int = 0
     leaving: bool = False
     paused_until: datetime.timedelta = datetime.timedelta(0)
 
+    def start_incarnation(self, incarnation: int) -> None:
+        """Forgets all but the requests in progress."""
+        fresh = TargetState(
+            in_progress=self.in_progress,
+            active_at=self.active_at,
+            incarnation=incarnation,
+        )
+        for field in attrs.fields(TargetState):
+            setattr(self, field.name, getattr(fresh, field.name))
+
     def expected_in_progress(self, now: datetime.timedelta) -> float:
         """Returns the estimated requests in progress, of all entries."""
         age = (now - self.others_reported_at) / OTHERS_HALF_LIFE
@@ -222,7 +232,7 @@
 
     def has_capacity(self, target: Target, now: datetime.timedelta) -> bool:
         """Returns whether a target is neither full nor ejected."""
-        target_state = self.target_state(target.upstream)
+        target_state = self._state_of(target)
         if target_state.ejected_until > now:
             return False
         if target_state.failures >= FAILURES_TO_EJECT:
@@ -236,7 +246,7 @@
     def _cost(
         self, target: Target, now: datetime.timedelta
     ) -> tuple[float, str]:
-        target_state = self.target_state(target.upstream)
+        target_state = self._state_of(target)
         cost = (target_state.expected_in_progress(now) + 1.0) * target.slowdown
         cost += target_state.failures * FAILURE_PENALTY
         if target.data_centre != self.data_centre:
@@ -272,36 +282,42 @@
     def has_any(self, service: str, model: str | None) -> bool:
         """Returns whether a service has any target for a model."""
         return any(
-            not self._notices(target).leaving
+            not self._state_of(target).leaving
             for target in self.targets(service, model)
         )
 
     # ---- What answers say of their upstream -----------------------------
 
-    def _notices(self, target: Target) -> TargetState:
-        """Returns the state of a target; notices of others don't count."""
+    def _state_of(self, target: Target) -> TargetState:
+        """Returns the state of a target's incarnation.
+
+        A newer one starts without failures and notices; what is recorded of
+        an older one is lost.
+        """
         target_state = self.target_state(target.upstream)
-        if target_state.noticed_incarnation != target.incarnation:
-            target_state.noticed_incarnation = target.incarnation
-            target_state.leaving = False
-            target_state.paused_until = datetime.timedelta(0)
+        if target.incarnation < target_state.incarnation:
+            return TargetState()
+        if not target_state.incarnation:
+            target_state.incarnation = target.incarnation
+        elif target.incarnation > target_state.incarnation:
+            target_state.start_incarnation(target.incarnation)
         return target_state
 
     def takes_requests(self, target: Target, now: datetime.timedelta) -> bool:
         """Returns whether a target neither leaves nor asked for a pause."""
-        target_state = self._notices(target)
+        target_state = self._state_of(target)
         return not target_state.leaving and target_state.paused_until <= now
 
     def leaving_noticed(self, target: Target) -> bool:
         """Records that a target leaves; returns whether that is new."""
-        target_state = self._notices(target)
+        target_state = self._state_of(target)
         is_new = not target_state.leaving
         target_state.leaving = True
         return is_new
 
     def pause_noticed(self, target: Target, until: datetime.timedelta) -> bool:
         """Records a pause; returns whether it ends later than known ones."""
-        target_state = self._notices(target)
+        target_state = self._state_of(target)
         if until <= target_state.paused_until:
             return False
         target_state.paused_until = until
@@ -312,9 +328,9 @@
     ) -> datetime.timedelta | None:
         """Returns when the first pause ends; None if not all are paused."""
         ends = [
-            self._notices(target).paused_until
+            self._state_of(target).paused_until
             for target in self.targets(service, model)
-            if not self._notices(target).leaving
+            if not self._state_of(target).leaving
         ]
         return min(ends) if ends and min(ends) > now else None
 
@@ -344,7 +360,7 @@
         self, target: Target, total: int, now: datetime.timedelta
     ) -> None:
         """Records the load, of all entries, that a target reported."""
-        target_state = self.target_state(target.upstream)
+        target_state = self._state_of(target)
         target_state.others_in_progress = max(
             0.0, total - target_state.in_progress
         )
@@ -352,7 +368,7 @@
 
     def succeeded(self, target: Target) -> None:
         """Records a success; ends the target's ejection."""
-        target_state = self.target_state(target.upstream)
+        target_state = self._state_of(target)
         if target_state.failures >= FAILURES_TO_EJECT:
             self._report_doubt(target, False)
         target_state.failures = 0
@@ -361,14 +377,14 @@
 
     def failed(self, target: Target, now: datetime.timedelta) -> None:
         """Records a failure; two in a row eject the target for a time."""
-        target_state = self.target_state(target.upstream)
+        target_state = self._state_of(target)
         target_state.failures += 1
         if target_state.failures >= FAILURES_TO_EJECT:
             self.eject(target, now)
 
     def eject(self, target: Target, now: datetime.timedelta) -> None:
         """Ejects a target, for twice as long each time up to a limit."""
-        target_state = self.target_state(target.upstream)
+        target_state = self._state_of(target)
         target_state.failures = max(target_state.failures, FAILURES_TO_EJECT)
         if target_state.ejected_until > now:
             return
--- a/figford/tests/test_placement.py
+++ b/figford/tests/test_placement.py
@@ -146,3 +146,23 @@
         placer.started(target, NOW)
         chosen.append(target.upstream)
     assert chosen == ["u3"] * 13 + ["u1"] * 3
+
+
+def test_an_upstream_that_started_again_is_not_ejected() -> None:
+    """It came back under its name, and former failures kept it ejected."""
+    placer = placed(head("u1"))
+    former = placer.choose("pool", "m", (), NOW)
+    placer.started(former, NOW)
+    for _ in range(2):
+        placer.failed(former, NOW)
+    assert placer.choose("pool", "m", (), NOW) is None
+    fleet = fleets.FleetTable()
+    fleet.report(head("u1", incarnation=2), NOW)
+    placer.update(fleet, {"pool": ENGINE})
+    target = placer.choose("pool", "m", (), NOW)
+    assert target is not None
+    # A failure of the former one that is noticed late says nothing of it.
+    placer.failed(former, NOW)
+    placer.leaving_noticed(former)
+    placer.finished(former)
+    assert placer.choose("pool", "m", (), NOW) == target
