Streams that send parts of an event only are stalled

Operators of similar systems saw streams that sent a byte now and then and never ended. Here any byte kept a stream from counting as stalled until its deadline. Only complete events are progress now. Slow streams whose events come are not cut (test). Two of the three new cases fail on the former code, the slow stream passes on it.

--- a/figford/eventstream.py
+++ b/figford/eventstream.py
@@ -29,6 +29,8 @@
     """
 
     last_id: str | None = None
+    # Complete events, also those that were dropped.
+    completed: int = 0
     _buffer: bytearray = attrs.field(factory=bytearray)
     # Bytes of the buffer in which no event ends.
     _searched: int = 0
@@ -59,6 +61,7 @@
             event = bytes(self._buffer[:end])
             del self._buffer[:end]
             self._searched = 0
+            self.completed += 1
             if self._is_next(event):
                 events.append(event)
         if len(self._buffer) > EVENT_LIMIT_BYTES:
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -361,12 +361,12 @@
     def answer_data(self, attempt: _Attempt, data: bytes) -> None:
         """Forwards complete events; buffers other bodies until complete."""
         now = self.forwarder.clock.now()
-        attempt.active_at = now
         self.forwarder.placement.sent_data(attempt.target, now)
         head = attempt.head
         if head is None:
             return
         if not self._is_stream(head):
+            attempt.active_at = now
             attempt.body += data
             self.forwarder.buffered_bytes += len(data)
             if (
@@ -375,11 +375,15 @@
             ):
                 self._attempt_failed(attempt, "answer too large")
             return
+        completed = self._events.completed
         try:
             events = self._events.feed(data)
         except eventstream.EventOrderError as error:
             self._attempt_failed(attempt, str(error))
             return
+        if self._events.completed > completed:
+            # Parts of an event alone are no progress.
+            attempt.active_at = now
         attempt.events += len(events)
         if events:
             self._forward_data(head, b"".join(events), now)
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -311,6 +311,29 @@
     assert bench.responder.ends == ["cut"]
 
 
+@pytest.mark.parametrize("data", [b"x", b": x"])
+def test_a_stream_that_sends_a_byte_now_and_then_is_retried(data) -> None:
+    """Parts of an event that never ends kept it from counting as stalled."""
+    bench = Bench(routes.RetryMode.STREAM, resumable=True).begin()
+    bench.answer(200, event(1), streamed=True)
+    receiver = bench.receiver
+    for _ in range(20):
+        bench.clock.time += 100 * MS
+        receiver.answer_data(data)
+        bench.forwarder.tick()
+    assert len(bench.pool.sent) == 2
+
+
+def test_a_slow_stream_that_sends_events_is_not_cut() -> None:
+    bench = Bench(routes.RetryMode.STREAM, resumable=True).begin()
+    bench.answer(200, streamed=True)
+    for number in range(1, 4):
+        bench.clock.time += 700 * MS
+        bench.forwarder.tick()
+        bench.receiver.answer_data(event(number))
+    assert len(bench.pool.sent) == 1
+
+
 def test_stream_of_a_stalled_group_is_retried_at_another() -> None:
     bench = Bench(routes.RetryMode.STREAM, resumable=True).begin()
     bench.answer(200, event(1), streamed=True)
