Crashes of a request count for 24 h

A request that comes again every hour crashed one upstream each time, for ever: evidence ended after 10 min, so each crash was its first. Its third crash in 24 h convicts it now; for parts, and for a verdict at the second crash, 10 min hold as before. The new test fails on the former code (no verdict).

--- a/figford/crashguard.py
+++ b/figford/crashguard.py
@@ -195,7 +195,7 @@
         return [
             attrs.evolve(report, age=report.age + now - at)
             for at, report in self._recent
-            if now - at <= evidence.RETENTION
+            if now - at <= evidence.MAX_AGE
         ]
 
     def survivals(
@@ -205,7 +205,7 @@
         known = {}
         for trait in traits:
             at = self.table.last_survival(trait)
-            if at is not None and now - at <= evidence.RETENTION:
+            if at is not None and now - at <= evidence.MAX_AGE:
                 known[trait] = now - at
         return fleetmessages.SurvivalReport(list(known), list(known.values()))
 
--- a/figford/evidence.py
+++ b/figford/evidence.py
@@ -25,8 +25,11 @@
 
 from figford import fleetmessages
 
-# Crashes and answers older than this do not count.
+# Crashes and answers older than this do not count for or against parts, nor
+# as the first of two crashes of a request.
 RETENTION = datetime.timedelta(minutes=10)
+# For the third crash of a request they do.
+MAX_AGE = datetime.timedelta(hours=24)
 MAX_CRASHES = 128
 MAX_SUSPECTS_PER_CRASH = 256
 # Of each kind, so that ever new requests push out no parts.
@@ -158,6 +161,7 @@
     _crash_by_incarnation: collections.OrderedDict[CrashKey, _Crash] = (
         attrs.field(factory=collections.OrderedDict)
     )
+    _newest_crash_at: datetime.timedelta = datetime.timedelta(0)
     # Of those crashes.
     _crash_count_by_request: collections.Counter[str] = attrs.field(
         factory=collections.Counter
@@ -183,6 +187,7 @@
         if crash is None:
             crash = _Crash(at)
             self._crash_by_incarnation[key] = crash
+            self._newest_crash_at = max(self._newest_crash_at, at)
         before = len(crash.suspect_by_request)
         for suspect in report.suspects:
             if suspect.request in crash.suspect_by_request:
@@ -230,7 +235,7 @@
     def _discard_old(self, now: datetime.timedelta) -> None:
         crashes = self._crash_by_incarnation
         for key, crash in list(crashes.items()):
-            if now - crash.at > RETENTION:
+            if now - crash.at > MAX_AGE:
                 self._remove_crash(key)
         while len(crashes) > MAX_CRASHES:
             self._remove_crash(next(iter(crashes)))
@@ -456,9 +461,13 @@
         count = 0
         for key, crash in self._crash_by_incarnation.items():
             suspects = list(crash.suspect_by_request.values())
-            if key in uncounted or (
-                known
-                and any(_has_known_part(item, known) for item in suspects)
+            if (
+                key in uncounted
+                or self._newest_crash_at - crash.at > RETENTION
+                or (
+                    known
+                    and any(_has_known_part(item, known) for item in suspects)
+                )
             ):
                 continue
             causes = [
@@ -603,10 +612,11 @@
     """Returns whether only this request can explain its latest crash.
 
     No other suspect of it may be one of the `repeated` ones, and there must
-    be few other crashes, or the request may be at a second one by chance.
+    be few other crashes, and not much time since the one before, or the
+    request may be at a second one by chance.
     """
-    latest = max(crashes, key=lambda crash: crash.at)
-    if any(
+    *_, previous, latest = sorted(crashes, key=lambda crash: crash.at)
+    if latest.at - previous.at > RETENTION or any(
         other in repeated
         for other in latest.suspect_by_request
         if other != request
--- a/figford/tests/test_evidence.py
+++ b/figford/tests/test_evidence.py
@@ -278,3 +278,10 @@
         table = table_of(crashes)
         table.add_survival("request:r1", NOW + at * SECOND)
         assert "request:r1" not in table.judge(())
+
+
+def test_a_request_that_comes_again_after_hours_is_convicted() -> None:
+    crashes = [(hours * 3600, ["r1 a"]) for hours in (0, 5, 10, 40)]
+    assert judged(crashes[:2]) == set()
+    assert judged(crashes[:3]) == {"request:r1"}
+    assert judged([crashes[0], crashes[1], crashes[3]]) == set()
