Fault soak: one account's reads crash upstreams and come again

Another account's reads at the same path are sound and must not be refused by a verdict. New bite: answers to other accounts clear a request; it is found.

--- a/figford/tests/platform/unsafe.py
+++ b/figford/tests/platform/unsafe.py
@@ -6,7 +6,10 @@
 import os
 import sys
 
+import attrs
+
 from figford import controllerdaemon
+from figford import crashes
 from figford import crashguard
 from figford import permits
 from figford.platform import __main__ as program
@@ -51,7 +54,16 @@
     crashguard.CrashGuard.convicted_trait = lambda self, suspect_of: None
 
 
+def tell_callers_not_apart() -> None:
+    """Lets answers to other accounts clear a request."""
+    digest = crashes.request_digest
+    crashes.request_digest = lambda identity: digest(
+        attrs.evolve(identity, caller="")
+    )
+
+
 DISABLE_BY_MECHANISM = {
+    "callers-apart": tell_callers_not_apart,
     "limits": ignore_limits,
     "run-once": retry_all_calls,
     "stored-first": acknowledge_at_once,
