Judging of single requests is a module of its own

evidence.py had 650 lines: crashes and answers, and the two ways to judge, each are a module now. One change of logic: a request that was answered in the 10 min before is not convicted at its second crash, as the decision says; the test of it passed for another reason before (its part was convicted instead) and now names a request without parts.

--- a/figford/crashguard.py
+++ b/figford/crashguard.py
@@ -13,8 +13,10 @@
 import attrs
 
 from figford import crashes
+from figford import crashrecords
 from figford import evidence
 from figford import fleetmessages
+from figford import repeatedrequests
 
 # An entry that has not heard a leader for this long judges by itself.
 LEADER_TIMEOUT = datetime.timedelta(seconds=1)
@@ -195,7 +197,7 @@
         return [
             attrs.evolve(report, age=report.age + now - at)
             for at, report in self._recent
-            if now - at <= evidence.MAX_AGE
+            if now - at <= crashrecords.MAX_AGE
         ]
 
     def survivals(
@@ -205,7 +207,7 @@
         known = {}
         for trait in traits:
             at = self.table.last_survival(trait)
-            if at is not None and now - at <= evidence.MAX_AGE:
+            if at is not None and now - at <= crashrecords.MAX_AGE:
                 known[trait] = now - at
         return fleetmessages.SurvivalReport(list(known), list(known.values()))
 
@@ -266,7 +268,9 @@
             return []
         convicted = {*self._own_verdicts, *self._verdict_by_trait}
         new = sorted(
-            self.table.judge(convicted, fresh_since=now - evidence.FRESH_TIME)
+            self.table.judge(
+                convicted, fresh_since=now - repeatedrequests.FRESH_TIME
+            )
         )
         for trait in (*self._own_verdicts, *new):
             self._own_verdicts[trait] = now + OWN_VERDICT_OVERLAP
--- a/figford/crashjudge.py
+++ b/figford/crashjudge.py
@@ -15,6 +15,7 @@
 
 from figford import evidence
 from figford import fleetmessages
+from figford import repeatedrequests
 
 # Entries answer a query within this time; then the crash is ruled on.
 ANSWER_WAIT = datetime.timedelta(milliseconds=60)
@@ -254,7 +255,7 @@
             verdicts,
             self._open_by_key,
             self._count_from_by_key,
-            now - evidence.FRESH_TIME,
+            now - repeatedrequests.FRESH_TIME,
         )
         for trait, crashes in found.items():
             proposed_at = self._proposed_at_by_trait.get(trait)
--- a/figford/evidence.py
+++ b/figford/evidence.py
@@ -4,16 +4,12 @@
 of either rises with crashes and falls by one with each answer that went on
 past its beginning, to zero at the least (a cumulative sum test).
 
-A request is certain to be the same one when it comes again, so each crash that
-it was beginning at counts in full, whatever else was beginning there, and only
-answers to itself clear it. It is convicted at the second crash if no other
-suspect of it was at an earlier one, and at the third in any case.
-
-A part is at crashes by chance too. Each crash is blamed on the requests that
-were beginning at the upstream, but for those whose parts were all in answers;
-the blame is shared equally, and a part's score rises by its share. The
-threshold is higher while there are many crashes without the part. Crashes that
-a convicted trait explains count against no other.
+Single requests are judged by `repeatedrequests`. A part is at crashes by
+chance too: each crash is blamed on the requests that were beginning at the
+upstream, but for those whose parts were all in answers; the blame is shared
+equally, and a part's score rises by its share. The threshold is higher while
+there are many crashes without the part. Crashes that a convicted trait
+explains count against no other.
 """
 
 import collections
@@ -23,18 +19,12 @@
 
 import attrs
 
+from figford import crashrecords
 from figford import fleetmessages
+from figford import repeatedrequests
 
-# Crashes and answers older than this do not count for or against parts, nor
-# as the first of two crashes of a request.
-RETENTION = datetime.timedelta(minutes=10)
-# For the third crash of a request they do.
-MAX_AGE = datetime.timedelta(hours=24)
 MAX_CRASHES = 128
 MAX_SUSPECTS_PER_CRASH = 256
-# Of each kind, so that ever new requests push out no parts.
-MAX_TRAITS = 4096
-SURVIVALS_PER_TRAIT = 8
 # Two crashes under one request suffice if nothing else was beginning there:
 # a repeat of the same request adds half, since the request may be the cause.
 PART_THRESHOLD = 1.5
@@ -44,16 +34,6 @@
 CLEARED_WEIGHT = 0.5
 # Parts that can't be told apart are convicted together at this score.
 INSEPARABLE_THRESHOLD = 3.0
-# Crashes that convict a request, if it is the only one that was at an earlier
-# crash too and there are few other crashes; and in any case.
-REPEATED_THRESHOLD = 2.0
-REQUEST_THRESHOLD = 3.0
-# More other crashes than this in the time before make it too likely that a
-# sound request is at a second crash by chance.
-MAX_OTHER_CRASHES = 1
-# All reports of a crash have come, and none is lost with its sender.
-FRESH_TIME = datetime.timedelta(seconds=2)
-NOISE_WINDOW = datetime.timedelta(seconds=10)
 # The threshold of parts rises by NOISE_STEP with each doubling of the
 # unexplained crashes without the part beyond this number.
 QUIET_CRASHES = 4
@@ -67,7 +47,6 @@
 # An upstream and its incarnation.
 CrashKey = tuple[str, int]
 _PART = "part:"
-_REQUEST = "request:"
 
 
 def part_trait(part: str) -> str:
@@ -77,7 +56,7 @@
 
 def request_trait(request: str) -> str:
     """Returns the trait of a request and its repeats by the caller."""
-    return _REQUEST + request
+    return repeatedrequests.trait(request)
 
 
 def is_part(trait: str) -> bool:
@@ -106,16 +85,6 @@
     return [request_trait(suspect.request)]
 
 
-@attrs.define
-class _Crash:
-    """One crash and the requests of all entries that were beginning."""
-
-    at: datetime.timedelta
-    suspect_by_request: dict[str, fleetmessages.Suspect] = attrs.field(
-        factory=dict
-    )
-
-
 @attrs.frozen
 class _Blame:
     """The share of a crash's blame that falls on requests with a trait."""
@@ -125,49 +94,24 @@
     requests: frozenset[str]
 
 
-@attrs.define
-class _Survivals:
-    """The times of the latest answers with each trait, oldest first."""
-
-    _times_by_trait: collections.OrderedDict[
-        str, collections.deque[datetime.timedelta]
-    ] = attrs.field(factory=collections.OrderedDict)
-
-    def times(self, trait: str) -> typing.Sequence[datetime.timedelta]:
-        """Returns the times of the latest answers with a trait."""
-        return self._times_by_trait.get(trait, ())
-
-    def add(self, trait: str, at: datetime.timedelta) -> None:
-        """Adds the time of an answer."""
-        times = self._times_by_trait.get(trait)
-        if times is None:
-            times = collections.deque(maxlen=SURVIVALS_PER_TRAIT)
-            self._times_by_trait[trait] = times
-        self._times_by_trait.move_to_end(trait)
-        is_late = bool(times) and at < times[-1]
-        times.append(at)
-        if is_late:
-            ordered = sorted(times)
-            times.clear()
-            times.extend(ordered)
-        while len(self._times_by_trait) > MAX_TRAITS:
-            self._times_by_trait.popitem(last=False)
-
-
 @attrs.define
 class EvidenceTable:
     """Crashes and the answers that clear traits, for a limited time."""
 
-    _crash_by_incarnation: collections.OrderedDict[CrashKey, _Crash] = (
-        attrs.field(factory=collections.OrderedDict)
-    )
+    _crash_by_incarnation: collections.OrderedDict[
+        CrashKey, crashrecords.Crash
+    ] = attrs.field(factory=collections.OrderedDict)
     _newest_crash_at: datetime.timedelta = datetime.timedelta(0)
     # Of those crashes.
     _crash_count_by_request: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
-    _part_survivals: _Survivals = attrs.field(factory=_Survivals)
-    _request_survivals: _Survivals = attrs.field(factory=_Survivals)
+    _part_survivals: crashrecords.Survivals = attrs.field(
+        factory=crashrecords.Survivals
+    )
+    _request_survivals: crashrecords.Survivals = attrs.field(
+        factory=crashrecords.Survivals
+    )
 
     # ---- Evidence -------------------------------------------------------
 
@@ -185,7 +129,7 @@
             crash = None
         is_new = crash is None
         if crash is None:
-            crash = _Crash(at)
+            crash = crashrecords.Crash(at)
             self._crash_by_incarnation[key] = crash
             self._newest_crash_at = max(self._newest_crash_at, at)
         before = len(crash.suspect_by_request)
@@ -218,7 +162,7 @@
         times = self._survivals(trait).times(trait)
         return times[-1] if times else None
 
-    def _survivals(self, trait: str) -> _Survivals:
+    def _survivals(self, trait: str) -> crashrecords.Survivals:
         return (
             self._part_survivals if is_part(trait) else self._request_survivals
         )
@@ -235,17 +179,14 @@
     def _discard_old(self, now: datetime.timedelta) -> None:
         crashes = self._crash_by_incarnation
         for key, crash in list(crashes.items()):
-            if now - crash.at > MAX_AGE:
+            if now - crash.at > crashrecords.MAX_AGE:
                 self._remove_crash(key)
         while len(crashes) > MAX_CRASHES:
             self._remove_crash(next(iter(crashes)))
 
     def is_cleared(self, trait: str, at: datetime.timedelta) -> bool:
         """Returns whether an answer had cleared a trait by some time."""
-        times = self._survivals(trait).times(trait)
-        if _were_forgotten(times, at):
-            return True
-        return any(at - RETENTION < time <= at for time in times)
+        return self._survivals(trait).is_cleared(trait, at)
 
     def unclear_traits(
         self, upstream: str, incarnation: int
@@ -299,13 +240,8 @@
         crash = self._crash_by_incarnation.get((upstream, incarnation))
         if crash is None:
             return {}
-        crashes_by_request = _crashes_by_request(
-            self._unexplained(convicted, ())
-        )
         return {
-            request: self._request_score(
-                request, crashes_by_request.get(request, [])
-            )
+            request: self.score(request_trait(request), convicted)
             for request in crash.suspect_by_request
         }
 
@@ -352,7 +288,11 @@
         known = set(convicted)
         found: dict[str, int] = {}
         while True:
-            requests = self._guilty_requests(known, unanswered, fresh_since)
+            requests = repeatedrequests.guilty(
+                self._unexplained(known, unanswered),
+                self._request_survivals,
+                fresh_since,
+            )
             parts = self._guilty_parts(known, uncounted)
             # What explains more crashes; the narrower trait if both do.
             new = max(requests, parts, key=_most_crashes)
@@ -378,17 +318,21 @@
         if is_part(trait):
             blames, _ = self._blames(convicted, ())
             return self._part_score(trait, blames.get(trait, []))
-        request = trait.removeprefix(_REQUEST)
-        crashes = _crashes_by_request(self._unexplained(convicted, ()))
-        return self._request_score(request, crashes.get(request, []))
-
-    # ---- Judging requests -----------------------------------------------
+        request = repeatedrequests.request_of(trait)
+        crashes = [
+            crash
+            for crash in self._unexplained(convicted, ())
+            if request in crash.suspect_by_request
+        ]
+        return repeatedrequests.score(
+            request, crashes, self._request_survivals
+        )
 
     def _unexplained(
         self,
         known: typing.Collection[str],
         unanswered: typing.Container[CrashKey],
-    ) -> list[_Crash]:
+    ) -> list[crashrecords.Crash]:
         """Returns the crashes at which no `known` trait was."""
         return [
             crash
@@ -397,54 +341,6 @@
             and not (known and _has_trait(crash, known))
         ]
 
-    def _request_score(self, request: str, crashes: list[_Crash]) -> float:
-        """Returns the score of a request that was at these crashes."""
-        times = self._request_survivals.times(request_trait(request))
-        survivals = collections.deque(times)
-        score = 0.0
-        for at in sorted(crash.at for crash in crashes):
-            while survivals and survivals[0] <= at:
-                survivals.popleft()
-                score = max(0.0, score - 1.0)
-            if not _were_forgotten(times, at):
-                score += 1.0
-        return max(0.0, score - len(survivals))
-
-    def _guilty_requests(
-        self,
-        known: typing.Collection[str],
-        unanswered: typing.Container[CrashKey],
-        fresh_since: datetime.timedelta,
-    ) -> dict[str, int]:
-        """Returns the requests to convict, with the number of crashes."""
-        unexplained = self._unexplained(known, unanswered)
-        crashes_by_request = _crashes_by_request(unexplained)
-        repeated: dict[str, float] = {}
-        for request, crashes in crashes_by_request.items():
-            if len(crashes) > 1:
-                score = self._request_score(request, crashes)
-                if score > REPEATED_THRESHOLD - _EPSILON:
-                    repeated[request] = score
-        if not repeated:
-            return {}
-        best = max(repeated.values())
-        if best > REQUEST_THRESHOLD - _EPSILON:
-            guilty = [name for name in repeated if repeated[name] == best]
-        else:
-            guilty = [
-                name
-                for name in repeated
-                if max(item.at for item in crashes_by_request[name])
-                > fresh_since
-                and _is_only_repeated(
-                    name, crashes_by_request[name], repeated, unexplained
-                )
-            ]
-        return {
-            request_trait(name): len(crashes_by_request[name])
-            for name in sorted(guilty)
-        }
-
     # ---- Judging parts --------------------------------------------------
 
     def _blames(
@@ -463,7 +359,7 @@
             suspects = list(crash.suspect_by_request.values())
             if (
                 key in uncounted
-                or self._newest_crash_at - crash.at > RETENTION
+                or self._newest_crash_at - crash.at > crashrecords.RETENTION
                 or (
                     known
                     and any(_has_known_part(item, known) for item in suspects)
@@ -529,16 +425,11 @@
         ]
 
     def _part_score(self, trait: str, blames: list[_Blame]) -> float:
-        times = self._part_survivals.times(trait)
-        survivals = collections.deque(times)
-        score = 0.0
+        weights: list[tuple[datetime.timedelta, float]] = []
         seen: set[str] = set()
         counted_at: datetime.timedelta | None = None
         for blame in sorted(blames, key=lambda item: item.at):
-            while survivals and survivals[0] <= blame.at:
-                survivals.popleft()
-                score = max(0.0, score - 1.0)
-            if _were_forgotten(times, blame.at) or (
+            if self._part_survivals.were_forgotten(trait, blame.at) or (
                 counted_at is not None
                 and blame.at - counted_at < SAME_CAUSE_TIME
             ):
@@ -546,8 +437,9 @@
             counted_at = blame.at
             repeated = blame.requests <= seen
             seen |= blame.requests
-            score += blame.weight * (REPEAT_WEIGHT if repeated else 1.0)
-        return max(0.0, score - len(survivals))
+            factor = REPEAT_WEIGHT if repeated else 1.0
+            weights.append((blame.at, blame.weight * factor))
+        return self._part_survivals.score(trait, weights)
 
     def _guilty_parts(
         self,
@@ -587,7 +479,9 @@
     return any(part_trait(part) in known for part in suspect.parts)
 
 
-def _has_trait(crash: _Crash, known: typing.Container[str]) -> bool:
+def _has_trait(
+    crash: crashrecords.Crash, known: typing.Container[str]
+) -> bool:
     return any(
         trait in known
         for suspect in crash.suspect_by_request.values()
@@ -595,42 +489,6 @@
     )
 
 
-def _crashes_by_request(crashes: list[_Crash]) -> dict[str, list[_Crash]]:
-    result: dict[str, list[_Crash]] = {}
-    for crash in crashes:
-        for request in crash.suspect_by_request:
-            result.setdefault(request, []).append(crash)
-    return result
-
-
-def _is_only_repeated(
-    request: str,
-    crashes: list[_Crash],
-    repeated: typing.Container[str],
-    unexplained: list[_Crash],
-) -> bool:
-    """Returns whether only this request can explain its latest crash.
-
-    No other suspect of it may be one of the `repeated` ones, and there must
-    be few other crashes, and not much time since the one before, or the
-    request may be at a second one by chance.
-    """
-    *_, previous, latest = sorted(crashes, key=lambda crash: crash.at)
-    if latest.at - previous.at > RETENTION or any(
-        other in repeated
-        for other in latest.suspect_by_request
-        if other != request
-    ):
-        return False
-    others = [
-        crash
-        for crash in unexplained
-        if request not in crash.suspect_by_request
-        and latest.at - NOISE_WINDOW < crash.at <= latest.at
-    ]
-    return len(others) <= MAX_OTHER_CRASHES
-
-
 def _most_crashes(guilty: dict[str, int]) -> int:
     return max(guilty.values(), default=0)
 
@@ -643,10 +501,3 @@
     """
     doublings = math.log2(max(1.0, other_crashes / QUIET_CRASHES))
     return NOISE_STEP * doublings
-
-
-def _were_forgotten(
-    times: typing.Sequence[datetime.timedelta], at: datetime.timedelta
-) -> bool:
-    """Returns whether more answers came since `at` than are remembered."""
-    return len(times) == SURVIVALS_PER_TRAIT and at < times[0]
