--- a/figford/tests/test_crashjudge.py
+++ b/figford/tests/test_crashjudge.py
@@ -193,3 +193,16 @@
     first, second = detail["scores"].split(",")
     assert first.startswith("r1/") and second.startswith("s2/")
     assert detail["blamed"] == "r1,s2"
+
+
+def test_a_verdict_on_a_request_is_lifted_once_its_part_is_convicted() -> None:
+    judge = leading_judge()
+    now = convict(judge)
+    verdicts = verdict() | {
+        "request:r1": fleetmessages.Verdict("request:r1", 2),
+        "request:r9": fleetmessages.Verdict("request:r9", 2),
+    }
+    now += crashjudge.PROPOSAL_INTERVAL
+    assert judge.decide(verdicts, now) == [
+        crashjudge.Propose(fleetmessages.LiftVerdict("request:r1"))
+    ]
--- a/figford/tests/test_evidence.py
+++ b/figford/tests/test_evidence.py
@@ -216,3 +216,22 @@
 def test_all_requests_with_a_part_add_to_its_blame() -> None:
     crashes = [(at, [f"r{at} d", f"s{at} d", f"t{at} b"]) for at in range(3)]
     assert judged(crashes) == {"part:d"}
+
+
+def test_a_later_crash_under_a_former_incarnation_is_another_one() -> None:
+    """Its sender did not know yet that the upstream had started again."""
+    table = evidence.EvidenceTable()
+    report = fleetmessages.CrashReport("u1", 1, 0 * SECOND, [suspect("r1")])
+    assert table.add_crash(report, NOW)
+    assert not table.add_crash(report, NOW + evidence.RESTART_TIME)
+    assert table.judge(()) == {}
+    assert table.add_crash(report, NOW + 4 * SECOND)
+    assert table.judge(()) == {"request:r1": 2}
+
+
+def test_a_verdict_on_a_part_ends_those_on_its_requests() -> None:
+    crashes = [(0, ["r1 a", "s1 b"]), (1, ["r1 a", "s2 c"])]
+    table = table_of(crashes, [(-1, "b"), (-1, "c")])
+    assert set(table.judge(())) == {"part:a"}
+    assert table.covered_requests({"part:a"}) == {"request:r1"}
+    assert table.covered_requests({"request:r1"}) == set()
