--- a/figford/evidence.py
+++ b/figford/evidence.py
@@ -73,7 +73,9 @@
 
 
 def clearable_traits(suspect: fleetmessages.Suspect) -> list[str]:
-    """Returns the traits that answers to other requests may clear.
+    """Returns the traits by which a request is judged at its first crash.
+
+    Answers with all of them clear it.
 
     >>> clearable_traits(fleetmessages.Suspect("r", ["a"]))
     ['part:a']
@@ -101,11 +103,11 @@
     _crash_by_incarnation: collections.OrderedDict[
         CrashKey, crashrecords.Crash
     ] = attrs.field(factory=collections.OrderedDict)
-    _newest_crash_at: datetime.timedelta = datetime.timedelta(0)
     # Of those crashes.
     _crash_count_by_request: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
+    _newest_crash_at: datetime.timedelta = datetime.timedelta(0)
     _part_survivals: crashrecords.Survivals = attrs.field(
         factory=crashrecords.Survivals
     )
--- a/figford/tests/platform/test_crashingrequests.py
+++ b/figford/tests/platform/test_crashingrequests.py
@@ -120,6 +120,14 @@
     cluster.wait("a crash", lambda: cluster.crashes()[name]["crashes"])
 
 
+def check_only_sound_requests_are_served(cluster, traffic) -> None:
+    assert cluster.broken_invariants() == []
+    sound = traffic.status_count_by_kind["sound"]
+    served = sound[200]
+    cluster.wait("sound requests", lambda: sound[200] > served + 20)
+    assert traffic.status_count_by_kind["crashing"][200] == 0
+
+
 def test_a_part_that_crashes_upstreams_does_not_crash_one_after_the_other(
     cluster, traffic
 ) -> None:
@@ -129,14 +137,8 @@
     cluster.crash_upstreams_by(CRASHING_PART)
     traffic.start("crashing", "/ask/x", CRASHING_PART, **SMALL)
     time.sleep(MEASURED_SECONDS)
-    assert cluster.broken_invariants() == []
     # Sound requests with the same key and first part are served.
-    served = traffic.status_count_by_kind["sound"][200]
-    cluster.wait(
-        "sound requests served",
-        lambda: traffic.status_count_by_kind["sound"][200] > served + 20,
-    )
-    assert traffic.status_count_by_kind["crashing"][200] == 0
+    check_only_sound_requests_are_served(cluster, traffic)
 
 
 def test_new_processes_know_of_a_part_that_crashes_upstreams(
@@ -192,11 +194,7 @@
     time.sleep(1)
     traffic.start("crashing", path)
     time.sleep(MEASURED_SECONDS)
-    assert cluster.broken_invariants() == []
-    sound = traffic.status_count_by_kind["sound"]
-    served = sound[200]
-    cluster.wait("sound calls served", lambda: sound[200] > served + 20)
-    assert traffic.status_count_by_kind["crashing"][200] == 0
+    check_only_sound_requests_are_served(cluster, traffic)
 
 
 def test_a_stream_that_comes_again_does_not_crash_one_after_the_other(
@@ -208,8 +206,4 @@
     time.sleep(1)
     traffic.start("crashing", "/ask/x", own_part=CRASHING_PART, **SMALL)
     time.sleep(MEASURED_SECONDS)
-    assert cluster.broken_invariants() == []
-    sound = traffic.status_count_by_kind["sound"]
-    served = sound[200]
-    cluster.wait("sound requests served", lambda: sound[200] > served + 20)
-    assert traffic.status_count_by_kind["crashing"][200] == 0
+    check_only_sound_requests_are_served(cluster, traffic)
--- a/figford/tests/test_fleetcrashes.py
+++ b/figford/tests/test_fleetcrashes.py
@@ -203,6 +203,16 @@
     net.cut |= {frozenset((a, b)) for a in inside for b in outside}
 
 
+def restart_three(net: CrashNet, rng: random.Random) -> None:
+    names = rng.sample((*CONTROLLERS, *ENTRIES), 3)
+    for name in names:
+        net.kill(name)
+    net.run_world(rng.uniform(0.1, 1.5))
+    for name in names:
+        net.start(name)
+    net.disturb(*(name for name in names if name in ENTRIES))
+
+
 def test_a_part_is_convicted_everywhere_after_a_few_crashes(net) -> None:
     net.crash_by()
     net.run_world(20)
@@ -310,13 +320,7 @@
     for _ in range(10):
         match rng.randrange(4):
             case 0:
-                names = rng.sample((*CONTROLLERS, *ENTRIES), 3)
-                for name in names:
-                    net.kill(name)
-                net.run_world(rng.uniform(0.1, 1.5))
-                for name in names:
-                    net.start(name)
-                net.disturb(*(name for name in names if name in ENTRIES))
+                restart_three(net, rng)
             case 1:
                 cut_site(net, rng.choice(SITES))
             case 2:
@@ -396,13 +400,7 @@
     for _ in range(8):
         match rng.randrange(3):
             case 0:
-                names = rng.sample((*CONTROLLERS, *ENTRIES), 3)
-                for name in names:
-                    net.kill(name)
-                net.run_world(rng.uniform(0.1, 1.5))
-                for name in names:
-                    net.start(name)
-                net.disturb(*(name for name in names if name in ENTRIES))
+                restart_three(net, rng)
             case 1:
                 cut_site(net, rng.choice(SITES))
             case _:
