Crashes are confirmed by a probe of the address before they count

For 2 s a network reset all connections to upstreams that were up; each was the entry's only one, so it counted as a crash, three of them convicted the read.

After the connections are settled an entry opens one to the upstream. Refused: a crash. Open: none, its connection is kept for the next request. Closed at once: unconfirmed, as a proxy or a reset network does; it counts once another upstream or incarnation has the address or nothing was heard for 6 s, and is removed by a report of the same incarnation. Ruled out: heartbeats alone, as they are up to 1.2 s late and reset too.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -13,6 +13,7 @@
 from figford import control as controls
 from figford import crashjudge
 from figford import effects
+from figford import evidence
 from figford import fleet as fleets
 from figford import fleetmessages
 from figford import formations
@@ -43,6 +44,9 @@
 LIFT_DEADLINE = datetime.timedelta(seconds=2)
 # An entry's doubt about an upstream expires after this long.
 DOUBT_EXPIRY = datetime.timedelta(seconds=6)
+# An upstream that may have crashed has ended if nothing was heard of it for
+# this long; longer than networks reset all connections.
+UNHEARD_TIME = datetime.timedelta(seconds=6)
 # After the start or a pause, no upstream counts as silent for this long.
 SETTLE_TIME = fleets.SILENCE_TIMEOUT
 
@@ -589,11 +593,30 @@
         command = fleetmessages.LiftVerdict(trait)
         return self.propose(command, now + LIFT_DEADLINE, now)[1]
 
+    def _has_ended(
+        self,
+        upstream: str,
+        incarnation: int,
+        crashed_at: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> bool | None:
+        """Returns whether an upstream ended; None while that is unknown."""
+        if self.fleet.has_ended(upstream, incarnation):
+            return True
+        reported_late = crashed_at + evidence.RESTART_TIME
+        if self.fleet.is_heard_since(upstream, incarnation, reported_late):
+            return False
+        heard_from = max(crashed_at, self._settled_at - SETTLE_TIME)
+        return True if now - heard_from > UNHEARD_TIME else None
+
     def _judge_crashes(self, now: datetime.timedelta) -> list[Effect]:
         if not self.is_settled_leader:
             return []
         if self.judge.term != self.control.agreement.term:
             self.judge.start(self.control.agreement.term, now)
+        self.judge.settle_unconfirmed(
+            lambda *crash: self._has_ended(*crash, now=now), now
+        )
         verdicts = self.control.ledger.state.verdict_by_trait
         result: list[Effect] = []
         for decision in self.judge.decide(verdicts, now):
--- a/figford/crashes.py
+++ b/figford/crashes.py
@@ -1,7 +1,8 @@
 """Which requests were beginning at an upstream when it crashed.
 
-An upstream crashed if attempts at it break and no connection of this entry to
-it is left. A request whose answer had not begun by then may be the cause.
+An upstream crashed if attempts at it break, no connection of this entry to it
+is left, and its address accepts no new one. A request whose answer had not
+begun by then may be the cause.
 """
 
 import datetime
@@ -107,13 +108,14 @@
 
 @attrs.frozen
 class Crash:
-    """A crash that this entry saw.
+    """What looks like a crash until the address was probed.
 
     `answering` counts the requests whose answers had begun.
     """
 
     report: fleetmessages.CrashReport
     answering: int
+    address: str
 
 
 @attrs.frozen
@@ -172,5 +174,5 @@
                 now - broken.broken_at,
                 list(broken.suspect_by_request.values()),
             )
-            found.append(Crash(report, broken.answering))
+            found.append(Crash(report, broken.answering, broken.address))
         return found
--- a/figford/crashguard.py
+++ b/figford/crashguard.py
@@ -182,13 +182,16 @@
         is_connected: typing.Callable[[str], bool],
         now: datetime.timedelta,
     ) -> list[crashes.Crash | crashes.Reset]:
-        """Returns what broke attempts, once clear; records the crashes."""
-        found = self.collector.take_settled(is_connected, now)
-        for item in found:
-            if isinstance(item, crashes.Crash) and item.report.suspects:
-                self.table.add_crash(item.report, now)
-                self._recent.append((now, item.report))
-        return found
+        """Returns what broke attempts, once the connections are settled."""
+        return self.collector.take_settled(is_connected, now)
+
+    def record_crash(
+        self, report: fleetmessages.CrashReport, now: datetime.timedelta
+    ) -> None:
+        """Records a crash after its upstream's address was probed."""
+        if report.suspects:
+            self.table.add_crash(report, now)
+            self._recent.append((now, report))
 
     def recent_reports(
         self, now: datetime.timedelta
--- a/figford/crashjudge.py
+++ b/figford/crashjudge.py
@@ -155,6 +155,17 @@
         while len(self._open_by_key) > evidence.MAX_CRASHES:
             del self._open_by_key[next(iter(self._open_by_key))]
 
+    def settle_unconfirmed(
+        self,
+        has_ended: typing.Callable[
+            [str, int, datetime.timedelta], bool | None
+        ],
+        now: datetime.timedelta,
+    ) -> None:
+        """Confirms or drops crashes by what is known of their upstreams."""
+        if self.table.settle_unconfirmed(has_ended):
+            self._judge_by(now)
+
     def verdict_lifted(self, trait: str) -> None:
         """Forgets the evidence against a trait that is no longer convicted."""
         self.table.forget(trait)
--- a/figford/crashrecords.py
+++ b/figford/crashrecords.py
@@ -26,6 +26,8 @@
     suspect_by_request: dict[str, fleetmessages.Suspect] = attrs.field(
         factory=dict
     )
+    # Others don't count yet: the upstream may be alive.
+    confirmed: bool = True
 
 
 @attrs.define
--- a/figford/evidence.py
+++ b/figford/evidence.py
@@ -125,15 +125,20 @@
         at = now - report.age
         crash = self._crash_by_incarnation.get(key)
         if crash is not None and at - crash.at > RESTART_TIME:
+            if not crash.confirmed:
+                # The upstream lived on after the earlier report.
+                self._remove_crash(key)
+                return self.add_crash(report, now)
             # The sender didn't know yet that the upstream had started again.
             earlier = (f"{report.upstream}@{crash.at}", report.incarnation)
             self._crash_by_incarnation[earlier] = crash
             crash = None
         is_new = crash is None
         if crash is None:
-            crash = crashrecords.Crash(at)
+            crash = crashrecords.Crash(at, confirmed=report.confirmed)
             self._crash_by_incarnation[key] = crash
             self._newest_crash_at = max(self._newest_crash_at, at)
+        crash.confirmed |= report.confirmed
         before = len(crash.suspect_by_request)
         for suspect in report.suspects:
             if suspect.request in crash.suspect_by_request:
@@ -151,6 +156,30 @@
             if not self._crash_count_by_request[request]:
                 del self._crash_count_by_request[request]
 
+    def settle_unconfirmed(
+        self,
+        has_ended: typing.Callable[
+            [str, int, datetime.timedelta], bool | None
+        ],
+    ) -> bool:
+        """Confirms or removes unconfirmed crashes; returns whether any.
+
+        `has_ended` tells by upstream, incarnation and time whether the
+        upstream has ended since; None if that is unknown.
+        """
+        changed = False
+        for key, crash in list(self._crash_by_incarnation.items()):
+            if crash.confirmed:
+                continue
+            ended = has_ended(*key, crash.at)
+            if ended is None:
+                continue
+            changed = True
+            crash.confirmed = ended
+            if not ended:
+                self._remove_crash(key)
+        return changed
+
     def add_survival(
         self,
         trait: str,
@@ -339,7 +368,8 @@
         return [
             crash
             for key, crash in self._crash_by_incarnation.items()
-            if key not in unanswered
+            if crash.confirmed
+            and key not in unanswered
             and not (known and _has_trait(crash, known))
         ]
 
@@ -360,7 +390,8 @@
         for key, crash in self._crash_by_incarnation.items():
             suspects = list(crash.suspect_by_request.values())
             if (
-                key in uncounted
+                not crash.confirmed
+                or key in uncounted
                 or self._newest_crash_at - crash.at > crashrecords.RETENTION
                 or (
                     known
--- a/figford/exchanges.py
+++ b/figford/exchanges.py
@@ -13,6 +13,7 @@
 
 import attrs
 import h11
+from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error as internet_errors
 from twisted.internet import protocol
@@ -23,6 +24,9 @@
 # A handshake within a region takes milliseconds. A lost SYN is retransmitted
 # only after a second; trying another upstream is faster.
 CONNECT_TIMEOUT_SECONDS = 0.25
+# A connection that is still open after this time was accepted by the upstream
+# itself, not closed by what is in between.
+PROBE_SECONDS = 0.02
 # Idle connections are closed this long before the upstream would do so.
 KEEP_ALIVE_MARGIN = datetime.timedelta(milliseconds=700)
 DEFAULT_KEEP_ALIVE = datetime.timedelta(seconds=4)
@@ -46,6 +50,14 @@
     INVALID = "invalid"
 
 
+class ProbeResult(enum.Enum):
+    """What became of a connection that was opened to probe an address."""
+
+    OPEN = "open"
+    CLOSED = "closed"
+    UNREACHABLE = "unreachable"
+
+
 class Receiver(typing.Protocol):
     """Receives the answer of one exchange; nothing is called after its end."""
 
@@ -273,9 +285,16 @@
             self.transport.abortConnection()
             return
         self._http.start_next_cycle()
-        keep_alive_timeout = (
-            self._head.keep_alive_timeout if self._head else None
-        )
+        self._keep(self._head.keep_alive_timeout if self._head else None)
+
+    def keep_unused(self) -> bool:
+        """Keeps a connection that served no request; False if it is closed."""
+        if self._open:
+            self._keep(None)
+        return self._open
+
+    def _keep(self, keep_alive_timeout: datetime.timedelta | None) -> None:
+        """Keeps the connection for the next request."""
         now = self._pool.clock.now()
         self.idle_since = now
         self.reusable_until = (
@@ -355,17 +374,11 @@
         if connection is not None:
             connection.begin(exchange)
             return
-        host, port = settings.split_address(address)
-        endpoint = endpoints.TCP4ClientEndpoint(
-            self.reactor, host, port, timeout=CONNECT_TIMEOUT_SECONDS
-        )
-        connecting = endpoint.connect(_Factory(self, address))
+        connecting = self._connect(address)
         exchange._connecting = connecting
 
         def connected(opened: Connection) -> None:
             exchange._connecting = None
-            self.opened += 1
-            self._open.add(opened)
             if exchange.receiver is None:
                 opened.transport.abortConnection()
                 return
@@ -378,6 +391,42 @@
 
         connecting.addCallbacks(connected, failed)
 
+    def _connect(self, address: str) -> defer.Deferred:
+        """Opens a connection; the result fires when it is established."""
+        host, port = settings.split_address(address)
+        endpoint = endpoints.TCP4ClientEndpoint(
+            self.reactor, host, port, timeout=CONNECT_TIMEOUT_SECONDS
+        )
+
+        def connected(opened: Connection) -> Connection:
+            self.opened += 1
+            self._open.add(opened)
+            return opened
+
+        connecting = endpoint.connect(_Factory(self, address))
+        return connecting.addCallback(connected)
+
+    def probe(
+        self, address: str, report: typing.Callable[[ProbeResult], None]
+    ) -> None:
+        """Opens a connection to an address and reports what becomes of it.
+
+        It is kept for the next request.
+        """
+
+        def connected(opened: Connection) -> None:
+            self.reactor.callLater(PROBE_SECONDS, settle, opened)
+
+        def settle(opened: Connection) -> None:
+            if opened.keep_unused():
+                report(ProbeResult.OPEN)
+            else:
+                report(ProbeResult.CLOSED)
+
+        self._connect(address).addCallbacks(
+            connected, lambda _: report(ProbeResult.UNREACHABLE)
+        )
+
     def _take_idle(
         self, address: str, max_idle: datetime.timedelta | None
     ) -> Connection | None:
--- a/figford/fleet.py
+++ b/figford/fleet.py
@@ -218,6 +218,25 @@
         known = self.by_name.get(upstream)
         return known is None or now - known.heard_at > SILENCE_TIMEOUT
 
+    def has_ended(self, upstream: str, incarnation: int) -> bool:
+        """Returns whether an incarnation is known to have ended."""
+        known = self.by_name.get(upstream)
+        return known is not None and (
+            known.registration.incarnation > incarnation
+            or known.registration.gone
+        )
+
+    def is_heard_since(
+        self, upstream: str, incarnation: int, at: datetime.timedelta
+    ) -> bool:
+        """Returns whether a report of an incarnation came after some time."""
+        known = self.by_name.get(upstream)
+        return (
+            known is not None
+            and known.registration.incarnation == incarnation
+            and known.heard_at > at
+        )
+
     def present(self) -> list[fleetmessages.Registration]:
         """Returns all upstreams that have not ended, sorted by name."""
         return [
--- a/figford/fleetmessages.py
+++ b/figford/fleetmessages.py
@@ -197,13 +197,19 @@
 
 @attrs.frozen
 class CrashReport:
-    """An upstream's crash, and the sender's requests that were beginning."""
+    """An upstream's crash, and the sender's requests that were beginning.
+
+    It is not `confirmed` if the address still accepted a connection but
+    closed it at once, as a proxy does for a crashed upstream and a network
+    fault for a sound one.
+    """
 
     upstream: str
     incarnation: int
     # Time since the crash.
     age: datetime.timedelta
     suspects: list[Suspect]
+    confirmed: bool = True
 
 
 @attrs.frozen
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -3,6 +3,7 @@
 import bisect
 import collections
 import datetime
+import functools
 import random
 import typing
 
@@ -311,16 +312,17 @@
         for item in self.guard.take_settled(self.pool.is_connected, now):
             match item:
                 case crashes.Reset(upstream, incarnation):
-                    ruling = fleetmessages.CrashRuling(
-                        upstream, incarnation, []
+                    self._rule_reset(upstream, incarnation)
+                case crashes.Crash(_, _, address):
+                    self.pool.probe(
+                        address,
+                        functools.partial(self._crash_probed, item, now),
                     )
-                    self.crash_ruled(ruling)
-                case crashes.Crash(report):
-                    self._log_crash(item)
-                    if hears_leader and self.on_crash is not None:
-                        self.on_crash(report)
-                    else:
-                        self._rule_alone(report)
+        self.guard.table.settle_unconfirmed(
+            lambda upstream, incarnation, _: (
+                self._fleet.has_ended(upstream, incarnation) or None
+            )
+        )
         own = self.guard.judge_alone(hears_leader, now)
         for trait in own:
             self.metrics.event("convicted-alone")
@@ -328,6 +330,33 @@
         if own:
             self.verdicts_changed()
 
+    def _crash_probed(
+        self,
+        crash: crashes.Crash,
+        taken_at: datetime.timedelta,
+        probed: exchanges.ProbeResult,
+    ) -> None:
+        """Reports a crash unless its upstream accepts connections."""
+        now = self.clock.now()
+        report = attrs.evolve(
+            crash.report,
+            age=crash.report.age + now - taken_at,
+            confirmed=probed is exchanges.ProbeResult.UNREACHABLE,
+        )
+        if probed is exchanges.ProbeResult.OPEN:
+            self._rule_reset(report.upstream, report.incarnation)
+            return
+        self.guard.record_crash(report, now)
+        self._log_crash(attrs.evolve(crash, report=report))
+        if self._hears_leader(now) and self.on_crash is not None:
+            self.on_crash(report)
+        else:
+            self._rule_alone(report)
+
+    def _rule_reset(self, upstream: str, incarnation: int) -> None:
+        """Blames no request for connections that broke."""
+        self.crash_ruled(fleetmessages.CrashRuling(upstream, incarnation, []))
+
     def _rule_alone(self, report: fleetmessages.CrashReport) -> None:
         blamed = self.guard.table.blamed_requests(
             report.upstream, report.incarnation
@@ -343,6 +372,7 @@
         self.metrics.event("upstream-crashed")
         _log.info(
             "upstream crashed",
+            confirmed=report.confirmed,
             upstream=report.upstream,
             incarnation=report.incarnation,
             beginning=len(report.suspects),
--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -737,3 +737,30 @@
     for process in net.process_by_name.values():
         assert process.state.view.version >= net.acknowledged
     assert net.acknowledged > 5
+
+
+@pytest.mark.parametrize(
+    ("heard", "crashes"),
+    [("again", []), ("as another", ["r1"]), ("no more", ["r1"])],
+)
+def test_what_is_heard_of_an_upstream_settles_its_unconfirmed_crash(
+    heard: str, crashes: list[str]
+) -> None:
+    net = Net(seed=8)
+    net.run(5)
+    state = net.process_by_name[leader_of(net)].state
+    state.report(registration(1), net.now)
+    suspect = fleetmessages.Suspect("r1", [])
+    report = fleetmessages.CrashReport(
+        "u1", registration(1).incarnation, 0 * SECOND, [suspect], False
+    )
+    state.receive("e1", report, net.now)
+    assert state.judge.table.request_scores("u1", 1, ()) == {"r1": 0.0}
+    net.run(1.5)
+    if heard == "again":
+        state.report(registration(2), net.now)
+    elif heard == "as another":
+        state.report(registration(1, incarnation=2), net.now)
+    net.run(controller.UNHEARD_TIME / SECOND)
+    scores = state.judge.table.request_scores("u1", 1, ())
+    assert [name for name, score in scores.items() if score] == crashes
--- a/figford/tests/test_crashes.py
+++ b/figford/tests/test_crashes.py
@@ -27,7 +27,7 @@
     now = NOW + crashes.SETTLE_TIME
     report = fleetmessages.CrashReport("u1", 7, crashes.SETTLE_TIME, [SUSPECT])
     assert collector.take_settled(lambda _: False, now) == [
-        crashes.Crash(report, answering=1)
+        crashes.Crash(report, answering=1, address="u1:1")
     ]
     assert collector.take_settled(lambda _: False, now) == []
 
--- a/figford/tests/test_crashforwarding.py
+++ b/figford/tests/test_crashforwarding.py
@@ -95,6 +95,39 @@
     assert bench.call.responder.ends == []
 
 
+def test_an_upstream_that_accepts_a_connection_has_not_crashed(
+    bench,
+) -> None:
+    bench.pool.probe_result = exchanges.ProbeResult.OPEN
+    bench.begin().crash()
+    assert bench.reports == []
+    assert len(bench.pool.sent) == 2
+    assert bench.forwarder.guard.recent_reports(bench.clock.now()) == []
+
+
+def test_a_connection_that_is_closed_at_once_confirms_no_crash(bench) -> None:
+    bench.pool.probe_result = exchanges.ProbeResult.CLOSED
+    bench.begin().crash()
+    assert [report.confirmed for report in bench.reports] == [False]
+    bench.pool.probe_result = exchanges.ProbeResult.UNREACHABLE
+    bench.rule(blamed=False)
+    bench.crash()
+    assert [report.confirmed for report in bench.reports] == [False, True]
+
+
+def test_resets_of_sound_upstreams_convict_nothing_without_a_leader(
+    bench,
+) -> None:
+    bench.pool.probe_result = exchanges.ProbeResult.CLOSED
+    bench.clock.time += 2 * crashguard.LEADER_TIMEOUT
+    for number in range(3):
+        bench.forwarder.begin(bench.other(f"a{number}", "own"))
+        bench.crash()
+    bench.clock.time += SECOND
+    bench.forwarder.tick()
+    assert bench.forwarder.guard.own_verdicts == []
+
+
 def test_a_request_that_is_blamed_is_not_repeated(bench) -> None:
     bench.begin().crash()
     bench.rule(blamed=True)
--- a/figford/tests/test_crashguard.py
+++ b/figford/tests/test_crashguard.py
@@ -23,7 +23,8 @@
     """Records a crash under a request with the part "d"."""
     item = fleetmessages.Suspect(f"r{number}", ["a", "d"])
     guard.collector.record(f"u{number}", 1, f"u{number}:1", item, now)
-    assert guard.take_settled(lambda _: False, now + SECOND)
+    (found,) = guard.take_settled(lambda _: False, now + SECOND)
+    guard.record_crash(found.report, now + SECOND)
 
 
 def test_only_requests_with_a_convicted_trait_are_refused() -> None:
--- a/figford/tests/test_evidence.py
+++ b/figford/tests/test_evidence.py
@@ -6,6 +6,7 @@
 
 import datetime
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -235,3 +236,57 @@
     assert set(table.judge(())) == {"part:a"}
     assert table.covered_requests({"part:a"}) == {"request:r1"}
     assert table.covered_requests({"request:r1"}) == set()
+
+
+def doubtful(
+    number: int, upstream: str = "", incarnation: int = 1
+) -> fleetmessages.CrashReport:
+    """Returns an unconfirmed report of a crash under the request "r1"."""
+    return fleetmessages.CrashReport(
+        upstream or f"u{number}",
+        incarnation,
+        0 * SECOND,
+        [suspect("r1")],
+        confirmed=False,
+    )
+
+
+def test_unconfirmed_crashes_convict_nothing() -> None:
+    """A network resets the only connections to three sound upstreams."""
+    table = evidence.EvidenceTable()
+    for number in range(3):
+        assert table.add_crash(doubtful(number), NOW + number * SECOND)
+    assert not table.settle_unconfirmed(lambda *_: None)
+    assert table.judge(()) == {}
+
+
+def test_crashes_count_once_their_upstreams_are_known_to_have_ended() -> None:
+    table = evidence.EvidenceTable()
+    for number in range(3):
+        table.add_crash(doubtful(number), NOW + number * SECOND)
+    assert table.settle_unconfirmed(
+        lambda upstream, *_: {"u0": True, "u1": False}.get(upstream)
+    )
+    assert table.judge(()) == {}
+    assert table.settle_unconfirmed(lambda *_: True)
+    assert table.judge(()) == {"request:r1": 2}
+
+
+def test_another_entry_confirms_a_crash() -> None:
+    table = evidence.EvidenceTable()
+    for number in range(2):
+        report = doubtful(number)
+        table.add_crash(report, NOW + number * SECOND)
+        confirmed = attrs.evolve(report, confirmed=True)
+        table.add_crash(confirmed, NOW + number * SECOND)
+    assert table.judge(()) == {"request:r1": 2}
+
+
+def test_a_later_unconfirmed_crash_disproves_the_one_before() -> None:
+    """Connections to one upstream are reset again and again."""
+    table = evidence.EvidenceTable()
+    for number in range(3):
+        at = NOW + 2 * number * evidence.RESTART_TIME
+        assert table.add_crash(doubtful(number, "u1"), at)
+    assert table.settle_unconfirmed(lambda *_: True)
+    assert table.judge(()) == {}
--- a/figford/tests/test_exchanges.py
+++ b/figford/tests/test_exchanges.py
@@ -7,7 +7,9 @@
 from hypothesis import strategies
 import pytest
 from twisted.internet import error as internet_errors
+from twisted.internet import protocol
 from twisted.internet import task
+from twisted.internet.testing import MemoryReactorClock
 from twisted.internet.testing import StringTransport
 from twisted.python import failure as failures
 
@@ -346,3 +348,50 @@
     assert len(bench.receiver.ends) == 1
     if not clean and bench.receiver.ends == ["whole"]:
         assert b"HTTP/1.1 200 OK" in data
+
+
+def probed(pool: exchanges.Pool) -> tuple[list, protocol.Protocol]:
+    """Returns what a probe will report, and the connection it opened."""
+    results: list = []
+    pool.probe("127.0.0.1:1", results.append)
+    *_, factory, _, _ = pool.reactor.tcpClients[0]
+    connection = factory.buildProtocol(None)
+    connection.makeConnection(Transport())
+    return results, connection
+
+
+def probing_pool() -> exchanges.Pool:
+    return exchanges.Pool(
+        MemoryReactorClock(), Clock(), dialect.PlatformDialect()
+    )
+
+
+def test_a_probe_that_stays_open_is_kept_for_the_next_request() -> None:
+    pool = probing_pool()
+    results, _ = probed(pool)
+    assert results == [] and pool.is_connected("127.0.0.1:1")
+    pool.reactor.advance(exchanges.PROBE_SECONDS)
+    assert results == [exchanges.ProbeResult.OPEN]
+    assert pool._take_idle("127.0.0.1:1", None) is not None
+
+
+def test_a_probe_that_is_closed_at_once_tells_nothing() -> None:
+    pool = probing_pool()
+    results, connection = probed(pool)
+    connection.connectionLost(
+        failures.Failure(internet_errors.ConnectionLost())
+    )
+    pool.reactor.advance(exchanges.PROBE_SECONDS)
+    assert results == [exchanges.ProbeResult.CLOSED]
+    assert pool._take_idle("127.0.0.1:1", None) is None
+
+
+def test_a_probe_that_is_refused_reports_it() -> None:
+    pool = probing_pool()
+    results: list = []
+    pool.probe("127.0.0.1:1", results.append)
+    *_, factory, _, _ = pool.reactor.tcpClients[0]
+    factory.clientConnectionFailed(
+        None, failures.Failure(internet_errors.ConnectionRefusedError())
+    )
+    assert results == [exchanges.ProbeResult.UNREACHABLE]
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -58,6 +58,11 @@
     sent: list = attrs.field(factory=list)
     max_idle_times: list = attrs.field(factory=list)
     dropped: list = attrs.field(factory=list)
+    probe_result: exchanges.ProbeResult = exchanges.ProbeResult.UNREACHABLE
+
+    def probe(self, address, report) -> None:
+        """Reports the result that the test set, at once."""
+        report(self.probe_result)
 
     def send(self, address, exchange, max_idle=None) -> None:
         """Records an exchange."""
--- a/figford/tools/crashworld.py
+++ b/figford/tools/crashworld.py
@@ -454,6 +454,7 @@
             if not isinstance(item, crashes.Crash):
                 continue
             report = item.report
+            guard.record_crash(report, now)
             if self.control.hears_leader(entry):
                 self.control.send_crash(entry, report)
                 continue
