The last spare of a domain changes to the model that strands more

A spare that is left alone in a domain now changes to the model whose groups strand the most instances; the load takes 16 s, and the slow group is formed anew in its domain after it.

--- a/figford/forming.py
+++ b/figford/forming.py
@@ -421,6 +421,8 @@
             model = _model_to_stage(item, idle, engine, round_)
             if model is None:
                 model = _model_to_change_to(item, service, idle, round_)
+            if model is None:
+                model = _model_without_spare(item, idle, engine, round_)
             if model is None:
                 continue
             if not round_.planner.may_load(engine, 1, round_):
@@ -500,6 +502,42 @@
     return model
 
 
+def _model_without_spare(
+    item: fleetmessages.Registration,
+    idle: list[fleetmessages.Registration],
+    engine: routes.Engine,
+    round_: planrounds.Round,
+) -> routes.Model | None:
+    """Returns the model that a spare should change to in a domain without.
+
+    The last spare of a domain is for the model whose groups strand the most
+    instances when a member is lost; the next loss would make its group span
+    domains.
+    """
+    known = round_.planner.member_by_name
+    model = max(engine.models, key=_stranded, default=None)
+    if model is None or model.name in item.staged:
+        return None
+    if known[item.upstream].staging or known[item.upstream].had_group:
+        return None
+    if round_.free_duration(item.upstream) < SPARE_CHANGE_WAIT:
+        return None
+    if not round_.members_by_model(item.domain)[model.name]:
+        return None
+    has_spare = any(
+        model.name in other.staged
+        or known[other.upstream].staging == model.name
+        for other in idle
+        if other.domain == item.domain
+    )
+    return None if has_spare else model
+
+
+def _stranded(model: routes.Model) -> float:
+    """Returns the instances that a lost member strands, by share."""
+    return model.share * (model.size - 1)
+
+
 def _stage_wait(
     idle_in_domain: list[fleetmessages.Registration],
     engine: routes.Engine,
--- a/figford/tests/test_warming.py
+++ b/figford/tests/test_warming.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from figford import forming
 from figford.tests import plannerworld
 from figford import warming
 
@@ -51,3 +52,44 @@
 @pytest.mark.parametrize("group", ["g1", "warmer", ""])
 def test_other_groups_are_not_recognised_as_warm_ups(group) -> None:
     assert not warming.is_warm_up(group)
+
+
+def test_the_last_spare_is_for_the_model_that_strands_more() -> None:
+    """A large group that lost a member takes the domain's large spare."""
+    world = plannerworld.World(seed=1)
+    world.run(50)
+    lost = world.member(1, domain="d0")
+    world.engines.crash(lost.name, world.now)
+    world.run(40)
+    staged = [
+        engine.staged for engine in world.spares() if engine.domain == "d0"
+    ]
+    assert staged == [["large"]]
+
+
+def far_seconds(seed: int) -> float:
+    """Returns the time that large groups span domains under losses.
+
+    Hosts are lost one after another and none comes back.
+    """
+    world = plannerworld.World(seed=seed, domains=6)
+    world.run(50)
+    losses = random.Random(seed)
+    names = sorted(world.engines.by_name)
+    far = 0.0
+    for _ in range(6):
+        victim = world.engines.by_name[losses.choice(names)]
+        names.remove(victim.name)
+        world.engines.crash(victim.name, world.now)
+        for _ in range(100):
+            world.run(STEP_SECONDS)
+            domains = world.group_domains("large")
+            far += STEP_SECONDS * sum(len(item) > 1 for item in domains)
+    return far
+
+
+def test_spares_that_change_keep_groups_in_one_domain(monkeypatch) -> None:
+    changed = [far_seconds(seed) for seed in SEEDS]
+    monkeypatch.setattr(forming, "_model_without_spare", lambda *_: None)
+    without = [far_seconds(seed) for seed in SEEDS]
+    assert sum(changed) < sum(without)
