--- a/figford/tools/loadworld.py
+++ b/figford/tools/loadworld.py
@@ -331,25 +331,32 @@
         """Opens a group with a head of this name."""
         engine = Engine(self, name, slowdown)
         self.engine_by_name[name] = engine
-        self._report(name, True)
+        states = fleetmessages.SeatState
+        self._report(name, name, 0, states.OPEN)
         if slowdown > 1.0:
-            self._report_far_member(name)
+            self._report(f"{name}-far", name, 1, states.READY, "far")
         self._tell_entries()
 
     def close_group(self, name: str) -> None:
         """Takes a group out of the fleet."""
-        self._report(name, False)
+        self._report(name, name, 0, fleetmessages.SeatState.CLOSING)
         self._tell_entries()
 
     def stall_group(self, name: str) -> None:
         """Makes a group stand still, as after the loss of a member."""
         self.engine_by_name[name].stalled = True
 
-    def _report(self, name: str, is_open: bool) -> None:
+    def _report(
+        self,
+        name: str,
+        group: str,
+        rank: int,
+        state: fleetmessages.SeatState,
+        domain: str = "near",
+    ) -> None:
+        """Reports an engine and its seat to the fleet."""
         self._reports += 1
-        states = fleetmessages.SeatState
-        state = states.OPEN if is_open else states.CLOSING
-        seat = fleetmessages.FleetSeat(name, 1, 0, state)
+        seat = fleetmessages.FleetSeat(group, 1, rank, state)
         self.fleet.report(fleetmessages.Registration(
             name,
             1,
@@ -360,27 +367,7 @@
             SLOTS,
             models=[MODEL],
             seat=seat,
-            domain="near",
-            ),  # fmt: skip
-            self.clock.now(),
-        )
-
-    def _report_far_member(self, name: str) -> None:
-        self._reports += 1
-        seat = fleetmessages.FleetSeat(
-            name, 1, 1, fleetmessages.SeatState.READY
-        )
-        self.fleet.report(fleetmessages.Registration(
-            f"{name}-far",
-            1,
-            self._reports,
-            SERVICE,
-            f"{name}-far",
-            "dc",
-            SLOTS,
-            models=[MODEL],
-            seat=seat,
-            domain="far",
+            domain=domain,
             ),  # fmt: skip
             self.clock.now(),
         )
