Orders and queries use a connection of their own

A second copy of an answer, late, on a connection that is in use again: for requests the attempt id tells it, but answers to orders name no order. The copy of one 202 was taken for the answer to the next order, so a leave could count as done that had not been carried out, and its members be given to another group. Shown by a test with a daemon whose upstream answers twice (order after order, order after query): the second order counted as begun.

--- a/figford/controllerdaemon.py
+++ b/figford/controllerdaemon.py
@@ -368,7 +368,11 @@
     _status: int = 0
 
     def send(self) -> None:
-        """Sends the order on a pooled or new connection."""
+        """Sends the order on a connection of its own.
+
+        Answers to orders name no order, so on a shared one a second copy of
+        an answer would be taken for that to the next order.
+        """
         daemon = self.daemon
         body = daemon.orders.body(self.order, daemon.config.checks_fencing)
         outgoing = [
@@ -376,8 +380,9 @@
             (b"Content-Type", b"application/json"),
         ]
         self._exchange = exchanges.Exchange(
-            b"POST", daemon.orders.ORDER_TARGET, outgoing, body, self
-        )
+            b"POST", daemon.orders.ORDER_TARGET, outgoing, body, self,
+            max_idle_connections=0,
+        )  # fmt: skip
         self._timer = daemon.reactor.callLater(
             ORDER_TIMEOUT.total_seconds(), self._timed_out
         )
@@ -444,8 +449,9 @@
         """Sends the query; the planner repeats one without a response."""
         headers = [(b"Host", self.query.address.encode())]
         self._exchange = exchanges.Exchange(
-            b"GET", self.daemon.orders.REPORT_TARGET, headers, b"", self
-        )
+            b"GET", self.daemon.orders.REPORT_TARGET, headers, b"", self,
+            max_idle_connections=0,
+        )  # fmt: skip
         self._timer = self.daemon.reactor.callLater(
             REPORT_QUERY_TIMEOUT.total_seconds(), self._timed_out
         )
--- a/figford/tests/test_controllerdaemon.py
+++ b/figford/tests/test_controllerdaemon.py
@@ -133,3 +133,37 @@
     with logbook.TestHandler() as handler:
         daemon.carry_out([controller.EventCounted("some-event")])
     assert counted(daemon) == {"some-event": 1} and not handler.records
+
+
+class Transport(testing.StringTransport):
+    """A transport without a socket behind it."""
+
+    def getHandle(self) -> "Transport":
+        """Returns itself, which accepts socket options."""
+        return self
+
+    def setsockopt(self, *options: int) -> None:
+        """Ignores an option."""
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        """Ignores an option."""
+
+
+QUERY = controller.QueryOrderCount("u1", 1, ORDER.address)
+
+
+@pytest.mark.parametrize("effect", [controller.SendGroupOrder(ORDER), QUERY])
+def test_a_second_copy_of_an_answer_is_not_taken_for_the_next_one(
+    daemon: controllerdaemon.ControllerDaemon, effect: object
+) -> None:
+    """A faulty upstream answers an order twice on one connection."""
+    answer = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+    daemon.carry_out([effect])
+    connection = daemon.reactor.tcpClients[0][2].buildProtocol(None)
+    connection.makeConnection(Transport())
+    connection.dataReceived(answer)
+    before = counted(daemon)
+    daemon.carry_out([controller.SendGroupOrder(ORDER)])
+    connection.dataReceived(answer)
+    assert counted(daemon) == before
+    assert len(daemon.reactor.tcpClients) == 2
