Loads from the weight store are logged when ordered and when begun

The logs could not tell which loads fall into a window: a join or an order to stage that succeeds writes no line, and one that is not answered begins later. A record of loads, by upstream, incarnation and number of the order, notes both moments, and counts them by action. Nothing that is ordered changes.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -803,9 +803,32 @@
             )
         return result
 
+    def _load_notes(self) -> list[Effect]:
+        notes, self.planner.load_record.notes = (
+            self.planner.load_record.notes,
+            [],
+        )
+        return [
+            effects.StateChanged(
+                f"load {note.event}",
+                tuple(
+                    (name, value)
+                    for name, value in (
+                        ("upstream", note.upstream),
+                        ("action", note.action.value),
+                        ("model", note.model),
+                        ("late_ms", note.late_ms),
+                    )
+                    if value is not None
+                ),
+                note.action.value,
+            )
+            for note in notes
+        ]
+
     def _notes(self) -> list[Effect]:
         notes, self.planner.notes = self.planner.notes, []
-        return [
+        return self._load_notes() + [
             effects.StateChanged(
                 f"group {note.event}",
                 (
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -14,6 +14,7 @@
 from figford import fleetmessages
 from figford import formations
 from figford import forming
+from figford import loadrecord
 from figford import planrounds
 from figford import routes
 from figford import warming
@@ -42,6 +43,9 @@
     )
     member_by_name: dict[str, formations.Member] = attrs.field(factory=dict)
     notes: list[formations.Note] = attrs.field(factory=list)
+    load_record: loadrecord.LoadRecord = attrs.field(
+        factory=loadrecord.LoadRecord
+    )
     # When a group was last formed, opened, dissolved or freed.
     changed_at: datetime.timedelta = datetime.timedelta(0)
     # Groups freed by their heads' leaves since the last round.
@@ -73,6 +77,7 @@
         now: datetime.timedelta,
     ) -> None:
         """Records the result of an order of this term."""
+        self.load_record.record_result(order, result, now)
         member = self.member_by_name.get(order.upstream)
         if member is None or member.pending is not order:
             return
@@ -129,6 +134,9 @@
         member = self.member_by_name.get(upstream)
         if member is None or member.incarnation != incarnation:
             return
+        self.load_record.record_count(
+            upstream, incarnation, reply.orders_begun, now
+        )
         member.query_due = False
         member.orders_begun = reply.orders_begun
         member.reported_seat = reply.seat
@@ -171,6 +179,7 @@
         round_ = planrounds.Round(self, view, now)
         self._note_freed_by_leave(round_)
         self._update_members(view)
+        self.load_record.prune(view, now)
         self._adopt(round_)
         for formation in list(self.formation_by_key.values()):
             self._advance(formation, round_)
@@ -239,7 +248,8 @@
     ) -> formations.Formation:
         first_seat = next(iter(seats.values()))
         engine = round_.engine(first_seat.service)
-        loads = [model.load_time for model in engine.models] if engine else []
+        models = engine.models if engine else ()
+        load_times = [model.load_time for model in models]
         # A group of this term without a formation was given up before, and a
         # late order made its member join again. No planner needs to keep a
         # warm-up group.
@@ -258,7 +268,7 @@
             phase=phase,
             since=round_.now,
             deadline=round_.now
-            + max(loads, default=datetime.timedelta(0))
+            + max(load_times, default=datetime.timedelta(0))
             + formations.FORMING_SLACK,
             adopted=True,
         )
--- /dev/null
+++ b/figford/loadrecord.py
@@ -0,0 +1,204 @@
+"""Records the loads from the weight store that began or may still begin.
+
+An order names how many orders its upstream had begun. Of all orders to one
+incarnation with the same number at most one begins, so that repeats share a
+place in the record. A load may begin long after its order, which then was not
+answered: until it is known to have begun, or can't begin any more, it counts
+as one that begins now.
+"""
+
+import datetime
+
+import attrs
+
+from figford import fleetmessages
+from figford import formations
+
+# Sliding window over which loads are counted against the weight store's
+# rate.
+WINDOW = datetime.timedelta(seconds=5)
+# An order that was not answered begins at most this long after it was sent.
+LATE_ORDER_LIMIT = datetime.timedelta(seconds=12)
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
+Key = tuple[str, int, int]
+
+
+def key_of(order: formations.GroupOrder) -> Key:
+    """Returns upstream, incarnation and number that identify a place."""
+    return order.upstream, order.incarnation, order.expected or 0
+
+
+@attrs.frozen
+class Note:
+    """A load that was ordered or began, for the log.
+
+    `late_ms` is the time from the first order until the load was known to
+    have begun.
+    """
+
+    event: str
+    upstream: str
+    model: str
+    action: formations.Action
+    late_ms: int | None = None
+
+
+@attrs.define
+class Load:
+    """A load that was ordered; `began_at` is None until it is known to run.
+
+    `unanswered` counts the orders that may still begin it. `variants` are
+    the actions and models of these; only one of them begins.
+    """
+
+    model: str
+    ordered_at: datetime.timedelta
+    sent_at: datetime.timedelta
+    unanswered: int = 1
+    variants: set[tuple[formations.Action, str]] = attrs.field(factory=set)
+    began_at: datetime.timedelta | None = None
+
+    def counts(self, now: datetime.timedelta) -> bool:
+        """Returns whether the load falls into a window with later ones."""
+        if self.began_at is not None:
+            return now - self.began_at <= WINDOW
+        return now - self.sent_at <= LATE_ORDER_LIMIT + WINDOW
+
+
+@attrs.define
+class LoadRecord:
+    """The loads that were ordered and count, or are still in progress."""
+
+    load_by_key: dict[Key, Load] = attrs.field(factory=dict)
+    notes: list[Note] = attrs.field(factory=list)
+
+    def record_order(
+        self, order: formations.GroupOrder, now: datetime.timedelta
+    ) -> None:
+        """Records an order that causes a load; a repeat is no new load."""
+        load = self.load_by_key.get(key_of(order))
+        if load is None:
+            load = Load(order.model, now, now, unanswered=0)
+            self.load_by_key[key_of(order)] = load
+            self.notes.append(
+                Note("ordered", order.upstream, order.model, order.action)
+            )
+        load.variants.add((order.action, order.model))
+        load.unanswered += 1
+        load.sent_at = now
+
+    def record_result(
+        self,
+        order: formations.GroupOrder,
+        result: formations.Result,
+        now: datetime.timedelta,
+    ) -> None:
+        """Records the result of any order, which may decide a load's."""
+        load = self.load_by_key.get(key_of(order))
+        if load is None or load.began_at is not None:
+            return
+        may_load = (order.action, order.model) in load.variants
+        match result:
+            case formations.Result.UNKNOWN:
+                return
+            case formations.Result.BEGUN if may_load:
+                self._record_begin(order, load, now)
+            case formations.Result.BEGUN:
+                # Another order has used the number.
+                del self.load_by_key[key_of(order)]
+            case formations.Result.HELD if may_load and load.unanswered > 1:
+                # An earlier order began it.
+                self._record_begin(order, load, now)
+            case _ if may_load:
+                load.unanswered -= 1
+                if not load.unanswered:
+                    del self.load_by_key[key_of(order)]
+
+    def record_count(
+        self,
+        upstream: str,
+        incarnation: int,
+        orders_begun: int,
+        now: datetime.timedelta,
+    ) -> None:
+        """Records how many orders an upstream has begun."""
+        for key, load in self.load_by_key.items():
+            if (
+                key[:2] == (upstream, incarnation)
+                and key[2] < orders_begun
+                and load.began_at is None
+            ):
+                # The action is not known, only that it began.
+                action, model = min(
+                    load.variants, key=lambda item: item[0].value
+                )
+                load.model = model
+                self._begin(upstream, action, load, now)
+
+    def _record_begin(
+        self,
+        order: formations.GroupOrder,
+        load: Load,
+        now: datetime.timedelta,
+    ) -> None:
+        load.model = order.model
+        self._begin(order.upstream, order.action, load, now)
+
+    def _begin(
+        self,
+        upstream: str,
+        action: formations.Action,
+        load: Load,
+        now: datetime.timedelta,
+    ) -> None:
+        load.began_at = now
+        late_ms = (now - load.ordered_at) // MILLISECOND
+        self.notes.append(Note("began", upstream, load.model, action, late_ms))
+
+    def prune(self, view: formations.View, now: datetime.timedelta) -> None:
+        """Discards loads that neither count nor are in progress."""
+        for key, load in list(self.load_by_key.items()):
+            if not load.counts(now) and not _is_in_progress(
+                key, load, view, now
+            ):
+                del self.load_by_key[key]
+
+    def counted(self, now: datetime.timedelta) -> int:
+        """Returns the loads that count in a window that ends now."""
+        return sum(load.counts(now) for load in self.load_by_key.values())
+
+
+def _is_in_progress(
+    key: Key,
+    load: Load,
+    view: formations.View,
+    now: datetime.timedelta,
+) -> bool:
+    """Returns whether a host still loads, as far as its reports tell."""
+    name, incarnation, _ = key
+    registration = view.fleet.get(name)
+    if registration is None or registration.incarnation != incarnation:
+        return False
+    if load.began_at is None or name in view.silent:
+        return False
+    return load.model not in registration.staged
+
+
+def causes_load(
+    order: formations.GroupOrder,
+    registration: fleetmessages.Registration,
+    member: formations.Member,
+) -> bool:
+    """Returns whether an order may cause a load from the weight store.
+
+    Weights that are being staged push out those that the host has.
+    """
+    has_weights = order.model in registration.staged
+    match order.action:
+        case formations.Action.STAGE:
+            return not has_weights
+        case formations.Action.JOIN:
+            return not has_weights or member.staging not in ("", order.model)
+    return False
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -10,6 +10,7 @@
 
 from figford import fleetmessages
 from figford import formations
+from figford import loadrecord
 from figford import routes
 
 if typing.TYPE_CHECKING:
@@ -274,6 +275,8 @@
         order = attrs.evolve(
             order, address=registration.address, expected=member.orders_begun
         )
+        if loadrecord.causes_load(order, registration, member):
+            self.planner.load_record.record_order(order, self.now)
         member.pending = member.last_order = order
         member.last_order_at = self.now
         self.orders.append(order)
--- /dev/null
+++ b/figford/tests/test_loadrecord.py
@@ -0,0 +1,84 @@
+"""Loads from the weight store count until they can't begin any more."""
+
+import datetime
+
+from figford import fleetmessages
+from figford import formations
+from figford import loadrecord
+
+SECOND = datetime.timedelta(seconds=1)
+Result = formations.Result
+
+
+def _order(
+    action: formations.Action = formations.Action.JOIN,
+    model: str = "large",
+    expected: int = 0,
+) -> formations.GroupOrder:
+    return formations.GroupOrder(
+        "e1", 1, "10.0.0.1:1", action, 1, expected, "g1", 1, model, ("e1",)
+    )
+
+
+def test_an_unanswered_load_counts_until_it_has_begun() -> None:
+    record = loadrecord.LoadRecord()
+    record.record_order(_order(), SECOND)
+    record.record_result(_order(), Result.UNKNOWN, 2 * SECOND)
+    assert record.counted(12 * SECOND) == 1
+    record.record_count("e1", 1, 1, 12 * SECOND)
+    assert record.counted(17 * SECOND) == 1
+    assert record.counted(18 * SECOND) == 0
+    assert [note.late_ms for note in record.notes] == [None, 11000]
+
+
+def test_repeats_of_an_order_are_one_load() -> None:
+    record = loadrecord.LoadRecord()
+    for at in (1, 3):
+        record.record_order(_order(), at * SECOND)
+        record.record_result(_order(), Result.UNKNOWN, (at + 1) * SECOND)
+    assert record.counted(4 * SECOND) == 1
+    # One of them was refused; the other may still begin.
+    record.record_result(_order(), Result.REFUSED, 4 * SECOND)
+    assert record.counted(4 * SECOND) == 1
+
+
+def test_a_refused_or_unsent_load_does_not_count() -> None:
+    for result in (Result.REFUSED, Result.FENCED, Result.UNSENT):
+        record = loadrecord.LoadRecord()
+        record.record_order(_order(), SECOND)
+        record.record_result(_order(), result, SECOND)
+        assert record.counted(SECOND) == 0
+
+
+def test_a_load_whose_number_was_used_by_another_order_never_begins() -> None:
+    record = loadrecord.LoadRecord()
+    record.record_order(_order(formations.Action.STAGE), SECOND)
+    record.record_result(
+        _order(formations.Action.STAGE), Result.UNKNOWN, 2 * SECOND
+    )
+    record.record_result(
+        _order(formations.Action.LEAVE, ""), Result.BEGUN, 3 * SECOND
+    )
+    assert record.counted(3 * SECOND) == 0
+
+
+def test_an_order_that_was_never_answered_expires() -> None:
+    record = loadrecord.LoadRecord()
+    record.record_order(_order(), SECOND)
+    record.record_result(_order(), Result.UNKNOWN, 2 * SECOND)
+    assert record.counted(18 * SECOND) == 1
+    assert record.counted(19 * SECOND) == 0
+
+
+def test_joins_of_hosts_that_stage_other_weights_cause_loads() -> None:
+    registration = fleetmessages.Registration(
+        "e1", 1, 1, "pool", "10.0.0.1:1", "dc", 13, False,
+        domain="d0", staged=["large"],
+    )  # fmt: skip
+    member = formations.Member(1)
+    assert not loadrecord.causes_load(_order(), registration, member)
+    member.staging = "small"
+    assert loadrecord.causes_load(_order(), registration, member)
+    assert loadrecord.causes_load(
+        _order(model="small"), registration, formations.Member(1)
+    )
