A load keeps its place until it has begun or can't begin any more

Loads were counted for 5 s from their order. Joins that are repeated, or sent to hosts whose weights are about to be pushed out, were not counted at all.

Each order that can cause a load now passes one check where orders are sent. It takes a place that is kept until the load is known to have begun, and for a window from then, or until it can't begin any more. An order names how many orders its upstream has begun, so of those with one number at most one begins: repeats share a place.

--- a/figford/forming.py
+++ b/figford/forming.py
@@ -225,7 +225,8 @@
         members = choose_ready(
             model, round_.available_for(free, model), round_
         )
-        if members:
+        loads = round_.loads_needed(members, model.name)
+        if members and round_.may_load(engine, loads):
             _begin_forming(service, model, members, round_)
             return True
     for model in in_order:
@@ -235,11 +236,13 @@
             round_.available_for(free, model),
             round_,
         )
-        if not round_.planner.may_load(engine, len(members), round_):
+        if not members:
+            continue
+        loads = round_.loads_needed(members, model.name)
+        if not round_.may_load(engine, loads):
             return False
-        if members:
-            _begin_forming(service, model, members, round_)
-            return True
+        _begin_forming(service, model, members, round_)
+        return True
     return False
 
 
@@ -348,7 +351,7 @@
     round_: planrounds.Round,
 ) -> None:
     epoch = round_.planner.next_epoch()
-    loads = sum(model.name not in item.staged for item in members)
+    loads = round_.loads_needed(members, model.name)
     formation = formations.Formation(
         group=f"g{epoch:x}",
         epoch=epoch,
@@ -370,7 +373,6 @@
         member = round_.planner.member_by_name[item.upstream]
         member.had_group = True
         member.reserved_for = ""
-    round_.planner.record_loads(loads, round_.now)
     former = _describe_former_seats(formation, members, round_)
     round_.planner.notes.append(
         formations.Note(
@@ -425,7 +427,7 @@
                 model = _model_without_spare(item, idle, engine, round_)
             if model is None:
                 continue
-            if not round_.planner.may_load(engine, 1, round_):
+            if not round_.may_load(engine, 1):
                 return
             _order_stage(item, model, round_)
 
@@ -450,7 +452,6 @@
     if sent:
         member = round_.planner.member_by_name[item.upstream]
         member.staging = model.name
-        round_.planner.record_loads(1, round_.now)
 
 
 def _model_to_change_to(
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -6,7 +6,6 @@
 head has left, is broken or was restarted; silence proves neither.
 """
 
-import collections
 import datetime
 
 import attrs
@@ -16,7 +15,6 @@
 from figford import forming
 from figford import loadrecord
 from figford import planrounds
-from figford import routes
 from figford import warming
 
 SeatState = fleetmessages.SeatState
@@ -24,9 +22,6 @@
 # After a change of leader, planning starts only after this long, so that
 # reports show the effect of the previous leader's orders.
 TAKEOVER_WAIT = datetime.timedelta(milliseconds=600)
-# Sliding window over which loads are counted against the weight store's
-# rate.
-LOAD_WINDOW = datetime.timedelta(seconds=5)
 # Members of a group that another planner was forming report within this
 # time; reports come every 1.2 s.
 ADOPTION_WAIT = datetime.timedelta(milliseconds=2500)
@@ -52,9 +47,6 @@
     _freed_by_leave: list[formations.Formation] = attrs.field(factory=list)
     _epochs: int = 0
     _plan_from: datetime.timedelta = datetime.timedelta(0)
-    _loads: collections.deque[datetime.timedelta] = attrs.field(
-        factory=collections.deque
-    )
 
     def start(self, term: int, now: datetime.timedelta) -> None:
         """Starts planning in a new term; clears the state of earlier ones."""
@@ -66,7 +58,6 @@
         self.formation_by_key.clear()
         self.member_by_name.clear()
         self._freed_by_leave.clear()
-        self._loads.clear()
 
     # ---- Results of orders ----------------------------------------------
 
@@ -667,28 +658,3 @@
         """Returns an epoch that no group has used."""
         self._epochs += 1
         return self.term * EPOCHS_PER_TERM + self._epochs
-
-    # ---- Loads ----------------------------------------------------------
-
-    def may_load(
-        self, engine: routes.Engine, count: int, round_: planrounds.Round
-    ) -> bool:
-        """Returns whether the weight store can take `count` more loads.
-
-        Fewer loads at a time finish sooner, since they share the store's
-        bandwidth.
-        """
-        if round_.view.warming_up:
-            return round_.loads_in_progress() < engine.loads_at_once
-        now = round_.now
-        while self._loads and now - self._loads[0] > LOAD_WINDOW:
-            self._loads.popleft()
-        second = datetime.timedelta(seconds=1)
-        recent = sum(now - began <= second for began in self._loads)
-        limit = engine.loads_per_second * LOAD_WINDOW.total_seconds()
-        at_once = engine.loads_per_second + engine.loads_at_once
-        return len(self._loads) + count <= limit and recent + count <= at_once
-
-    def record_loads(self, count: int, now: datetime.timedelta) -> None:
-        """Records loads that begin now."""
-        self._loads.extend([now] * count)
--- a/figford/loadrecord.py
+++ b/figford/loadrecord.py
@@ -13,6 +13,7 @@
 
 from figford import fleetmessages
 from figford import formations
+from figford import routes
 
 # Sliding window over which loads are counted against the weight store's
 # rate.
@@ -21,6 +22,7 @@
 LATE_ORDER_LIMIT = datetime.timedelta(seconds=12)
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
+SECOND = datetime.timedelta(seconds=1)
 
 Key = tuple[str, int, int]
 
@@ -157,6 +159,40 @@
         late_ms = (now - load.ordered_at) // MILLISECOND
         self.notes.append(Note("began", upstream, load.model, action, late_ms))
 
+    def has_place(self, order: formations.GroupOrder) -> bool:
+        """Returns whether an order could only begin a recorded load."""
+        return key_of(order) in self.load_by_key
+
+    def allows(
+        self, engine: routes.Engine, count: int, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether `count` more loads stay within the store's rate.
+
+        Fewer loads at a time finish sooner, since they share the store's
+        bandwidth.
+        """
+        limit = engine.loads_per_second * WINDOW.total_seconds()
+        at_once = engine.loads_per_second + engine.loads_at_once
+        recent = sum(
+            now - load.ordered_at <= SECOND
+            for load in self.load_by_key.values()
+        )
+        return self.counted(now) + count <= limit and recent + count <= at_once
+
+    def allows_before_requests(
+        self, engine: routes.Engine, count: int
+    ) -> bool:
+        """Returns the same before the first request of the deployment.
+
+        Only loads that begin after that request count, so only those that
+        may still begin are limited.
+        """
+        limit = engine.loads_per_second * WINDOW.total_seconds()
+        undecided = sum(
+            load.began_at is None for load in self.load_by_key.values()
+        )
+        return undecided + count <= limit
+
     def prune(self, view: formations.View, now: datetime.timedelta) -> None:
         """Discards loads that neither count nor are in progress."""
         for key, load in list(self.load_by_key.items()):
@@ -186,19 +222,30 @@
     return load.model not in registration.staged
 
 
-def causes_load(
-    order: formations.GroupOrder,
+def needs_load(
+    model: str,
     registration: fleetmessages.Registration,
     member: formations.Member,
 ) -> bool:
-    """Returns whether an order may cause a load from the weight store.
+    """Returns whether a host may have to load the weights of a model to join.
 
     Weights that are being staged push out those that the host has.
     """
-    has_weights = order.model in registration.staged
+    return model not in registration.staged or member.staging not in (
+        "",
+        model,
+    )
+
+
+def causes_load(
+    order: formations.GroupOrder,
+    registration: fleetmessages.Registration,
+    member: formations.Member,
+) -> bool:
+    """Returns whether an order may cause a load from the weight store."""
     match order.action:
         case formations.Action.STAGE:
-            return not has_weights
+            return order.model not in registration.staged
         case formations.Action.JOIN:
-            return not has_weights or member.staging not in ("", order.model)
+            return needs_load(order.model, registration, member)
     return False
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -276,12 +276,47 @@
             order, address=registration.address, expected=member.orders_begun
         )
         if loadrecord.causes_load(order, registration, member):
+            if not self._may_cause_load(order, registration.service):
+                return False
             self.planner.load_record.record_order(order, self.now)
         member.pending = member.last_order = order
         member.last_order_at = self.now
         self.orders.append(order)
         return True
 
+    def _may_cause_load(
+        self, order: formations.GroupOrder, service: str
+    ) -> bool:
+        record = self.planner.load_record
+        engine = self.engine(service)
+        if engine is None or record.has_place(order):
+            return True
+        if self.view.warming_up:
+            return record.allows_before_requests(engine, 1)
+        return record.allows(engine, 1, self.now)
+
+    def may_load(self, engine: routes.Engine, count: int) -> bool:
+        """Returns whether the weight store can take `count` more loads."""
+        if not count:
+            return True
+        record = self.planner.load_record
+        if self.view.warming_up:
+            return (
+                self.loads_in_progress() < engine.loads_at_once
+                and record.allows_before_requests(engine, count)
+            )
+        return record.allows(engine, count, self.now)
+
+    def loads_needed(
+        self, members: list[fleetmessages.Registration], model: str
+    ) -> int:
+        """Returns how many members may have to load a model's weights."""
+        known = self.planner.member_by_name
+        return sum(
+            loadrecord.needs_load(model, item, known[item.upstream])
+            for item in members
+        )
+
     def loads_in_progress(self) -> int:
         """Returns how many members are still loading for their groups."""
         return sum(
