Controllers know the loads that the planner before them ordered

The planner tells the other controllers of its loads before it sends the orders, and controllers whose link comes up. A planner that heard its predecessor until 3 s ago counts what it was told, and 10 loads that it may have missed; one that did not waits for a window. It queries hosts whose loads may still begin. Nothing is written to the log: a commit for each load would put the disks of the controllers into the way of repairs.

Cost: for 5 s after a change of planner at most 10 loads, none if all controllers were restarted.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -42,6 +42,8 @@
 # A change of the slots of limits is proposed again after this time.
 SLOTS_PROPOSAL_INTERVAL = datetime.timedelta(seconds=1)
 LIFT_DEADLINE = datetime.timedelta(seconds=2)
+# An election after the loss of a leader takes less.
+PREDECESSOR_SILENCE = datetime.timedelta(seconds=3)
 # An entry's doubt about an upstream expires after this long.
 DOUBT_EXPIRY = datetime.timedelta(seconds=6)
 # An upstream that may have crashed has ended if nothing was heard of it for
@@ -121,6 +123,8 @@
     _heartbeat_due: datetime.timedelta = datetime.timedelta(0)
     _plan_due: datetime.timedelta = datetime.timedelta(0)
     _planned_at: datetime.timedelta = datetime.timedelta(0)
+    # When this controller last planned, or heard the one that does.
+    _planner_heard_at: datetime.timedelta | None = None
     _settled_at: datetime.timedelta = attrs.field(init=False)
     _last_event: datetime.timedelta = attrs.field(init=False)
     _sent_status: fleetmessages.FleetStatus | None = None
@@ -220,6 +224,9 @@
         ]
         if peer.voter is not None:
             result += self._broadcast(messages.Peers([peer]), peer.instance)
+            if self.is_settled_leader:
+                told = self.planner.load_record.told(now)
+                result.append(effects.SendPeer(peer.instance, told))
         elif self._sent_status is not None and self.is_settled_leader:
             result.append(effects.SendPeer(peer.instance, self._sent_status))
         result.append(effects.SendPeer(peer.instance, self._pulse()))
@@ -280,6 +287,8 @@
                 return self._on_peers(instance, message, now)
             case messages.Pulse(state):
                 self.peers.update_from_pulse(instance, state, now)
+                if state.leading_term:
+                    self._planner_heard_at = now
                 return []
             case messages.Addressed():
                 return self._with_log_results(
@@ -304,6 +313,9 @@
             case fleetmessages.CallersSeen():
                 self.callers_seen = True
                 return []
+            case fleetmessages.LoadsTold(told):
+                self.planner.load_record.adopt(told, now)
+                return []
             case fleetmessages.UpstreamDoubt():
                 self._doubt_by_name[message.upstream] = (message, now)
                 return []
@@ -718,18 +730,42 @@
         self._planned_at = now
         self._plan_due = now + PLAN_INTERVAL
         if self.planner.term != self.control.agreement.term:
-            self.planner.start(self.control.agreement.term, now)
+            self.planner.start(
+                self.control.agreement.term,
+                now,
+                self._knows_predecessor(now),
+            )
+        self._planner_heard_at = now
         view = self._planning_view(now)
         if not view.engines:
             return []
-        result: list[Effect] = []
-        for order in self.planner.plan(view, now):
+        orders = self.planner.plan(view, now)
+        # Before the orders, so that a successor knows of their loads.
+        result = self._tell_loads(now)
+        for order in orders:
             if _joins_while_seated(order, view):
                 result.append(EventCounted("member-joined-while-seated"))
             self.limit_keeper.charge(order.upstream)
             result.append(SendGroupOrder(order))
         return result + self._query_order_counts(view, now) + self._notes()
 
+    def _knows_predecessor(self, now: datetime.timedelta) -> bool:
+        """Returns whether the last planner was heard until lately."""
+        heard_at = self._planner_heard_at
+        return heard_at is not None and now - heard_at <= PREDECESSOR_SILENCE
+
+    def _tell_loads(self, now: datetime.timedelta) -> list[Effect]:
+        record = self.planner.load_record
+        if not record.changed:
+            return []
+        controllers = [
+            peer.instance
+            for peer in self.controllers()
+            if peer.instance in self.links
+        ]
+        record.changed = False
+        return [SendAll(controllers, record.told(now))]
+
     def _plan_soon(self) -> None:
         self._plan_due = min(
             self._plan_due, self._planned_at + MIN_PLAN_INTERVAL
@@ -815,13 +851,13 @@
                     (name, value)
                     for name, value in (
                         ("upstream", note.upstream),
-                        ("action", note.action.value),
+                        ("action", note.action and note.action.value),
                         ("model", note.model),
                         ("late_ms", note.late_ms),
                     )
                     if value is not None
                 ),
-                note.action.value,
+                note.action.value if note.action is not None else "",
             )
             for note in notes
         ]
--- a/figford/fleetmessages.py
+++ b/figford/fleetmessages.py
@@ -81,6 +81,33 @@
     """Reports that an entry has received its first request of a caller."""
 
 
+@attrs.frozen
+class KnownLoad:
+    """A load from the weight store that a planner ordered.
+
+    `number` is how many orders the upstream had begun. `ordered_ago` is the
+    time since the last such order; `begun_ago` is None if the load may still
+    begin.
+    """
+
+    upstream: str
+    incarnation: int
+    number: int
+    model: str
+    ordered_ago: datetime.timedelta
+    begun_ago: datetime.timedelta | None
+
+
+@attrs.frozen
+class LoadsTold:
+    """All loads that count against the weight store's rate.
+
+    The planner tells the other controllers, one of which succeeds it.
+    """
+
+    loads: list[KnownLoad]
+
+
 @attrs.frozen
 class UpstreamDoubt:
     """An entry's observation that an upstream fails or works again."""
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -48,8 +48,17 @@
     _epochs: int = 0
     _plan_from: datetime.timedelta = datetime.timedelta(0)
 
-    def start(self, term: int, now: datetime.timedelta) -> None:
-        """Starts planning in a new term; clears the state of earlier ones."""
+    def start(
+        self,
+        term: int,
+        now: datetime.timedelta,
+        knows_predecessor: bool = False,
+    ) -> None:
+        """Starts planning in a new term; clears the state of earlier ones.
+
+        Keeps the record of loads, which an earlier planner has told of if
+        this process `knows_predecessor`.
+        """
         if term <= self.term:
             raise AssertionError("planner terms must increase")
         self.term = term
@@ -58,6 +67,7 @@
         self.formation_by_key.clear()
         self.member_by_name.clear()
         self._freed_by_leave.clear()
+        self.load_record.start(knows_predecessor, now)
 
     # ---- Results of orders ----------------------------------------------
 
@@ -192,7 +202,12 @@
                 self.member_by_name[name] = formations.Member(
                     registration.incarnation, 0 if known else None
                 )
-                self.member_by_name[name].query_due = not known
+                self.member_by_name[name].query_due = (
+                    not known
+                    or self.load_record.is_undecided(
+                        name, registration.incarnation
+                    )
+                )
         for name in set(self.member_by_name) - set(view.fleet):
             del self.member_by_name[name]
         for name, member in self.member_by_name.items():
--- a/figford/loadrecord.py
+++ b/figford/loadrecord.py
@@ -36,20 +36,21 @@
 class Note:
     """A load that was ordered or began, for the log.
 
-    `late_ms` is the time from the first order until the load was known to
-    have begun.
+    `action` is None if only the upstream's count of orders shows that it
+    began. `late_ms` is the time from the first order until the load was
+    known to have begun.
     """
 
     event: str
     upstream: str
     model: str
-    action: formations.Action
+    action: formations.Action | None
     late_ms: int | None = None
 
 
 @attrs.define
 class Load:
-    """A load that was ordered; `began_at` is None until it is known to run.
+    """A load that was ordered; `began_at` is None until it is known.
 
     `unanswered` counts the orders that may still begin it. `variants` are
     the actions and models of these; only one of them begins.
@@ -61,6 +62,8 @@
     unanswered: int = 1
     variants: set[tuple[formations.Action, str]] = attrs.field(factory=set)
     began_at: datetime.timedelta | None = None
+    # Whether another planner ordered it, and still plans.
+    is_told: bool = False
 
     def counts(self, now: datetime.timedelta) -> bool:
         """Returns whether the load falls into a window with later ones."""
@@ -75,6 +78,59 @@
 
     load_by_key: dict[Key, Load] = attrs.field(factory=dict)
     notes: list[Note] = attrs.field(factory=list)
+    # Whether a load was ordered, began or was discarded; reset by the reader.
+    changed: bool = False
+    _started_at: datetime.timedelta | None = None
+    _knows_predecessor: bool = False
+
+    def start(self, knows_predecessor: bool, now: datetime.timedelta) -> None:
+        """Starts a planner's term.
+
+        Its predecessor may have ordered loads until then. One that this
+        process heard until shortly before told of all but the last; else
+        they may be as many as the rate allows.
+        """
+        self._started_at = now
+        self._knows_predecessor = knows_predecessor
+        self.changed = True
+        for load in self.load_by_key.values():
+            load.is_told = False
+
+    def adopt(
+        self, told: list[fleetmessages.KnownLoad], now: datetime.timedelta
+    ) -> None:
+        """Records the loads that another planner told of."""
+        for key, load in list(self.load_by_key.items()):
+            if load.is_told:
+                del self.load_by_key[key]
+        for item in told:
+            key = (item.upstream, item.incarnation, item.number)
+            sent_at = now - item.ordered_ago
+            began_at = None
+            if item.begun_ago is not None:
+                began_at = now - item.begun_ago
+            self.load_by_key.setdefault(
+                key,
+                Load(
+                    item.model, sent_at, sent_at,
+                    began_at=began_at, is_told=True,
+                ),  # fmt: skip
+            )
+
+    def told(self, now: datetime.timedelta) -> fleetmessages.LoadsTold:
+        """Returns what other controllers are to know."""
+        return fleetmessages.LoadsTold(
+            [
+                fleetmessages.KnownLoad(
+                    *key,
+                    load.model,
+                    now - load.sent_at,
+                    None if load.began_at is None else now - load.began_at,
+                )
+                for key, load in self.load_by_key.items()
+                if load.counts(now)
+            ]
+        )
 
     def record_order(
         self, order: formations.GroupOrder, now: datetime.timedelta
@@ -90,6 +146,7 @@
         load.variants.add((order.action, order.model))
         load.unanswered += 1
         load.sent_at = now
+        self.changed = True
 
     def record_result(
         self,
@@ -109,14 +166,14 @@
                 self._record_begin(order, load, now)
             case formations.Result.BEGUN:
                 # Another order has used the number.
-                del self.load_by_key[key_of(order)]
+                self._discard(order)
             case formations.Result.HELD if may_load and load.unanswered > 1:
                 # An earlier order began it.
                 self._record_begin(order, load, now)
             case _ if may_load:
                 load.unanswered -= 1
                 if not load.unanswered:
-                    del self.load_by_key[key_of(order)]
+                    self._discard(order)
 
     def record_count(
         self,
@@ -133,11 +190,11 @@
                 and load.began_at is None
             ):
                 # The action is not known, only that it began.
-                action, model = min(
-                    load.variants, key=lambda item: item[0].value
-                )
-                load.model = model
-                self._begin(upstream, action, load, now)
+                self._begin(upstream, load, now)
+
+    def _discard(self, order: formations.GroupOrder) -> None:
+        del self.load_by_key[key_of(order)]
+        self.changed = True
 
     def _record_begin(
         self,
@@ -146,19 +203,27 @@
         now: datetime.timedelta,
     ) -> None:
         load.model = order.model
-        self._begin(order.upstream, order.action, load, now)
+        self._begin(order.upstream, load, now, order.action)
 
     def _begin(
         self,
         upstream: str,
-        action: formations.Action,
         load: Load,
         now: datetime.timedelta,
+        action: formations.Action | None = None,
     ) -> None:
         load.began_at = now
+        self.changed = True
         late_ms = (now - load.ordered_at) // MILLISECOND
         self.notes.append(Note("began", upstream, load.model, action, late_ms))
 
+    def is_undecided(self, upstream: str, incarnation: int) -> bool:
+        """Returns whether a load of an upstream may still begin."""
+        return any(
+            key[:2] == (upstream, incarnation) and load.began_at is None
+            for key, load in self.load_by_key.items()
+        )
+
     def has_place(self, order: formations.GroupOrder) -> bool:
         """Returns whether an order could only begin a recorded load."""
         return key_of(order) in self.load_by_key
@@ -177,7 +242,16 @@
             now - load.ordered_at <= SECOND
             for load in self.load_by_key.values()
         )
-        return self.counted(now) + count <= limit and recent + count <= at_once
+        counted = self.counted(now) + self._assumed(limit, at_once, now)
+        return counted + count <= limit and recent + count <= at_once
+
+    def _assumed(
+        self, limit: float, at_once: float, now: datetime.timedelta
+    ) -> float:
+        """Returns how many loads of a predecessor are assumed to count."""
+        if self._started_at is None or now - self._started_at > WINDOW:
+            return 0
+        return at_once if self._knows_predecessor else limit
 
     def allows_before_requests(
         self, engine: routes.Engine, count: int
--- a/figford/messages.py
+++ b/figford/messages.py
@@ -644,6 +644,7 @@
     | fleetmessages.FleetStatus
     | fleetmessages.UpstreamDoubt
     | fleetmessages.CallersSeen
+    | fleetmessages.LoadsTold
     | fleetmessages.RoutesView
     | fleetmessages.RoutesPull
     | fleetmessages.UpstreamLimits
--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -24,6 +24,7 @@
 from figford import permitslots
 from figford import planrounds
 from figford import routes
+from figford.tests import plannerworld
 
 STEP = datetime.timedelta(milliseconds=20)
 SECOND = datetime.timedelta(seconds=1)
@@ -764,3 +765,47 @@
     net.run(controller.UNHEARD_TIME / SECOND)
     scores = state.judge.table.request_scores("u1", 1, ())
     assert [name for name, score in scores.items() if score] == crashes
+
+
+LOADING_POOL = routes.RouteTable(
+    services=(
+        routes.Service(
+            "pool", 10, plannerworld.ENGINE
+        ),
+    )
+)  # fmt: skip
+
+
+@pytest.mark.parametrize("returns", [False, True])
+def test_a_new_leader_knows_the_loads_that_its_predecessor_ordered(
+    returns: bool,
+) -> None:
+    """Also one whose link to the leader was down when it told of them."""
+    net = Net(seed=6)
+    for name in CONTROLLERS:
+        net.process_by_name[name].state.table = LOADING_POOL
+    net.run(3)
+    leader = leader_of(net)
+    absent, *_ = [name for name in CONTROLLERS if name != leader]
+    if returns:
+        net.cut.add(frozenset((leader, absent)))
+        net.run(0.2)
+    record = net.process_by_name[leader].state.planner.load_record
+    record.record_order(
+        formations.GroupOrder(
+            "u1", 1, "u1:1", formations.Action.STAGE, 1, 0, model="large"
+        ),
+        net.now,
+    )
+    net.run(0.3)
+    net.cut.clear()
+    net.run(0.5)
+    net.kill(leader)
+    net.run(4)
+    (successor,) = [
+        process.state.planner
+        for name, process in net.process_by_name.items()
+        if name in CONTROLLERS and process.state.is_settled_leader
+    ]
+    assert successor.load_record.is_undecided("u1", 1)
+    assert successor.load_record.allows(plannerworld.ENGINE, 1, net.now)
--- a/figford/tests/test_loadrecord.py
+++ b/figford/tests/test_loadrecord.py
@@ -5,6 +5,7 @@
 from figford import fleetmessages
 from figford import formations
 from figford import loadrecord
+from figford import routes
 
 SECOND = datetime.timedelta(seconds=1)
 Result = formations.Result
@@ -82,3 +83,45 @@
     assert loadrecord.causes_load(
         _order(model="small"), registration, formations.Member(1)
     )
+
+
+ENGINE = routes.Engine(
+    slots=13, models=(), loads_per_second=4.0, loads_at_once=6
+)
+
+
+def test_a_planner_knows_the_loads_that_its_predecessor_told_of() -> None:
+    predecessor = loadrecord.LoadRecord()
+    predecessor.record_order(_order(), SECOND)
+    predecessor.record_result(_order(), Result.UNKNOWN, 2 * SECOND)
+    successor = loadrecord.LoadRecord()
+    # The clocks of two processes differ.
+    successor.adopt(predecessor.told(4 * SECOND).loads, 104 * SECOND)
+    successor.start(True, 105 * SECOND)
+    assert successor.is_undecided("e1", 1)
+    assert successor.counted(117 * SECOND) == 1
+    assert successor.counted(119 * SECOND) == 0
+
+
+def test_loads_that_a_planner_no_longer_tells_of_do_not_count() -> None:
+    planner = loadrecord.LoadRecord()
+    other = loadrecord.LoadRecord()
+    planner.record_order(_order(), SECOND)
+    other.adopt(planner.told(SECOND).loads, SECOND)
+    planner.record_result(_order(), Result.REFUSED, SECOND)
+    other.adopt(planner.told(SECOND).loads, SECOND)
+    assert other.counted(SECOND) == 0
+
+
+def test_a_planner_without_news_of_its_predecessor_waits_a_window() -> None:
+    record = loadrecord.LoadRecord()
+    record.start(False, SECOND)
+    assert not record.allows(ENGINE, 1, 6 * SECOND)
+    assert record.allows(ENGINE, 10, 6.1 * SECOND)
+
+
+def test_a_planner_that_heard_its_predecessor_loads_some_at_once() -> None:
+    record = loadrecord.LoadRecord()
+    record.start(True, SECOND)
+    assert record.allows(ENGINE, 10, SECOND)
+    assert not record.allows(ENGINE, 11, SECOND)
