Groups wait for loads that share the weight store

Callers of plan-salida were refused: when all groups loaded after the first request (controllers off before it), 8 of 12 groups were dissolved as not open before their deadline (30 or 38 s), and their members loaded again. With more than 6 loads at a time each takes longer in proportion, up to 59 s for the 22nd; the deadline knew only the time of a load alone, and nothing of an order that began late.

The deadline now follows the loads of the members: twice the time that a load takes beside those in progress when it began. Emulated engines share the store the same way.

--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -338,6 +338,7 @@
                 f"lost {','.join(lost)}",
             )
             return
+        self._extend_deadline(formation, round_)
         if round_.now >= formation.deadline:
             self.begin_dissolving(formation, formations.Cause.DEADLINE, round_)
             return
@@ -349,6 +350,27 @@
                 formation, formations.Cause.NOT_ALL_ORDERED, round_
             )
 
+    def _extend_deadline(
+        self, formation: formations.Formation, round_: planrounds.Round
+    ) -> None:
+        """Gives a group time for loads that take longer than was known.
+
+        They began late, or beside many others.
+        """
+        engine = round_.engine(formation.service)
+        model = engine.model(formation.model) if engine else None
+        if engine is None or model is None:
+            return
+        hosts = {
+            (name, formation.incarnations[rank])
+            for rank, name in formation.members.items()
+        }
+        end = self.load_record.latest_end(hosts, model, engine)
+        if end is not None:
+            formation.deadline = max(
+                formation.deadline, end + formations.FORMING_SLACK
+            )
+
     def _is_incomplete(
         self,
         formation: formations.Formation,
--- a/figford/loadrecord.py
+++ b/figford/loadrecord.py
@@ -8,6 +8,7 @@
 """
 
 import datetime
+import typing
 
 import attrs
 
@@ -62,6 +63,10 @@
     unanswered: int = 1
     variants: set[tuple[formations.Action, str]] = attrs.field(factory=set)
     began_at: datetime.timedelta | None = None
+    # Loads that were or may have been in progress when it began, with it.
+    beside: int = 1
+    # Whether the host has the weights now, or has ended.
+    is_over: bool = False
     # Whether another planner ordered it, and still plans.
     is_told: bool = False
 
@@ -212,6 +217,7 @@
         now: datetime.timedelta,
         action: formations.Action | None = None,
     ) -> None:
+        load.beside = self.in_progress()
         load.began_at = now
         self.changed = True
         late_ms = (now - load.ordered_at) // MILLISECOND
@@ -270,30 +276,57 @@
     def prune(self, view: formations.View, now: datetime.timedelta) -> None:
         """Discards loads that neither count nor are in progress."""
         for key, load in list(self.load_by_key.items()):
-            if not load.counts(now) and not _is_in_progress(
-                key, load, view, now
-            ):
+            if load.began_at is not None:
+                load.is_over = load.is_over or _is_over(key, load, view)
+            in_progress = load.began_at is not None and not load.is_over
+            if not load.counts(now) and not in_progress:
                 del self.load_by_key[key]
 
+    def in_progress(self) -> int:
+        """Returns the loads that are not over, or may still begin."""
+        return sum(not load.is_over for load in self.load_by_key.values())
+
+    def latest_end(
+        self,
+        hosts: typing.Container[tuple[str, int]],
+        model: routes.Model,
+        engine: routes.Engine,
+    ) -> datetime.timedelta | None:
+        """Returns by when the loads in progress of some hosts should end.
+
+        The hosts are upstreams with their incarnations. Beyond the loads that
+        the weight store takes at once, each takes longer in proportion; twice
+        that time is granted. Returns None if none is in progress.
+        """
+        return max(
+            (
+                load.began_at
+                + 2
+                * model.load_time
+                * max(1.0, load.beside / engine.loads_at_once)
+                for key, load in self.load_by_key.items()
+                if key[:2] in hosts
+                and load.began_at is not None
+                and not load.is_over
+            ),
+            default=None,
+        )
+
     def counted(self, now: datetime.timedelta) -> int:
         """Returns the loads that count in a window that ends now."""
         return sum(load.counts(now) for load in self.load_by_key.values())
 
 
-def _is_in_progress(
-    key: Key,
-    load: Load,
-    view: formations.View,
-    now: datetime.timedelta,
-) -> bool:
-    """Returns whether a host still loads, as far as its reports tell."""
+def _is_over(key: Key, load: Load, view: formations.View) -> bool:
+    """Returns whether a load that began is over, by its host's reports."""
     name, incarnation, _ = key
     registration = view.fleet.get(name)
-    if registration is None or registration.incarnation != incarnation:
-        return False
-    if load.began_at is None or name in view.silent:
-        return False
-    return load.model not in registration.staged
+    return (
+        registration is None
+        or registration.incarnation != incarnation
+        or name in view.silent
+        or load.model in registration.staged
+    )
 
 
 def needs_load(
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -307,6 +307,13 @@
             )
         return record.allows(engine, count, self.now)
 
+    def may_load_spare(self, engine: routes.Engine) -> bool:
+        """Returns whether a spare may load without slowing other loads."""
+        in_progress = self.planner.load_record.in_progress()
+        return self.may_load(engine, 1) and (
+            self.view.warming_up or in_progress < engine.loads_at_once
+        )
+
     def loads_needed(
         self, members: list[fleetmessages.Registration], model: str
     ) -> int:
--- a/figford/tools/enginefleet.py
+++ b/figford/tools/enginefleet.py
@@ -156,9 +156,14 @@
     delayed_order_share: float = 0.0
     # Share of the orders that are executed but whose reply is lost.
     lost_reply_share: float = 0.0
+    # A load takes longer in proportion once it begins beside more than this
+    # many others; None if the weight store has no limit.
+    loads_at_once: int | None = None
     # How long requests in progress keep a head closing.
     work_time: datetime.timedelta = datetime.timedelta(0)
     _delayed_orders: list[_DelayedOrder] = attrs.field(factory=list)
+    # When the loads in progress end.
+    _load_ends: list[datetime.timedelta] = attrs.field(factory=list)
 
     def add(self, engine: Engine) -> None:
         """Adds an engine."""
@@ -267,8 +272,20 @@
             return REJOIN_TIME
         if model.name in engine.staged:
             return model.warm_load_time
+        return self._begin_load(model, now)
+
+    def _begin_load(
+        self, model: routes.Model, now: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Records a load; returns how long it takes beside the others."""
         self.load_times.append(now)
-        return model.load_time
+        self._load_ends = [end for end in self._load_ends if end > now]
+        load_time = model.load_time
+        if self.loads_at_once is not None:
+            share = (len(self._load_ends) + 1) / self.loads_at_once
+            load_time *= max(1.0, share)
+        self._load_ends.append(now + load_time)
+        return load_time
 
     def _check_head_is_not_serving(
         self, engine: Engine, now: datetime.timedelta
@@ -378,11 +395,8 @@
             return Result.HELD
         if engine.staging is not None:
             return Result.REFUSED
-        self.load_times.append(now)
-        engine.staging = (
-            order.model,
-            now + self.models[order.model].load_time,
-        )
+        load_time = self._begin_load(self.models[order.model], now)
+        engine.staging = (order.model, now + load_time)
         return Result.BEGUN
 
     def _leave_seat(self, engine: Engine, now: datetime.timedelta) -> None:
