A planner without news of its predecessor goes by what hosts tell

All controllers off until after the first request: a new planner waited 5 s before any load, since its predecessor might have ordered as many as the rate allows.

Only hosts that may be loading on an unknown order are assumed to: members that join, and hosts outside groups that have begun any order. In the first 5 s of a term hosts without weights are asked for their count, so that one that has begun none does not count.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -733,7 +733,7 @@
             self.planner.start(
                 self.control.agreement.term,
                 now,
-                self._knows_predecessor(now),
+                self._heard_predecessor(now),
             )
         self._planner_heard_at = now
         view = self._planning_view(now)
@@ -749,7 +749,7 @@
             result.append(SendGroupOrder(order))
         return result + self._query_order_counts(view, now) + self._notes()
 
-    def _knows_predecessor(self, now: datetime.timedelta) -> bool:
+    def _heard_predecessor(self, now: datetime.timedelta) -> bool:
         """Returns whether the last planner was heard until lately."""
         heard_at = self._planner_heard_at
         return heard_at is not None and now - heard_at <= PREDECESSOR_SILENCE
--- a/figford/formations.py
+++ b/figford/formations.py
@@ -17,6 +17,14 @@
 # After that it is dissolved, which frees its members for other groups.
 FORMING_SLACK = datetime.timedelta(seconds=6)
 
+# Prefix of the names of warm-up groups; no other group name starts with it.
+WARM_UP_PREFIX = "warm-"
+
+
+def is_warm_up(group: str) -> bool:
+    """Returns whether a group only warms up a spare and is never opened."""
+    return group.startswith(WARM_UP_PREFIX)
+
 
 class Action(enum.Enum):
     """The action that an order requests from an upstream."""
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -52,12 +52,12 @@
         self,
         term: int,
         now: datetime.timedelta,
-        knows_predecessor: bool = False,
+        heard_predecessor: bool = False,
     ) -> None:
         """Starts planning in a new term; clears the state of earlier ones.
 
         Keeps the record of loads, which an earlier planner has told of if
-        this process `knows_predecessor`.
+        this process `heard_predecessor`.
         """
         if term <= self.term:
             raise AssertionError("planner terms must increase")
@@ -67,7 +67,7 @@
         self.formation_by_key.clear()
         self.member_by_name.clear()
         self._freed_by_leave.clear()
-        self.load_record.start(knows_predecessor, now)
+        self.load_record.start(heard_predecessor, now)
 
     # ---- Results of orders ----------------------------------------------
 
@@ -179,7 +179,7 @@
             return []
         round_ = planrounds.Round(self, view, now)
         self._note_freed_by_leave(round_)
-        self._update_members(view)
+        self._update_members(view, now)
         self.load_record.prune(view, now)
         self._adopt(round_)
         for formation in list(self.formation_by_key.values()):
@@ -192,7 +192,13 @@
         warming.warm(round_)
         return round_.orders
 
-    def _update_members(self, view: formations.View) -> None:
+    def _update_members(
+        self, view: formations.View, now: datetime.timedelta
+    ) -> None:
+        # A host without weights may be staging some for another planner.
+        may_stage = not view.warming_up and (
+            self.load_record.may_miss_loads(now)
+        )
         for name, registration in view.fleet.items():
             member = self.member_by_name.get(name)
             if member is None or (
@@ -204,6 +210,7 @@
                 )
                 self.member_by_name[name].query_due = (
                     not known
+                    or may_stage
                     or self.load_record.is_undecided(
                         name, registration.incarnation
                     )
@@ -227,7 +234,7 @@
                 self.formation_by_key[key] = formation
             for rank, registration in seats.items():
                 member = self.member_by_name[registration.upstream]
-                if not warming.is_warm_up(formation.group):
+                if not formations.is_warm_up(formation.group):
                     member.had_group = True
                 if rank not in formation.members:
                     formation.members[rank] = registration.upstream
@@ -260,7 +267,7 @@
         # late order made its member join again. No planner needs to keep a
         # warm-up group.
         phase = formations.Phase.FORMING
-        if warming.is_warm_up(key[0]):
+        if formations.is_warm_up(key[0]):
             phase = formations.Phase.FREED
         elif key[1] // EPOCHS_PER_TERM == self.term:
             phase = formations.Phase.ABANDONED
--- a/figford/loadrecord.py
+++ b/figford/loadrecord.py
@@ -86,21 +86,36 @@
     # Whether a load was ordered, began or was discarded; reset by the reader.
     changed: bool = False
     _started_at: datetime.timedelta | None = None
-    _knows_predecessor: bool = False
+    _heard_predecessor: bool = False
 
-    def start(self, knows_predecessor: bool, now: datetime.timedelta) -> None:
+    def start(self, heard_predecessor: bool, now: datetime.timedelta) -> None:
         """Starts a planner's term.
 
         Its predecessor may have ordered loads until then. One that this
-        process heard until shortly before told of all but the last; else
-        they may be as many as the rate allows.
+        process heard until shortly before told of all but the last.
         """
         self._started_at = now
-        self._knows_predecessor = knows_predecessor
+        self._heard_predecessor = heard_predecessor
         self.changed = True
         for load in self.load_by_key.values():
             load.is_told = False
 
+    def may_miss_loads(self, now: datetime.timedelta) -> bool:
+        """Returns whether loads of a predecessor that it lacks may count."""
+        return self._started_at is not None and (
+            now - self._started_at <= WINDOW
+        )
+
+    def most_missed(
+        self, engine: routes.Engine, now: datetime.timedelta
+    ) -> float:
+        """Returns the most loads that a predecessor may not have told of."""
+        if not self.may_miss_loads(now):
+            return 0
+        if self._heard_predecessor:
+            return engine.loads_per_second + engine.loads_at_once
+        return engine.loads_per_second * WINDOW.total_seconds()
+
     def adopt(
         self, told: list[fleetmessages.KnownLoad], now: datetime.timedelta
     ) -> None:
@@ -230,17 +245,27 @@
             for key, load in self.load_by_key.items()
         )
 
+    def is_known(self, upstream: str, incarnation: int) -> bool:
+        """Returns whether a load of an upstream is recorded."""
+        return any(
+            key[:2] == (upstream, incarnation) for key in self.load_by_key
+        )
+
     def has_place(self, order: formations.GroupOrder) -> bool:
         """Returns whether an order could only begin a recorded load."""
         return key_of(order) in self.load_by_key
 
     def allows(
-        self, engine: routes.Engine, count: int, now: datetime.timedelta
+        self,
+        engine: routes.Engine,
+        count: int,
+        missed: float,
+        now: datetime.timedelta,
     ) -> bool:
         """Returns whether `count` more loads stay within the store's rate.
 
-        Fewer loads at a time finish sooner, since they share the store's
-        bandwidth.
+        `missed` loads may count that are not recorded. Fewer loads at a time
+        finish sooner, since they share the store's bandwidth.
         """
         limit = engine.loads_per_second * WINDOW.total_seconds()
         at_once = engine.loads_per_second + engine.loads_at_once
@@ -248,16 +273,10 @@
             now - load.ordered_at <= SECOND
             for load in self.load_by_key.values()
         )
-        counted = self.counted(now) + self._assumed(limit, at_once, now)
-        return counted + count <= limit and recent + count <= at_once
-
-    def _assumed(
-        self, limit: float, at_once: float, now: datetime.timedelta
-    ) -> float:
-        """Returns how many loads of a predecessor are assumed to count."""
-        if self._started_at is None or now - self._started_at > WINDOW:
-            return 0
-        return at_once if self._knows_predecessor else limit
+        return (
+            self.counted(now) + missed + count <= limit
+            and recent + count <= at_once
+        )
 
     def allows_before_requests(
         self, engine: routes.Engine, count: int
@@ -344,6 +363,24 @@
     )
 
 
+def may_be_loading(
+    registration: fleetmessages.Registration, member: formations.Member
+) -> bool:
+    """Returns whether a host may load weights on an unknown order.
+
+    Members of groups that formed are given no such order. Of the others,
+    only those that have begun no order at all certainly do not load.
+    """
+    seat = registration.seat
+    if (
+        seat is not None
+        and seat.state is not fleetmessages.SeatState.JOINING
+        and not formations.is_warm_up(seat.group)
+    ):
+        return False
+    return not member.has_replied or member.orders_begun != 0
+
+
 def causes_load(
     order: formations.GroupOrder,
     registration: fleetmessages.Registration,
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -52,6 +52,7 @@
     seats_by_key: dict[
         tuple[str, int], dict[int, fleetmessages.Registration]
     ] = attrs.field(factory=dict)
+    _hosts_loading: int | None = None
 
     def __attrs_post_init__(self) -> None:
         """Indexes the reports by group.
@@ -293,7 +294,27 @@
             return True
         if self.view.warming_up:
             return record.allows_before_requests(engine, 1)
-        return record.allows(engine, 1, self.now)
+        return record.allows(engine, 1, self._missed_loads(engine), self.now)
+
+    def _missed_loads(self, engine: routes.Engine) -> float:
+        """Returns how many loads may count that an earlier planner ordered.
+
+        These are hosts that may be loading, but not on a known order.
+        """
+        most = self.planner.load_record.most_missed(engine, self.now)
+        return min(most, self._count_hosts_loading()) if most else 0
+
+    def _count_hosts_loading(self) -> int:
+        if self._hosts_loading is None:
+            record = self.planner.load_record
+            self._hosts_loading = sum(
+                loadrecord.may_be_loading(
+                    registration, self.planner.member_by_name[name]
+                )
+                and not record.is_known(name, registration.incarnation)
+                for name, registration in self.view.fleet.items()
+            )
+        return self._hosts_loading
 
     def may_load(self, engine: routes.Engine, count: int) -> bool:
         """Returns whether the weight store can take `count` more loads."""
@@ -305,7 +326,9 @@
                 self.loads_in_progress() < engine.loads_at_once
                 and record.allows_before_requests(engine, count)
             )
-        return record.allows(engine, count, self.now)
+        return record.allows(
+            engine, count, self._missed_loads(engine), self.now
+        )
 
     def may_load_spare(self, engine: routes.Engine) -> bool:
         """Returns whether a spare may load without slowing other loads."""
--- a/figford/warming.py
+++ b/figford/warming.py
@@ -10,14 +10,6 @@
 from figford import planrounds
 from figford import routes
 
-# Prefix of the names of warm-up groups; no other group name starts with it.
-PREFIX = "warm-"
-
-
-def is_warm_up(group: str) -> bool:
-    """Returns whether a group only warms up a spare and is never opened."""
-    return group.startswith(PREFIX)
-
 
 def former_seat(
     registration: fleetmessages.Registration, group: str, epoch: int
@@ -27,7 +19,7 @@
     Returns None if that is a warm-up group.
     """
     seat = registration.seat
-    if seat is None or is_warm_up(seat.group):
+    if seat is None or formations.is_warm_up(seat.group):
         return None
     return None if (seat.group, seat.epoch) == (group, epoch) else seat
 
@@ -73,7 +65,7 @@
             action=formations.Action.JOIN,
             fence=round_.planner.term,
             expected=None,
-            group=f"{PREFIX}{epoch:x}",
+            group=f"{formations.WARM_UP_PREFIX}{epoch:x}",
             epoch=epoch,
             model=model.name,
             members=(item.upstream,),
