Spares load only while the weight store has room

A spare's load slowed those of groups: beyond 6 at a time each load takes longer in proportion, for all of its time. A host without a group now stages weights only while fewer loads are in progress than the store takes at once; groups and repairs are not held back.

Before: test_spares_load_only_what_the_weight_store_takes_at_once 12 loads; after: 6. test_idle_spares_stage_weights_of_a_model_that_lacks_groups waits 70 s for all spares in place of 50, since the second six load after the first; what it asserts is the same.

--- a/figford/forming.py
+++ b/figford/forming.py
@@ -427,7 +427,7 @@
                 model = _model_without_spare(item, idle, engine, round_)
             if model is None:
                 continue
-            if not round_.may_load(engine, 1):
+            if not round_.may_load_spare(engine):
                 return
             _order_stage(item, model, round_)
 
