Groups begin to load one after another

A round now forms one group that loads; the next round follows 40 to 100 ms later.

Before the first request nothing changes.

--- a/figford/forming.py
+++ b/figford/forming.py
@@ -229,6 +229,9 @@
         if members and round_.may_load(engine, loads):
             _begin_forming(service, model, members, round_)
             return True
+    if round_.loads_ordered and not round_.view.warming_up:
+        # Loads that begin first take least, so groups load one by one.
+        return False
     for model in in_order:
         members = choose_to_load(
             model,
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -52,6 +52,8 @@
     seats_by_key: dict[
         tuple[str, int], dict[int, fleetmessages.Registration]
     ] = attrs.field(factory=dict)
+    # Loads that orders of this round cause.
+    loads_ordered: int = 0
     _hosts_loading: int | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -280,6 +282,7 @@
             if not self._may_cause_load(order, registration.service):
                 return False
             self.planner.load_record.record_order(order, self.now)
+            self.loads_ordered += 1
         member.pending = member.last_order = order
         member.last_order_at = self.now
         self.orders.append(order)
