--- a/figford/tests/test_warming.py
+++ b/figford/tests/test_warming.py
@@ -6,8 +6,8 @@
 
 from figford import formations
 from figford import forming
-from figford import warming
 from figford.tests import plannerworld
+from figford import warming
 
 SEEDS = (1, 2, 3, 4)
 # As recorded on days of high load: a host is lost every 3 s and later replaced
