Groups with more members than may load at once are formed

Callers of a model of 12 members were refused after the first request: a group whose members all lack weights was never formed, since its 12 loads are more than the 10 that may be ordered within a second. Only hosts that staged weights as spares, one by one, made groups.

Each order passes the limit by itself now, so a group is formed if its first loads may begin, and its other joins follow as the rate allows.

Before: test_groups_with_more_members_than_may_load_at_once_are_formed has 1 of 3 groups after 60 s; after: 3, within the rate.

--- a/figford/loadrecord.py
+++ b/figford/loadrecord.py
@@ -265,10 +265,12 @@
         """Returns whether `count` more loads stay within the store's rate.
 
         `missed` loads may count that are not recorded. Fewer loads at a time
-        finish sooner, since they share the store's bandwidth.
+        finish sooner, since they share the store's bandwidth. Of more than
+        may ever begin at once the first have to; the others follow.
         """
         limit = engine.loads_per_second * WINDOW.total_seconds()
         at_once = engine.loads_per_second + engine.loads_at_once
+        count = max(1, min(count, int(limit), int(at_once)))
         recent = sum(
             now - load.ordered_at <= SECOND
             for load in self.load_by_key.values()
--- a/figford/tests/plannerworld.py
+++ b/figford/tests/plannerworld.py
@@ -31,6 +31,7 @@
 
     seed: int
     domains: int = 3
+    engine: routes.Engine = ENGINE
     now: datetime.timedelta = SECOND
     planner: groupplanner.Planner = attrs.field(factory=groupplanner.Planner)
     fleet: fleets.FleetTable = attrs.field(factory=fleets.FleetTable)
@@ -48,7 +49,7 @@
         """Starts engines in domains of eight and a first planner."""
         self.rng = random.Random(self.seed)
         self.engines = enginefleet.EngineFleet(
-            {"large": LARGE, "small": SMALL}, self.rng
+            {model.name: model for model in self.engine.models}, self.rng
         )
         for index in range(self.domains * 8):
             self.add(f"e{index:02}", f"d{index // 8}")
@@ -104,7 +105,7 @@
                 for name in present
                 if self.fleet.is_silent(name, self.now)
             ),
-            {"pool": ENGINE},
+            {"pool": self.engine},
             frozenset(self.doubted),
             self.warming_up,
         )
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -447,6 +447,18 @@
     assert world.engines.serving("small") == 6
 
 
+def test_groups_with_more_members_than_may_load_at_once_are_formed() -> None:
+    """Groups of 12, where 10 loads a second may begin."""
+    models = attrs.evolve(LARGE, size=12), attrs.evolve(SMALL, size=6)
+    engine = attrs.evolve(ENGINE, models=models)
+    world = World(seed=1, domains=0, engine=engine)
+    for index in range(54):
+        world.add(f"e{index:02}", f"d{index // 27}")
+    world.run(60)
+    assert world.engines.serving("large") == 3
+    assert world.engines.most_loads(5 * SECOND) <= LOADS_IN_WINDOW
+
+
 def test_groups_begin_to_load_one_after_another() -> None:
     """Loads that begin first take least, so the first group serves soonest."""
     world = World(seed=1, domains=6)
