A load that never ends holds back spares no longer than it could take

Found when the change was read again: a host whose load was given up, as its group was dissolved or it was given other work, reports no weights, so its load stayed in progress for good, and six of them kept all spares from loading. A load now counts as in progress for twice the time that it should take beside the others at most.

Before: test_loads_that_never_end_hold_back_no_spares_for_good fails, the spare has no weights after 60 s; after: passes.

--- a/figford/loadrecord.py
+++ b/figford/loadrecord.py
@@ -297,8 +297,8 @@
     def prune(self, view: formations.View, now: datetime.timedelta) -> None:
         """Discards loads that neither count nor are in progress."""
         for key, load in list(self.load_by_key.items()):
-            if load.began_at is not None:
-                load.is_over = load.is_over or _is_over(key, load, view)
+            if load.began_at is not None and not load.is_over:
+                load.is_over = _is_over(key, load, view, now)
             in_progress = load.began_at is not None and not load.is_over
             if not load.counts(now) and not in_progress:
                 del self.load_by_key[key]
@@ -315,16 +315,12 @@
     ) -> datetime.timedelta | None:
         """Returns by when the loads in progress of some hosts should end.
 
-        The hosts are upstreams with their incarnations. Beyond the loads that
-        the weight store takes at once, each takes longer in proportion; twice
-        that time is granted. Returns None if none is in progress.
+        The hosts are upstreams with their incarnations. Returns None if none
+        is in progress.
         """
         return max(
             (
-                load.began_at
-                + 2
-                * model.load_time
-                * max(1.0, load.beside / engine.loads_at_once)
+                load.began_at + _longest_time(load, model, engine)
                 for key, load in self.load_by_key.items()
                 if key[:2] in hosts
                 and load.began_at is not None
@@ -338,16 +334,36 @@
         return sum(load.counts(now) for load in self.load_by_key.values())
 
 
-def _is_over(key: Key, load: Load, view: formations.View) -> bool:
-    """Returns whether a load that began is over, by its host's reports."""
+def _longest_time(
+    load: Load, model: routes.Model, engine: routes.Engine
+) -> datetime.timedelta:
+    """Returns twice the time that a load should take.
+
+    Beyond the loads that the weight store takes at once, each takes longer
+    in proportion.
+    """
+    share = load.beside / max(1, engine.loads_at_once)
+    return 2 * model.load_time * max(1.0, share)
+
+
+def _is_over(
+    key: Key, load: Load, view: formations.View, now: datetime.timedelta
+) -> bool:
+    """Returns whether a load that began is over, as far as is known.
+
+    One that was given up on, as its host was given other work, never shows.
+    """
     name, incarnation, _ = key
     registration = view.fleet.get(name)
-    return (
-        registration is None
-        or registration.incarnation != incarnation
-        or name in view.silent
-        or load.model in registration.staged
-    )
+    if registration is None or registration.incarnation != incarnation:
+        return True
+    if name in view.silent or load.model in registration.staged:
+        return True
+    engine = view.engines.get(registration.service)
+    model = engine.model(load.model) if engine else None
+    if engine is None or model is None or load.began_at is None:
+        return True
+    return now - load.began_at > _longest_time(load, model, engine)
 
 
 def needs_load(
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -447,6 +447,22 @@
     assert world.engines.serving("small") == 6
 
 
+def test_loads_that_never_end_hold_back_no_spares_for_good() -> None:
+    """Hosts whose load was given up report no weights."""
+    world = World(seed=1, domains=6)
+    world.run(70)
+    for index in range(6):
+        world.add(f"n{index}", f"d{index}")
+    world.run(5)
+    for index in range(6):
+        # Without a notice, as if the load had been cancelled.
+        assert world.engines.by_name[f"n{index}"].staging is not None
+        world.engines.by_name[f"n{index}"].staging = None
+    world.add("spare", "d0")
+    world.run(60)
+    assert world.engines.by_name["spare"].staged
+
+
 def test_groups_with_more_members_than_may_load_at_once_are_formed() -> None:
     """Groups of 12, where 10 loads a second may begin."""
     models = attrs.evolve(LARGE, size=12), attrs.evolve(SMALL, size=6)
