--- a/figford/loadrecord.py
+++ b/figford/loadrecord.py
@@ -79,11 +79,16 @@
 
 @attrs.define
 class LoadRecord:
-    """The loads that were ordered and count, or are still in progress."""
+    """The loads that were ordered and count, or are still in progress.
+
+    A load *counts* while it falls into one window with loads that begin now;
+    it is *undecided* while it may still begin. Other controllers hold a copy
+    of the planner's record, and one of them succeeds the planner.
+    """
 
     load_by_key: dict[Key, Load] = attrs.field(factory=dict)
     notes: list[Note] = attrs.field(factory=list)
-    # Whether a load was ordered, began or was discarded; reset by the reader.
+    # Whether the other controllers' copies are out of date.
     changed: bool = False
     _started_at: datetime.timedelta | None = None
     _heard_predecessor: bool = False
@@ -178,19 +183,21 @@
         load = self.load_by_key.get(key_of(order))
         if load is None or load.began_at is not None:
             return
-        may_load = (order.action, order.model) in load.variants
+        may_begin_it = (order.action, order.model) in load.variants
         match result:
             case formations.Result.UNKNOWN:
                 return
-            case formations.Result.BEGUN if may_load:
+            case formations.Result.BEGUN if may_begin_it:
                 self._record_begin(order, load, now)
             case formations.Result.BEGUN:
                 # Another order has used the number.
                 self._discard(order)
-            case formations.Result.HELD if may_load and load.unanswered > 1:
+            case formations.Result.HELD if (
+                may_begin_it and load.unanswered > 1
+            ):
                 # An earlier order began it.
                 self._record_begin(order, load, now)
-            case _ if may_load:
+            case _ if may_begin_it:
                 load.unanswered -= 1
                 if not load.unanswered:
                     self._discard(order)
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -326,7 +326,7 @@
         record = self.planner.load_record
         if self.view.warming_up:
             return (
-                self.loads_in_progress() < engine.loads_at_once
+                self.members_loading() < engine.loads_at_once
                 and record.allows_before_requests(engine, count)
             )
         return record.allows(
@@ -350,7 +350,7 @@
             for item in members
         )
 
-    def loads_in_progress(self) -> int:
+    def members_loading(self) -> int:
         """Returns how many members are still loading for their groups."""
         return sum(
             formation.loads > 0
