--- a/figford/tests/plannerworld.py
+++ b/figford/tests/plannerworld.py
@@ -31,7 +31,7 @@
 
     seed: int
     domains: int = 3
-    engine: routes.Engine = ENGINE
+    engine: routes.Engine = attrs.field(factory=lambda: ENGINE)
     now: datetime.timedelta = SECOND
     planner: groupplanner.Planner = attrs.field(factory=groupplanner.Planner)
     fleet: fleets.FleetTable = attrs.field(factory=fleets.FleetTable)
