--- a/figford/tests/plannerworld.py
+++ b/figford/tests/plannerworld.py
@@ -31,7 +31,8 @@
 
     seed: int
     domains: int = 3
-    engine: routes.Engine = attrs.field(factory=lambda: ENGINE)
+    # `ENGINE` where None.
+    engine: routes.Engine | None = None
     now: datetime.timedelta = SECOND
     planner: groupplanner.Planner = attrs.field(factory=groupplanner.Planner)
     fleet: fleets.FleetTable = attrs.field(factory=fleets.FleetTable)
@@ -49,7 +50,8 @@
         """Starts engines in domains of eight and a first planner."""
         self.rng = random.Random(self.seed)
         self.engines = enginefleet.EngineFleet(
-            {model.name: model for model in self.engine.models}, self.rng
+            {model.name: model for model in self.engine_settings().models},
+            self.rng,
         )
         for index in range(self.domains * 8):
             self.add(f"e{index:02}", f"d{index // 8}")
@@ -57,6 +59,10 @@
         # No earlier planner has ordered loads.
         self.planner.load_record = loadrecord.LoadRecord()
 
+    def engine_settings(self) -> routes.Engine:
+        """Returns the settings of all engines."""
+        return ENGINE if self.engine is None else self.engine
+
     def add(self, name: str, domain: str) -> None:
         """Adds an engine with no weights."""
         self.engines.add(
@@ -105,7 +111,7 @@
                 for name in present
                 if self.fleet.is_silent(name, self.now)
             ),
-            {"pool": self.engine},
+            {"pool": self.engine_settings()},
             frozenset(self.doubted),
             self.warming_up,
         )
