Repeats are logged with their service and counted by what became of them

Logs could not tell repeats that were withdrawn from the budget and found no upstream from those that were sent, nor repeats that passed the budget from those that did not.

--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -503,13 +503,20 @@
         self, call: forwarding.ForwardedCall, now: datetime.timedelta
     ) -> bool:
         """Withdraws a retry of the service; returns whether one was left."""
-        return self._budget(call.service).try_withdraw(now, self.entries)
+        left = self._budget(call.service).try_withdraw(now, self.entries)
+        if not left:
+            self.metrics.event("retry-beyond-budget")
+        return left
 
     def place_again(
         self, call: forwarding.ForwardedCall, now: datetime.timedelta
     ) -> bool:
         """Places a call again; returns whether a target was found."""
-        return self._place(call, now)
+        placed = self._place(call, now)
+        self.metrics.event(
+            "retry-placed" if placed else "retry-without-target"
+        )
+        return placed
 
     def attempt_started(
         self, call: forwarding.ForwardedCall, target: placements.Target
@@ -602,16 +609,21 @@
         self.placement.eject(target, self.clock.now())
 
     def attempt_ended(
-        self, call: forwarding.ForwardedCall, reason: str
+        self, call: forwarding.ForwardedCall, reason: str, counted: bool
     ) -> None:
-        """Logs that an attempt ended and the call is to be retried."""
+        """Logs that an attempt ended and the call is to be retried.
+
+        `counted` states whether the retry was taken from the budget.
+        """
         self.metrics.event("attempt-ended")
         _log.info(
             "attempt ended",
             request=call.head.attempt,
             digest=call.suspect().request,
+            service=call.service,
             upstream=call.tried[-1] if call.tried else "",
             cause=reason,
+            counted=counted,
             parts=",".join(crashes.part_names(call.head)),
             entries=self.entries,
             table_version=self.table.version,
@@ -646,6 +658,7 @@
             request=call.head.attempt,
             digest=call.suspect().request,
             route=call.route.name,
+            service=call.service,
             account=account,
             outcome=outcome,
             status=status,
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -565,7 +565,7 @@
             self._refuse_after_attempt(refusal)
             return
         self.retry_count += counted
-        self.forwarder.attempt_ended(self, reason)
+        self.forwarder.attempt_ended(self, reason, counted)
         if not self.forwarder.place_again(self, now):
             self._refuse_after_attempt(refusal)
 
