Retries accrue while an entry runs, so that restarts add none

Callers saw repeats pile up: 416 arrivals beyond the first in 10 s where 373 are allowed, as entries restarted beside upstreams that shed. Each process had its part of the reserve at once and a sliding window that ended with it. The same class without restarts: an entry spent in a second what it had saved up in ten, and the next one got as much for the traffic that moved to it.

An entry now starts with nothing. A part of the reserve accrues by time, half of it is kept for bursts, and requests allow retries for two seconds. What all processes together spend in a window is at most what accrued in it and what was kept before it, whoever restarts, joins or leaves; no memory is needed.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 	$(BIN)/python -m figford.tools.bench_control
 	$(BIN)/python -m figford.tools.bench_limits
 	$(BIN)/python -m figford.tools.bench_crashes
+	$(BIN)/python -m figford.tools.bench_retries
 
 soak: $(STAMP)
 	$(BIN)/python -m figford.tools.soak --seed $(SEED) --steps $(STEPS)
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -48,15 +48,6 @@
 IDLE_FRACTION = 0.5
 
 
-@attrs.frozen
-class RetryBudgetSettings:
-    """The retry budget of a service: a ratio of its requests and a reserve."""
-
-    ratio: float
-    reserve: float
-    window: datetime.timedelta
-
-
 @attrs.define
 class Forwarder:
     """The calls in progress, the queue and the retry budgets of an entry."""
@@ -66,7 +57,7 @@
     dialect: wire.Dialect
     placement: placements.Placement
     metrics: metric_sets.Metrics
-    budget_settings: RetryBudgetSettings
+    budget_settings: sharedbudget.BudgetSettings
     rng: random.Random
     table: routes.RouteTable = attrs.field(factory=routes.RouteTable)
     # The entries that share limits and budgets; None until it was told.
@@ -85,15 +76,15 @@
         factory=list
     )
     _queued: int = 0
-    _budget_by_service: dict[str, sharedbudget.SharedBudget] = attrs.field(
-        factory=dict
-    )
-
+    _budgets: sharedbudget.SharedBudgets = attrs.field(init=False)
     _demand: permitdemand.PermitDemand = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Starts without demand for permits."""
+        """Starts without demand for permits and without retries."""
         self._demand = permitdemand.PermitDemand(self.placement)
+        self._budgets = sharedbudget.SharedBudgets(self.budget_settings)
+        if self.entries is not None:
+            self._budgets.set_entries(self.entries, self.clock.now())
 
     # ---- Route table and fleet ------------------------------------------
 
@@ -113,6 +104,7 @@
         """Applies a status message of the leading controller."""
         self.placement.silent = frozenset(status.silent)
         self.entries = status.entries
+        self._budgets.set_entries(status.entries, self.clock.now())
 
     def _update_placement(self) -> None:
         engines = {
@@ -148,7 +140,7 @@
         now = self.clock.now()
         self.calls.add(call)
         call.service = self._choose_service(call)
-        self._budget(call.service).record_request(now)
+        self._budgets.of(call.service).record_request(now)
         if self._refuse_convicted(call, now):
             return
         if not self.placement.has_any(call.service, self._model(call)):
@@ -503,7 +495,7 @@
         self, call: forwarding.ForwardedCall, now: datetime.timedelta
     ) -> bool:
         """Withdraws a retry of the service; returns whether one was left."""
-        left = self._budget(call.service).try_withdraw(now, self.entries)
+        left = self._budgets.of(call.service).try_withdraw(now)
         if not left:
             self.metrics.event("retry-beyond-budget")
         return left
@@ -680,18 +672,6 @@
         )
         self._place_queued()
 
-    def _budget(self, service: str) -> sharedbudget.SharedBudget:
-        budget = self._budget_by_service.get(service)
-        if budget is None:
-            budget_settings = self.budget_settings
-            budget = sharedbudget.SharedBudget(
-                budget_settings.ratio,
-                budget_settings.reserve,
-                budget_settings.window,
-            )
-            self._budget_by_service[service] = budget
-        return budget
-
 
 def _max_queue_time(call: forwarding.ForwardedCall) -> datetime.timedelta:
     return min(call.route.objective * MAX_QUEUE_FRACTION, MAX_QUEUE_TIME)
--- a/figford/nodesettings.py
+++ b/figford/nodesettings.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from figford import forwarder
+from figford import sharedbudget
 
 
 @attrs.frozen
@@ -31,6 +31,6 @@
     metrics_address: str | None = None
     stop_timeout: datetime.timedelta = datetime.timedelta(seconds=8)
     checks_fencing: bool = True
-    budget: forwarder.RetryBudgetSettings = forwarder.RetryBudgetSettings(
+    budget: sharedbudget.BudgetSettings = sharedbudget.BudgetSettings(
         0.2, 10.0, datetime.timedelta(seconds=10)
     )
--- a/figford/platform/boot.py
+++ b/figford/platform/boot.py
@@ -7,8 +7,8 @@
 import typing
 
 from figford import errors
-from figford import forwarder
 from figford import nodesettings
+from figford import sharedbudget
 
 PATH_VARIABLE = "FIGFORD_NODE_FILE"
 
@@ -73,7 +73,7 @@
         metrics_address=f"{ip}:{metrics_port}",
         stop_timeout=datetime.timedelta(seconds=bounds.get("grace_s", 8)),
         checks_fencing=bounds.get("fencing") is True,
-        budget=forwarder.RetryBudgetSettings(
+        budget=sharedbudget.BudgetSettings(
             ratio=bounds.get("retry_budget_ratio", 0.2),
             reserve=bounds.get("retry_budget_slack", 10),
             window=datetime.timedelta(
--- a/figford/sharedbudget.py
+++ b/figford/sharedbudget.py
@@ -1,7 +1,10 @@
-"""A retry budget that all entries share.
+"""The retry budgets of services, which all entries share.
 
-Each entry may use a fraction of its own requests and its part of the reserve,
-so that the total is kept even while entries can't reach each other.
+An entry spends only what has accrued while its process ran: a fraction of its
+own requests, and with time its part of the reserve. So restarts, joins and
+traffic that moves to another entry add nothing to the total of a window,
+though no process knows what another one has spent, and the total is kept
+while entries can't reach each other.
 """
 
 import collections
@@ -9,50 +12,127 @@
 
 import attrs
 
-# Part of the budget stays unused, because an entry's requests count in full
-# only over a whole window and the number of entries may be stale.
-SAFETY_FACTOR = 0.7
+# A part of the budget stays unused, since the number of entries that share it
+# may be stale.
+SAFETY_FACTOR = 0.9
+# Requests allow retries for this part of the window. Those of requests before
+# a window may be spent in it, besides those of requests within.
+RETENTION_PART = 0.2
+# This part of what an entry may use of the reserve in a window is kept for
+# bursts; the rest accrues evenly.
+BURST_PART = 0.5
+
+
+@attrs.frozen
+class BudgetSettings:
+    """The retry budget of a service: a ratio of its requests and a reserve."""
+
+    ratio: float
+    reserve: float
+    window: datetime.timedelta
 
 
 @attrs.define
 class SharedBudget:
-    """Retries of one service at one entry, in a sliding window.
+    """Retries of one service at one entry.
 
-    >>> budget = SharedBudget(0.5, 2.0, datetime.timedelta(seconds=10))
-    >>> now = datetime.timedelta(0)
-    >>> budget.record_request(now)
-    >>> [budget.try_withdraw(now, entries=2) for _ in range(2)]
-    [True, False]
+    >>> second = datetime.timedelta(seconds=1)
+    >>> budget = SharedBudget(BudgetSettings(0.4, 0.0, 10 * second))
+    >>> for _ in range(7):
+    ...     budget.record_request(0 * second)
+    >>> [budget.try_withdraw(1 * second) for _ in range(3)]
+    [True, True, False]
     """
 
-    ratio: float
-    reserve: float
-    window: datetime.timedelta
+    settings: BudgetSettings
+    # The entries that share the reserve; it accrues while that is known.
+    entries: int | None = None
+    # What is left of the reserve that has accrued.
+    _reserve: float = 0.0
+    _accrued_at: datetime.timedelta = datetime.timedelta(0)
+    # Requests whose shares of a retry are not all spent, oldest first.
     _requests: collections.deque[datetime.timedelta] = attrs.field(
         factory=collections.deque
     )
-    _retries: collections.deque[datetime.timedelta] = attrs.field(
-        factory=collections.deque
-    )
+    # What is spent of the oldest one's share.
+    _spent: float = 0.0
+
+    def set_entries(self, entries: int, now: datetime.timedelta) -> None:
+        """Sets how many entries share the reserve from now on."""
+        self._accrue(now)
+        self.entries = entries
 
     def record_request(self, now: datetime.timedelta) -> None:
         """Counts a caller's request."""
+        self._discard_expired(now)
         self._requests.append(now)
 
-    def try_withdraw(
-        self, now: datetime.timedelta, entries: int | None
-    ) -> bool:
-        """Withdraws one retry; returns whether one was left.
-
-        An entry that does not know how many share the reserve uses none.
-        """
-        for counted in (self._requests, self._retries):
-            while counted and now - counted[0] > self.window:
-                counted.popleft()
-        allowed = self.ratio * len(self._requests) * SAFETY_FACTOR
-        if entries is not None:
-            allowed += self.reserve / max(1, entries) * SAFETY_FACTOR
-        if len(self._retries) + 1 > allowed:
+    def try_withdraw(self, now: datetime.timedelta) -> bool:
+        """Withdraws one retry; returns whether one was left."""
+        self._discard_expired(now)
+        self._accrue(now)
+        allowed = self._share * len(self._requests) - self._spent
+        if allowed + self._reserve < 1:
             return False
-        self._retries.append(now)
+        from_requests = min(1.0, max(0.0, allowed))
+        self._reserve -= 1 - from_requests
+        self._spend(from_requests)
         return True
+
+    @property
+    def _share(self) -> float:
+        """Returns the part of a retry that one request allows."""
+        return self.settings.ratio * SAFETY_FACTOR / (1 + RETENTION_PART)
+
+    def _spend(self, shares: float) -> None:
+        self._spent += shares
+        while self._requests and self._spent >= self._share:
+            self._requests.popleft()
+            self._spent -= self._share
+        if not self._requests:
+            self._spent = 0.0
+
+    def _discard_expired(self, now: datetime.timedelta) -> None:
+        retention = self.settings.window * RETENTION_PART
+        while self._requests and now - self._requests[0] > retention:
+            self._requests.popleft()
+            self._spent = 0.0
+
+    def _accrue(self, now: datetime.timedelta) -> None:
+        """Adds the reserve that has accrued since the last call."""
+        windows = (now - self._accrued_at) / self.settings.window
+        self._accrued_at = now
+        if self.entries is None:
+            return
+        part = self.settings.reserve * SAFETY_FACTOR / max(1, self.entries)
+        accrued = part * (1 - BURST_PART) * windows
+        self._reserve = min(part * BURST_PART, self._reserve + accrued)
+
+
+@attrs.define
+class SharedBudgets:
+    """The budgets of all services at one entry."""
+
+    settings: BudgetSettings
+    entries: int | None = None
+    # When this process was first told how many entries there are.
+    _told_at: datetime.timedelta | None = None
+    _budget_by_service: dict[str, SharedBudget] = attrs.field(factory=dict)
+
+    def set_entries(self, entries: int, now: datetime.timedelta) -> None:
+        """Sets how many entries share the reserves from now on."""
+        self.entries = entries
+        if self._told_at is None:
+            self._told_at = now
+        for budget in self._budget_by_service.values():
+            budget.set_entries(entries, now)
+
+    def of(self, service: str) -> SharedBudget:
+        """Returns the budget of a service."""
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = SharedBudget(self.settings)
+            if self.entries is not None and self._told_at is not None:
+                budget.set_entries(self.entries, self._told_at)
+            self._budget_by_service[service] = budget
+        return budget
--- a/figford/tools/limitworld.py
+++ b/figford/tools/limitworld.py
@@ -26,6 +26,7 @@
 from figford import permits
 from figford import placement
 from figford import routes
+from figford import sharedbudget
 from figford import wire
 
 STEP = datetime.timedelta(milliseconds=10)
@@ -258,7 +259,7 @@
         forwarder = forwarders.Forwarder(
             self.clock, Pool(self), Dialect(),
             placement.Placement("dc", rng, permits=own), metrics.Metrics(),
-            forwarders.RetryBudgetSettings(0.2, 100, 10 * SECOND), rng,
+            sharedbudget.BudgetSettings(0.2, 100, 10 * SECOND), rng,
             entries=self.entries,
         )  # fmt: skip
         forwarder.apply_route_table(
--- a/figford/tools/loadworld.py
+++ b/figford/tools/loadworld.py
@@ -25,6 +25,7 @@
 from figford import metrics
 from figford import placement
 from figford import routes
+from figford import sharedbudget
 from figford.tools import limitworld
 from figford import wire
 
@@ -313,7 +314,7 @@
         forwarder = forwarders.Forwarder(
             self.clock, Pool(self), limitworld.Dialect(),
             placement.Placement("dc", rng), metrics.Metrics(),
-            forwarders.RetryBudgetSettings(0.2, 130, 10 * SECOND), rng,
+            sharedbudget.BudgetSettings(0.2, 130, 10 * SECOND), rng,
             entries=self.entry_count,
         )  # fmt: skip
         table = routes.RouteTable(
--- a/figford/tests/platform/retrymeter.py
+++ b/figford/tools/retrymeter.py
@@ -61,14 +61,15 @@
     def allowed(self, since: datetime.timedelta) -> float:
         """Returns how many repeats may come in the window from a time on."""
         requests = max(
-            self._count(self.requests, since - back)
+            self.count(self.requests, since - back)
             for back in (0 * self.window, self.window / 2, self.window)
         )
         return self.ratio * requests + self.reserve
 
-    def _count(
+    def count(
         self, times: list[datetime.timedelta], since: datetime.timedelta
     ) -> int:
+        """Returns how many of some times are in the window from a time on."""
         end = bisect.bisect_right(times, since + self.window)
         return end - bisect.bisect_left(times, since)
 
@@ -76,7 +77,7 @@
         """Returns the worst of the windows that begin with a repeat."""
         return max(
             (
-                Excess(since, self._count(self.repeats, since),
+                Excess(since, self.count(self.repeats, since),
                        self.allowed(since))
                 for since in self.repeats
             ),
