The parts of the retry budget add up behind a cut and after a takeover

Reproduced in tests only: a leader that restarted while a data centre was cut off knew nothing of the entries there, told the others that they were alone, and all together used 4/3 of the budget; an entry that was cut off before others joined kept its larger part, as much again.

The log names the entries that may serve and the parts that they had: a new leader counts those that it never heard, and live entries share what silent ones leave. An entry that hears no leader for five minutes uses no reserve; then the others get its part. An entry that links is told the number that includes itself.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -128,8 +128,6 @@
     _settled_at: datetime.timedelta = attrs.field(init=False)
     _last_event: datetime.timedelta = attrs.field(init=False)
     _sent_status: fleetmessages.FleetStatus | None = None
-    # Largest number of entries that were live at the same time.
-    _most_entries: int = 0
     _proposals_made: int = 0
     # The term that this controller leads, as of its last pulse.
     _told_leading_term: int = 0
@@ -227,8 +225,8 @@
             if self.is_settled_leader:
                 told = self.planner.load_record.told(now)
                 result.append(effects.SendPeer(peer.instance, told))
-        elif self._sent_status is not None and self.is_settled_leader:
-            result.append(effects.SendPeer(peer.instance, self._sent_status))
+        else:
+            result += self._send_status_to(peer.instance, now)
         result.append(effects.SendPeer(peer.instance, self._pulse()))
         return result
 
@@ -474,18 +472,30 @@
 
     def _send_status(self, now: datetime.timedelta) -> list[Effect]:
         """Sends entries the status that only a leader knows, if it changed."""
-        sharing = self._count_entries_sharing(now)
         if not self.is_settled_leader:
             self._sent_status = None
             return []
+        if self.limit_keeper.term != self._leading_term():
+            # It is not known yet since when this controller leads.
+            return []
+        self._slots.shares = self.control.ledger.state.slot_shares
         status = fleetmessages.FleetStatus(
-            sorted(self.silent(now)), max(1, sharing)
+            sorted(self.silent(now)), self._slots.count_sharing(now)
         )
         if status == self._sent_status:
             return []
         self._sent_status = status
         return [SendAll(self._linked_entries(), status)]
 
+    def _send_status_to(
+        self, entry: str, now: datetime.timedelta
+    ) -> list[Effect]:
+        """Sends the status to an entry, and to all if it has changed."""
+        changed = self._send_status(now)
+        if changed or self._sent_status is None:
+            return changed
+        return [effects.SendPeer(entry, self._sent_status)]
+
     def _linked_entries(self) -> list[str]:
         return [name for name in sorted(self._entries()) if name in self.links]
 
@@ -497,25 +507,6 @@
             if known.peer.voter is None
         }
 
-    def _count_entries_sharing(self, now: datetime.timedelta) -> int:
-        """Counts the entries that may use a part of the retry budget.
-
-        An entry that fell silent may serve on behind a cut with the part
-        that it was told, so it counts for as long as it is remembered. Those
-        behind a cut were live together, so no more silent ones count.
-        """
-        live = silent = 0
-        for name, known in self._entries().items():
-            if self.peers.is_live(name, now):
-                live += 1
-            elif known.heard_at is not None and not (
-                known.peer.draining
-                and now - known.heard_at > permitslots.STOPPED_ENTRY_RETENTION
-            ):
-                silent += 1
-        self._most_entries = max(self._most_entries, live)
-        return live + min(silent, self._most_entries)
-
     # ---- Limits of upstreams --------------------------------------------
 
     def _on_limits(
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -83,8 +83,7 @@
         """Starts without demand for permits and without retries."""
         self._demand = permitdemand.PermitDemand(self.placement)
         self._budgets = sharedbudget.SharedBudgets(self.budget_settings)
-        if self.entries is not None:
-            self._budgets.set_entries(self.entries, self.clock.now())
+        self._update_budgets(self.clock.now())
 
     # ---- Route table and fleet ------------------------------------------
 
@@ -104,7 +103,19 @@
         """Applies a status message of the leading controller."""
         self.placement.silent = frozenset(status.silent)
         self.entries = status.entries
-        self._budgets.set_entries(status.entries, self.clock.now())
+        self._update_budgets(self.clock.now())
+
+    def _update_budgets(self, now: datetime.timedelta) -> None:
+        """Sets how many entries share the budgets; None after long isolation.
+
+        Others may use the part of an entry that was not heard for so long.
+        """
+        isolated = self.permits.keeper is not None and not (
+            self.permits.hears_keeper(now, limits.ISOLATED_SERVICE)
+        )
+        entries = None if isolated else self.entries
+        if entries != self._budgets.entries:
+            self._budgets.set_entries(entries, now)
 
     def _update_placement(self) -> None:
         engines = {
@@ -260,6 +271,7 @@
     def tick(self) -> None:
         """Places queued calls, refuses late ones and checks all calls."""
         now = self.clock.now()
+        self._update_budgets(now)
         self.permits.issue_slots(now)
         self._place_queued()
         self._refuse_late(now)
--- a/figford/permitslots.py
+++ b/figford/permitslots.py
@@ -6,6 +6,7 @@
 """
 
 import datetime
+import math
 
 import attrs
 
@@ -17,6 +18,10 @@
 RESERVATION_TIME = limits.ISOLATED_SERVICE + limits.ISOLATION_TIMEOUT
 # An entry that was stopping when it was last heard has exited after this time.
 STOPPED_ENTRY_RETENTION = datetime.timedelta(seconds=30)
+# Silent entries may have been lost for good, so live ones together have no
+# less than the whole budget divided by this.
+MAX_DILUTION = 2
+ROUNDING = 1e-9
 
 
 @attrs.define
@@ -30,6 +35,8 @@
     peers: membership.PeerTable
     shares: list[fleetmessages.SlotShare] = attrs.field(factory=list)
     leading_since: datetime.timedelta = datetime.timedelta(0)
+    # Largest number of entries that were live at the same time.
+    _most_live: int = 0
     _told_by_entry: dict[str, fleetmessages.SlotShare] = attrs.field(
         factory=dict
     )
@@ -76,6 +83,48 @@
         )
         return max(0.0, 1.0 - reserved)
 
+    # ---- Who shares budgets ---------------------------------------------
+
+    def count_sharing(self, now: datetime.timedelta) -> int:
+        """Returns the divisor of the part of a budget for each live entry.
+
+        An entry that fell silent may serve on behind a cut with the part that
+        it was told, so it counts for a while, and what live ones share is
+        what those parts leave. Those behind a cut were live together, so no
+        more silent ones count; this controller may not have heard them.
+        """
+        live = {
+            peer.instance for peer in self.peers.live(now) if not peer.voter
+        }
+        part_by_entry = {
+            share.entry: 1 / share.divisor for share in self.shares
+        }
+        heard = self._heard_entries()
+        silent = {
+            name
+            for name in {*part_by_entry, *heard} - live
+            if not self._has_ended(name, now)
+        }
+        self._most_live = max(self._most_live, len(live))
+        most = max(self._most_live, len(silent - heard))
+        parts = sorted(
+            (part_by_entry.get(name, 0.0) for name in silent), reverse=True
+        )[:most]
+        left = max(1.0 - sum(parts), 1 / MAX_DILUTION)
+        return max(
+            1,
+            len(live) + len(parts),
+            math.ceil(len(live) / left - ROUNDING),
+        )
+
+    def _heard_entries(self) -> set[str]:
+        """Returns the remembered entries that this controller has heard."""
+        return {
+            name
+            for name, known in self.peers.by_instance.items()
+            if known.peer.voter is None and known.heard_at is not None
+        }
+
     def _is_heard(self, name: str, now: datetime.timedelta) -> bool:
         known = self.peers.by_instance.get(name)
         return (
--- a/figford/sharedbudget.py
+++ b/figford/sharedbudget.py
@@ -57,7 +57,9 @@
     # What is spent of the oldest one's share.
     _spent: float = 0.0
 
-    def set_entries(self, entries: int, now: datetime.timedelta) -> None:
+    def set_entries(
+        self, entries: int | None, now: datetime.timedelta
+    ) -> None:
         """Sets how many entries share the reserve from now on."""
         self._accrue(now)
         self.entries = entries
@@ -99,10 +101,14 @@
             self._spent = 0.0
 
     def _accrue(self, now: datetime.timedelta) -> None:
-        """Adds the reserve that has accrued since the last call."""
+        """Adds the reserve that has accrued since the last call.
+
+        Nothing is left when it is not known how many entries share it.
+        """
         windows = (now - self._accrued_at) / self.settings.window
         self._accrued_at = now
         if self.entries is None:
+            self._reserve = 0.0
             return
         part = self.settings.reserve * SAFETY_FACTOR / max(1, self.entries)
         accrued = part * (1 - BURST_PART) * windows
@@ -115,15 +121,17 @@
 
     settings: BudgetSettings
     entries: int | None = None
-    # When this process was first told how many entries there are.
-    _told_at: datetime.timedelta | None = None
+    # Since when it is known how many entries there are.
+    _known_since: datetime.timedelta | None = None
     _budget_by_service: dict[str, SharedBudget] = attrs.field(factory=dict)
 
-    def set_entries(self, entries: int, now: datetime.timedelta) -> None:
+    def set_entries(
+        self, entries: int | None, now: datetime.timedelta
+    ) -> None:
         """Sets how many entries share the reserves from now on."""
+        if self.entries is None or entries is None:
+            self._known_since = now
         self.entries = entries
-        if self._told_at is None:
-            self._told_at = now
         for budget in self._budget_by_service.values():
             budget.set_entries(entries, now)
 
@@ -132,7 +140,7 @@
         budget = self._budget_by_service.get(service)
         if budget is None:
             budget = SharedBudget(self.settings)
-            if self.entries is not None and self._told_at is not None:
-                budget.set_entries(self.entries, self._told_at)
+            if self._known_since is not None:
+                budget.set_entries(self.entries, self._known_since)
             self._budget_by_service[service] = budget
         return budget
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -498,6 +498,17 @@
     assert bench.responder.refusal.status == 502
 
 
+@pytest.mark.parametrize("silence, repeated", [(4, 1), (6, 0)])
+def test_an_entry_isolated_for_long_uses_no_reserve(silence, repeated) -> None:
+    """The others use its part after five minutes."""
+    bench = Bench(routes.RetryMode.IDEMPOTENT)
+    permits = bench.forwarder.permits
+    permits.keeper_heard("c1", 1, bench.clock.time - silence * 60 * SECOND)
+    bench.forwarder.tick()
+    bench.begin().receiver.answer_failed(exchanges.Failure.BROKEN)
+    assert len(bench.pool.sent) == 1 + repeated
+
+
 @pytest.mark.parametrize("entries, kept", [(1, 24), (6, 4), (84, 1)])
 def test_all_entries_together_keep_no_more_idle_connections_than_accepted(
     entries: int, kept: int
