Retries are spent only on calls that can be placed again

Attempts that stood still were given up and their callers refused when no retry was left, though the answer might still have come; an upstream's error became one of ours.

Now the other conditions come before the budget, and an attempt goes on while no retry is left; its target counts as failing all the same. Four of the five new tests fail without the change (the fifth is the same for streams).

--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -493,6 +493,23 @@
         spread = RETRY_AFTER_SPREAD * self.rng.random()
         return errors.NoCapacity(detail, retry_after=after + spread)
 
+    def has_retry(
+        self, call: forwarding.ForwardedCall, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether the budget of the service has a retry left."""
+        return self._budgets.of(call.service).has_retry(now)
+
+    def take_retry(
+        self, call: forwarding.ForwardedCall, now: datetime.timedelta
+    ) -> bool:
+        """Withdraws a retry that could be placed; False if none is left."""
+        if not self.has_alternative_target(call):
+            self.metrics.event("retry-without-target")
+            return False
+        left = self._budgets.of(call.service).try_withdraw(now)
+        self.metrics.event("retry-placed" if left else "retry-beyond-budget")
+        return left
+
     def has_alternative_target(self, call: forwarding.ForwardedCall) -> bool:
         """Returns whether another target could be chosen for a call now."""
         now = self.clock.now()
@@ -503,24 +520,11 @@
             is not None
         )
 
-    def take_retry(
-        self, call: forwarding.ForwardedCall, now: datetime.timedelta
-    ) -> bool:
-        """Withdraws a retry of the service; returns whether one was left."""
-        left = self._budgets.of(call.service).try_withdraw(now)
-        if not left:
-            self.metrics.event("retry-beyond-budget")
-        return left
-
     def place_again(
         self, call: forwarding.ForwardedCall, now: datetime.timedelta
     ) -> bool:
         """Places a call again; returns whether a target was found."""
-        placed = self._place(call, now)
-        self.metrics.event(
-            "retry-placed" if placed else "retry-without-target"
-        )
-        return placed
+        return self._place(call, now)
 
     def attempt_started(
         self, call: forwarding.ForwardedCall, target: placements.Target
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -269,11 +269,14 @@
         if self._attempt is None:
             return
         reason = self._stall_reason(self._attempt, now)
-        if reason and self._may_retry(now):
-            target = self._attempt.target
-            self.forwarder.placement.failed(target, now)
+        if not reason or not self._has_alternative(now):
+            return
+        if not self._attempt.doubted:
+            self._attempt.doubted = True
+            self.forwarder.placement.failed(self._attempt.target, now)
             if reason == GROUP_STALLED:
-                self.forwarder.placement.eject(target, now)
+                self.forwarder.placement.eject(self._attempt.target, now)
+        if self.forwarder.has_retry(self, now):
             self._drop_attempt()
             self._retry_or_refuse(reason, errors.UpstreamFailed(reason))
 
@@ -442,7 +445,7 @@
         now: datetime.timedelta,
     ) -> None:
         self.forwarder.placement.failed(attempt.target, now)
-        if self._may_retry(now):
+        if self._has_alternative(now) and self.forwarder.has_retry(self, now):
             self._release(attempt)
             self.may_have_run = True
             self._retry_or_refuse(
@@ -534,7 +537,8 @@
 
     # ---- Retries --------------------------------------------------------
 
-    def _may_retry(self, now: datetime.timedelta) -> bool:
+    def _has_alternative(self, now: datetime.timedelta) -> bool:
+        """Returns whether the call may run at another target in time."""
         return (
             self.route.repeatable
             and len(set(self.tried)) < self.route.attempts
@@ -553,14 +557,13 @@
         now = self.forwarder.clock.now()
         self.cause = reason
         self.state = State.WAITING
-        allowed = self.deadline - now > MIN_REMAINING_TIME
+        may_run_again = self.route.repeatable or not self.may_have_run
+        allowed = may_run_again and self.deadline - now > MIN_REMAINING_TIME
         if counted:
             allowed = allowed and (
                 len(set(self.tried)) < self.route.attempts
                 and self.forwarder.take_retry(self, now)
             )
-        if self.may_have_run and not self.route.repeatable:
-            allowed = False
         if not allowed:
             self._refuse_after_attempt(refusal)
             return
@@ -624,6 +627,8 @@
     body: bytearray = attrs.field(factory=bytearray)
     events: int = 0
     survived: bool = False
+    # Whether its target counts as failing since the attempt stands still.
+    doubted: bool = False
 
     @property
     def has_begun(self) -> bool:
--- a/figford/sharedbudget.py
+++ b/figford/sharedbudget.py
@@ -69,18 +69,26 @@
         self._discard_expired(now)
         self._requests.append(now)
 
-    def try_withdraw(self, now: datetime.timedelta) -> bool:
-        """Withdraws one retry; returns whether one was left."""
+    def has_retry(self, now: datetime.timedelta) -> bool:
+        """Returns whether a retry is left."""
         self._discard_expired(now)
         self._accrue(now)
-        allowed = self._share * len(self._requests) - self._spent
-        if allowed + self._reserve < 1:
+        return self._of_requests + self._reserve >= 1
+
+    def try_withdraw(self, now: datetime.timedelta) -> bool:
+        """Withdraws one retry; returns whether one was left."""
+        if not self.has_retry(now):
             return False
-        from_requests = min(1.0, max(0.0, allowed))
+        from_requests = min(1.0, self._of_requests)
         self._reserve -= 1 - from_requests
         self._spend(from_requests)
         return True
 
+    @property
+    def _of_requests(self) -> float:
+        """Returns the retries that requests allow and that are not spent."""
+        return max(0.0, self._share * len(self._requests) - self._spent)
+
     @property
     def _share(self) -> float:
         """Returns the part of a retry that one request allows."""
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -565,3 +565,66 @@
     bench.clock.time = bench.call.deadline
     with pytest.raises(AssertionError):
         bench.forwarder.tick()
+
+
+@pytest.fixture(name="withdrawn")
+def fixture_withdrawn(monkeypatch) -> list[datetime.timedelta]:
+    """Returns when retries were withdrawn from budgets."""
+    times: list[datetime.timedelta] = []
+    withdraw = sharedbudget.SharedBudget.try_withdraw
+
+    def record(budget, now: datetime.timedelta) -> bool:
+        times.append(now)
+        return withdraw(budget, now)
+
+    monkeypatch.setattr(sharedbudget.SharedBudget, "try_withdraw", record)
+    return times
+
+
+def test_a_retry_without_an_upstream_takes_nothing_from_the_budget(
+    withdrawn,
+) -> None:
+    """Retries were spent on calls that could not be placed again."""
+    bench = Bench(routes.RetryMode.ONCE)
+    bench.place("u1")
+    bench.begin()
+    bench.answer(503, not_run=True, signed=False)
+    assert bench.responder.refusal.status == 503
+    assert withdrawn == []
+
+
+def test_a_call_that_may_not_run_again_takes_nothing_from_the_budget(
+    withdrawn,
+) -> None:
+    bench = Bench(routes.RetryMode.ONCE).begin()
+    bench.call.may_have_run = True
+    bench.answer(503, not_run=True, signed=False)
+    assert bench.responder.refusal.status == 502
+    assert withdrawn == []
+
+
+@pytest.mark.parametrize(
+    "mode", [routes.RetryMode.IDEMPOTENT, routes.RetryMode.STREAM]
+)
+def test_a_slow_attempt_goes_on_while_no_retry_is_left(mode) -> None:
+    """It was given up and its caller refused, though it might answer."""
+    bench = Bench(mode, resumable=True, entries=None).begin()
+    receiver = bench.receiver
+    bench.clock.time += 3 * SECOND
+    bench.forwarder.tick()
+    assert bench.responder.ends == []
+    upstream = bench.call.tried[0]
+    state = bench.forwarder.placement.target_state(upstream)
+    assert state.failures == 1
+    bench.answer(200, b"late")
+    if mode is routes.RetryMode.IDEMPOTENT:
+        receiver.answer_ended()
+        assert bench.responder.body == b"late"
+
+
+def test_an_upstreams_failure_keeps_its_status_when_no_retry_is_left() -> None:
+    bench = Bench(routes.RetryMode.IDEMPOTENT, entries=None).begin()
+    receiver = bench.receiver
+    bench.answer(500, b"broken")
+    receiver.answer_ended()
+    assert bench.responder.status == 500 and bench.idle()
