A report that can't be read fails its query

One of the users' new reports. The query ended neither answered nor failed, so the planner waited for it until the upstream ended.

--- a/figford/controllerdaemon.py
+++ b/figford/controllerdaemon.py
@@ -474,6 +474,7 @@
             order_count = self.daemon.orders.read_report(bytes(self._body))
         except errors.MessageError as error:
             self.daemon.message_refused(error)
+            self._query_failed()
             return
         self.daemon.state.planner.query_answered(
             self.query.upstream,
--- a/figford/tests/test_controllerdaemon.py
+++ b/figford/tests/test_controllerdaemon.py
@@ -167,3 +167,17 @@
     connection.dataReceived(answer)
     assert counted(daemon) == before
     assert len(daemon.reactor.tcpClients) == 2
+
+
+@pytest.mark.parametrize("body", [b"[" * 100_000, b"{}", b'{"sequence": -1}'])
+def test_a_report_that_cannot_be_read_is_no_answer(
+    daemon: controllerdaemon.ControllerDaemon, body: bytes
+) -> None:
+    """Its query ended neither answered nor failed."""
+    daemon.carry_out([QUERY])
+    connection = daemon.reactor.tcpClients[0][2].buildProtocol(None)
+    connection.makeConnection(Transport())
+    connection.dataReceived(
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    )
+    assert counted(daemon)["question-failed"] == 1
