A strange settings file is a settings error

A file that was nested too deeply, or had seeds that are no text, no port or a time out of range, raised another error: read again on SIGHUP, it ended the process.

--- a/figford/platform/boot.py
+++ b/figford/platform/boot.py
@@ -6,6 +6,7 @@
 import pathlib
 import typing
 
+from figford import bounds
 from figford import errors
 from figford import nodesettings
 from figford import sharedbudget
@@ -37,7 +38,16 @@
     """
     try:
         return _settings(json.loads(file.read_text()))
-    except (OSError, ValueError, TypeError, KeyError) as error:
+    except (
+        OSError,
+        ValueError,
+        TypeError,
+        KeyError,
+        IndexError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise errors.SettingsError(
             f"can't be read: {type(error).__name__}: {error}", str(file)
         ) from error
@@ -46,8 +56,9 @@
 def _settings(item: dict[str, typing.Any]) -> nodesettings.NodeSettings:
     ip = item["ip"]
     first_port = item["internal_port_range"][0]
+    bounds.check_address(f"{ip}:{first_port}")
     listen = item.get("listen") or {}
-    bounds = item.get("bounds") or {}
+    service_bounds = item.get("bounds") or {}
     seed_ips = [_host(seed) for seed in item.get("seeds") or []]
     is_controller = "control" in listen
     links_offset = (
@@ -71,13 +82,15 @@
         ready_address=listen.get("ready"),
         control_address=listen.get("control"),
         metrics_address=f"{ip}:{metrics_port}",
-        stop_timeout=datetime.timedelta(seconds=bounds.get("grace_s", 8)),
-        checks_fencing=bounds.get("fencing") is True,
+        stop_timeout=datetime.timedelta(
+            seconds=service_bounds.get("grace_s", 8)
+        ),
+        checks_fencing=service_bounds.get("fencing") is True,
         budget=sharedbudget.BudgetSettings(
-            ratio=bounds.get("retry_budget_ratio", 0.2),
-            reserve=bounds.get("retry_budget_slack", 10),
+            ratio=service_bounds.get("retry_budget_ratio", 0.2),
+            reserve=service_bounds.get("retry_budget_slack", 10),
             window=datetime.timedelta(
-                seconds=bounds.get("budget_window_s", 10)
+                seconds=service_bounds.get("budget_window_s", 10)
             ),
         ),
     )
--- a/figford/tests/platform/test_boot.py
+++ b/figford/tests/platform/test_boot.py
@@ -56,3 +56,23 @@
         boot.read(file)
     with pytest.raises(errors.SettingsError):
         boot.read(tmp_path / "none.json")
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "[" * 100_000,
+        "[]",
+        json.dumps(SETTINGS | {"seeds": [7]}),
+        json.dumps(SETTINGS | {"internal_port_range": []}),
+        json.dumps(SETTINGS | {"internal_port_range": [10**9, 10**9]}),
+        json.dumps(SETTINGS | {"bounds": [1]}),
+        json.dumps(SETTINGS | {"bounds": {"grace_s": 1e300}}),
+    ],
+)
+def test_a_strange_file_is_an_error(tmp_path, text: str) -> None:
+    """A file that was read again on SIGHUP ended the process."""
+    file = tmp_path / "boot.json"
+    file.write_text(text)
+    with pytest.raises(errors.SettingsError):
+        boot.read(file)
