Values of other processes are bounded where their types are made

One of the users' new reports: an odd entry among those of the upstreams. Numbers of any size and deep reports passed heartbeats and reports; numbers, ports and text that can't be encoded passed announcements. They were sent on to all members, whose links or connections then failed, and an immense start time made all later heartbeats of that upstream older ones. A keep-alive time out of range in an answer ended the request.

Types of messages now check counts and text, also those of members; addresses are checked where they come in. New cases of test_strangereports and test_administration (over 50) fail without the change.

--- a/figford/administration.py
+++ b/figford/administration.py
@@ -8,6 +8,7 @@
 from twisted.web import resource
 from twisted.web import server
 
+from figford import bounds
 from figford import codec
 from figford import errors
 from figford import messages
@@ -117,6 +118,16 @@
         """Blocks the links to instances, for fault injection."""
 
 
+def _read_announcement(item: object) -> messages.Announcement:
+    """Returns an announcement; raises MessageError if it is not valid."""
+    announcement = codec.from_plain(item, messages.Announcement)
+    try:
+        bounds.check_address(announcement.address)
+    except ValueError as error:
+        raise errors.MessageError(f"not a valid address: {error}") from error
+    return announcement
+
+
 def upstreams_root(entry: EntryInterface) -> resource.Resource:
     """Returns the resource of the upstreams' port."""
 
@@ -125,9 +136,7 @@
         items = document if isinstance(document, list) else [document]
         if len(items) > MAXIMUM_ITEMS_PER_REQUEST:
             raise errors.TooLarge("too many announcements in one request")
-        announcements = [
-            codec.from_plain(item, messages.Announcement) for item in items
-        ]
+        announcements = [_read_announcement(item) for item in items]
         for announcement in announcements:
             entry.announce(announcement)
         write_json(request, {"announced": len(announcements)})
--- a/figford/fleetmessages.py
+++ b/figford/fleetmessages.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from figford import bounds
+
 
 class SeatState(enum.Enum):
     """State of a member in its group; a head that is `OPEN` serves."""
@@ -20,9 +22,9 @@
 class FleetSeat:
     """The group membership that an upstream reports."""
 
-    group: str
-    epoch: int
-    rank: int
+    group: str = attrs.field(validator=bounds.is_text)
+    epoch: int = attrs.field(validator=bounds.is_count)
+    rank: int = attrs.field(validator=bounds.is_count)
     state: SeatState
 
 
@@ -41,17 +43,17 @@
     process has ended.
     """
 
-    upstream: str
-    incarnation: int
-    sequence: int
-    service: str
-    address: str
-    data_centre: str
-    slots: int
+    upstream: str = attrs.field(validator=bounds.is_text)
+    incarnation: int = attrs.field(validator=bounds.is_count)
+    sequence: int = attrs.field(validator=bounds.is_count)
+    service: str = attrs.field(validator=bounds.is_text)
+    address: str = attrs.field(validator=bounds.is_text)
+    data_centre: str = attrs.field(validator=bounds.is_text)
+    slots: int = attrs.field(validator=bounds.is_count)
     leaving: bool = False
-    domain: str = ""
-    models: list[str] = attrs.field(factory=list)
-    staged: list[str] = attrs.field(factory=list)
+    domain: str = attrs.field(default="", validator=bounds.is_text)
+    models: list[str] = attrs.field(factory=list, validator=bounds.are_texts)
+    staged: list[str] = attrs.field(factory=list, validator=bounds.are_texts)
     seat: FleetSeat | None = None
     signed_off: bool = False
     gone: bool = False
--- a/figford/formations.py
+++ b/figford/formations.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from figford import bounds
 from figford import fleetmessages
 from figford import routes
 
@@ -179,7 +180,7 @@
 class OrderCountReply:
     """An upstream's reply to a query: its count of orders and its seat."""
 
-    orders_begun: int
+    orders_begun: int = attrs.field(validator=bounds.is_count)
     seat: fleetmessages.FleetSeat | None
 
 
--- a/figford/messages.py
+++ b/figford/messages.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from figford import bounds
 from figford import fleetmessages
 
 # ---- Upstreams ----------------------------------------------------------
@@ -30,21 +31,21 @@
 class Seat:
     """A place in a group: the upstream is member `rank` of `size`."""
 
-    group: str
-    serving_group: str
-    fence: int
-    rank: int
-    size: int
+    group: str = attrs.field(validator=bounds.is_text)
+    serving_group: str = attrs.field(validator=bounds.is_text)
+    fence: int = attrs.field(validator=bounds.is_count)
+    rank: int = attrs.field(validator=bounds.is_count)
+    size: int = attrs.field(validator=bounds.is_count)
 
 
 @attrs.frozen
 class Load:
     """Load as reported by an upstream, delayed by up to its report lag."""
 
-    running: int = 0
-    queued: int = 0
-    tokens_per_second: int = 0
-    step_microseconds: int = 0
+    running: int = attrs.field(default=0, validator=bounds.is_count)
+    queued: int = attrs.field(default=0, validator=bounds.is_count)
+    tokens_per_second: int = attrs.field(default=0, validator=bounds.is_count)
+    step_microseconds: int = attrs.field(default=0, validator=bounds.is_count)
 
 
 @attrs.frozen
@@ -55,22 +56,22 @@
     which serves to detect delayed messages; 0 if the upstream sends none.
     """
 
-    upstream: str
-    incarnation: int
-    sequence: int
-    data_centre: str
-    fabric_domain: str
-    address: str
+    upstream: str = attrs.field(validator=bounds.is_text)
+    incarnation: int = attrs.field(validator=bounds.is_count)
+    sequence: int = attrs.field(validator=bounds.is_count)
+    data_centre: str = attrs.field(validator=bounds.is_text)
+    fabric_domain: str = attrs.field(validator=bounds.is_text)
+    address: str = attrs.field(validator=bounds.is_text)
     kind: UpstreamKind
-    accelerators: int = 1
+    accelerators: int = attrs.field(default=1, validator=bounds.is_count)
     state: UpstreamState = UpstreamState.IDLE
     checks_fencing: bool = True
-    models: list[str] = attrs.field(factory=list)
+    models: list[str] = attrs.field(factory=list, validator=bounds.are_texts)
     service: str | None = None
     seat: Seat | None = None
-    highest_fence: int = 0
+    highest_fence: int = attrs.field(default=0, validator=bounds.is_count)
     load: Load = Load()
-    clock_ms: int = 0
+    clock_ms: int = attrs.field(default=0, validator=bounds.is_count)
 
     @property
     def leaving(self) -> bool:
@@ -86,20 +87,20 @@
     digest differs missed a change and requests the full announcement.
     """
 
-    upstream: str
-    incarnation: int
-    sequence: int
+    upstream: str = attrs.field(validator=bounds.is_text)
+    incarnation: int = attrs.field(validator=bounds.is_count)
+    sequence: int = attrs.field(validator=bounds.is_count)
     load: Load
     digest: int
-    clock_ms: int = 0
+    clock_ms: int = attrs.field(default=0, validator=bounds.is_count)
 
 
 @attrs.frozen
 class CacheEvent:
     """A prompt prefix was added to or evicted from an upstream's cache."""
 
-    upstream: str
-    sequence: int
+    upstream: str = attrs.field(validator=bounds.is_text)
+    sequence: int = attrs.field(validator=bounds.is_count)
     prefix: int
     stored: bool
 
--- a/figford/platform/announcing.py
+++ b/figford/platform/announcing.py
@@ -1,12 +1,15 @@
 """Reads the heartbeats of the platform's upstreams."""
 
-import ipaddress
 import json
 import typing
 
+from figford import bounds
 from figford import errors
 from figford import fleetmessages
 
+# The latest start of a process, in Unix milliseconds: the year 2109.
+MAX_START_MS = 1 << 42
+
 
 def read(upstream: str, body: bytes) -> fleetmessages.Registration:
     """Returns the registration that a heartbeat carries.
@@ -26,23 +29,9 @@
     value = item[name]
     if isinstance(value, bool) or not isinstance(value, kind):
         raise ValueError(f"{name} is not {kind.__name__}")
-    if isinstance(value, str):
-        # Raises UnicodeEncodeError, a ValueError, for lone surrogates, which
-        # could not be sent on.
-        value.encode()
     return value
 
 
-def _address(item: typing.Any) -> str:
-    """Returns an IP address and a port that can be connected to."""
-    address = _typed(item, "address", str)
-    host, _, port = address.rpartition(":")
-    ipaddress.ip_address(host.strip("[]"))
-    if not (port.isascii() and port.isdigit() and 0 < int(port) < 1 << 16):
-        raise ValueError("address has no valid port")
-    return address
-
-
 def _registration(
     upstream: str, item: typing.Any
 ) -> fleetmessages.Registration:
@@ -52,8 +41,9 @@
     if state not in ("ready", "draining"):
         raise ValueError("unknown state")
     start_ms = item.get("born", 0)
-    if isinstance(start_ms, bool) or not isinstance(start_ms, int):
-        raise ValueError("born is not an integer")
+    if isinstance(start_ms, int) and start_ms > MAX_START_MS:
+        # All later heartbeats of the upstream would seem older.
+        raise ValueError("born is out of range")
     models = item.get("models") or []
     staged = item.get("staged") or []
     return fleetmessages.Registration(
@@ -62,7 +52,7 @@
         incarnation=start_ms,
         sequence=_typed(item, "sequence", int),
         service=_typed(item, "service", str),
-        address=_address(item),
+        address=bounds.check_address(_typed(item, "address", str)),
         data_centre=_typed(item, "zone", str),
         slots=_typed(item, "slots", int),
         leaving=state == "draining",
--- a/figford/platform/dialect.py
+++ b/figford/platform/dialect.py
@@ -30,6 +30,7 @@
 _AT_FAULT = b"at-server"
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+MAX_KEEP_ALIVE = datetime.timedelta(days=1)
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 
@@ -112,7 +113,8 @@
         name, _, number = part.partition(b"=")
         seconds = _number(number)
         if name.strip().lower() == b"timeout" and seconds is not None:
-            return datetime.timedelta(seconds=seconds)
+            longest = MAX_KEEP_ALIVE // datetime.timedelta(seconds=1)
+            return datetime.timedelta(seconds=min(seconds, longest))
     return None
 
 
--- a/figford/platform/ordering.py
+++ b/figford/platform/ordering.py
@@ -55,8 +55,12 @@
         # Orders that started an action since the upstream's process started.
         count = item["sequence"]
         seat = announcing.read_seat(item.get("group"))
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        return formations.OrderCountReply(count, seat)
+    except (
+        ValueError,
+        TypeError,
+        KeyError,
+        AttributeError,
+        RecursionError,
+    ) as error:
         raise errors.MessageError("report can't be read") from error
-    if isinstance(count, bool) or not isinstance(count, int):
-        raise errors.MessageError("count of orders is not an integer")
-    return formations.OrderCountReply(count, seat)
--- a/figford/tests/platform/test_strangereports.py
+++ b/figford/tests/platform/test_strangereports.py
@@ -7,6 +7,7 @@
 import datetime
 import json
 
+import cbor2
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -22,6 +23,7 @@
 from figford.platform import announcing
 from figford.platform import dialect
 from figford.platform import manifest
+from figford.platform import ordering
 from figford import routes
 from figford.tests.platform import test_announcing
 from figford.tests.test_controller import CONTROLLERS
@@ -226,3 +228,98 @@
         announcing.read("u1", body)
     with pytest.raises(errors.ConfigurationInvalid):
         manifest.read(body)
+
+
+# ---- One odd entry among those of the upstreams ------------------------
+
+DEEP = [b"[" * 100_000, b'{"group":' * 100_000]
+IMMENSE = [10**3000, -(10**3000), 1 << 64, 1 << 53, -1]
+
+
+@pytest.mark.parametrize("body", DEEP)
+def test_deep_reports_are_refused(body: bytes) -> None:
+    """The query then ended neither answered nor failed."""
+    with pytest.raises(errors.MessageError):
+        ordering.read_report(body)
+
+
+@pytest.mark.parametrize("number", IMMENSE)
+@pytest.mark.parametrize("field", ["sequence", "born", "slots"])
+def test_numbers_out_of_range_are_refused(field: str, number: int) -> None:
+    """They were sent on to all members of the deployment."""
+    body = json.dumps(test_announcing.HEARTBEAT | {field: number}).encode()
+    with pytest.raises(errors.MessageError):
+        announcing.read("u1", body)
+
+
+@pytest.mark.parametrize("number", IMMENSE)
+@pytest.mark.parametrize("field", ["epoch", "rank"])
+def test_seats_out_of_range_are_refused(field: str, number: int) -> None:
+    seat = test_announcing.HEARTBEAT["group"] | {field: number}
+    body = json.dumps(test_announcing.HEARTBEAT | {"group": seat}).encode()
+    with pytest.raises(errors.MessageError):
+        announcing.read("u1", body)
+    with pytest.raises(errors.MessageError):
+        ordering.read_report(
+            json.dumps({"sequence": 1, "group": seat}).encode()
+        )
+
+
+@pytest.mark.parametrize("number", IMMENSE)
+def test_counts_of_orders_out_of_range_are_refused(number: int) -> None:
+    with pytest.raises(errors.MessageError):
+        ordering.read_report(json.dumps({"sequence": number}).encode())
+
+
+@pytest.mark.parametrize("field", ["sequence", "born"])
+def test_later_heartbeats_count_after_an_immense_one(field: str) -> None:
+    """All later ones of that upstream were taken for older ones."""
+    fleet = fleets.FleetTable()
+    now = net_entry_time()
+    for odd in (10**15, 10**3000):
+        body = json.dumps(test_announcing.HEARTBEAT | {field: odd}).encode()
+        try:
+            fleet.report(announcing.read("u1", body), now)
+        except errors.MessageError:
+            continue
+        assert field == "sequence"
+    restarted = {"born": test_announcing.HEARTBEAT["born"] + 1, "slots": 5}
+    body = json.dumps(test_announcing.HEARTBEAT | restarted).encode()
+    fleet.report(announcing.read("u1", body), now)
+    assert fleet.by_name["u1"].registration.slots == 5
+
+
+@pytest.mark.parametrize("number", IMMENSE)
+def test_members_refuse_registrations_out_of_range(number: int) -> None:
+    """One that an older version let pass ended processes that sent it on."""
+    registration = announcing.read(
+        "u1", json.dumps(test_announcing.HEARTBEAT).encode()
+    )
+    update = fleetmessages.FleetUpdate([registration])
+    plain = cbor2.loads(codec.encode(update, messages.PeerMessage))
+    plain["registrations"][0]["sequence"] = number
+    with pytest.raises(errors.MessageError):
+        codec.decode(cbor2.dumps(plain), messages.PeerMessage)
+
+
+def test_members_refuse_deep_messages() -> None:
+    with pytest.raises(errors.MessageError):
+        codec.decode(b"\x81" * 100_000 + b"\x00", messages.PeerMessage)
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        [(b"Keep-Alive", b"timeout=" + b"9" * 15)],
+        [(b"Retry-After", b"9" * 12)],
+        [(b"Figford-Server-Load", b"9" * 15 + b",0,0")],
+        [(b"Server-Limit", b"9" * 12)],
+    ],
+)
+def test_answers_with_immense_numbers_are_read(headers) -> None:
+    """A keep-alive time out of range ended the request it answered."""
+    head = dialect.PlatformDialect().read_answer(503, headers)
+    assert net_entry_time() + (head.pause or datetime.timedelta(0))
+    assert net_entry_time() + (
+        head.keep_alive_timeout or datetime.timedelta(0)
+    )
--- a/figford/tests/test_administration.py
+++ b/figford/tests/test_administration.py
@@ -168,3 +168,27 @@
     assert submit(entry, submission(), key=key)[0] == 401
     given_key = [f"Authorization: Bearer {key.decode()}"]
     assert submit(entry, submission(), given_key, key)[0] == 200
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "127.0.0.1:99999"},
+        {"address": "127.0.0.1:0"},
+        {"address": "not an address"},
+        {"sequence": 10**3000},
+        {"incarnation": 1 << 64},
+        {"sequence": -1},
+        {"clock_ms": 10**30},
+        {"upstream": "\ud800"},
+        {"models": ["\ud800"]},
+        {"highest_fence": -1},
+        {"load": {"running": 10**30}},
+    ],
+)
+def test_an_announcement_that_could_not_be_sent_on_is_refused(change):
+    """It would end the entry that sends it on, or connects to it."""
+    entry = FakeEntry()
+    status, _ = announce(entry, json.dumps(GOOD | change).encode())
+    assert status == 400
+    assert not entry.announced
