An empty or strange resumption never completes a stream

A stream that had begun and broke off was ended as complete when the next upstream answered with a stream without any event, or with known ones only; an event of no id from the next upstream (an error's text) came into the middle of it; a stream without ids was run again from its beginning and joined. Errors that are no stream were kept out before.

A resumed stream is complete only after an event that follows the last one; the first one must have an id; a stream that began without ids is not resumed. A caller's own Last-Event-Id counts as the last event, so that an upstream that begins anew repeats nothing. Ids of over 15 digits are no numbers (over 4300, they were an error).

--- a/figford/eventstream.py
+++ b/figford/eventstream.py
@@ -8,6 +8,8 @@
 # never ends.
 EVENT_LIMIT_BYTES = 1 << 18
 _LONGEST_SEPARATOR_BYTES = 4
+# Longer ids are no positions in a stream.
+MAX_ID_DIGITS = 15
 
 
 class EventOrderError(errors.FigfordError):
@@ -19,7 +21,7 @@
     """Buffers incomplete events and checks the order of their ids.
 
     `last_id` is the id of the last event that was returned; after a
-    resumption, events up to it are dropped.
+    resumption, events up to it are dropped, and the next one must have an id.
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
@@ -31,6 +33,8 @@
     last_id: str | None = None
     # Complete events, also those that were dropped.
     completed: int = 0
+    # Whether no event has followed yet since the stream was resumed.
+    awaits_next: bool = False
     _buffer: bytearray = attrs.field(factory=bytearray)
     # Bytes of the buffer in which no event ends.
     _searched: int = 0
@@ -44,6 +48,7 @@
         """Drops the incomplete event of the previous upstream."""
         self._buffer.clear()
         self._searched = 0
+        self.awaits_next = self.last_id is not None
 
     def feed(self, data: bytes) -> list[bytes]:
         """Returns the complete events that follow the last one.
@@ -71,6 +76,8 @@
     def _is_next(self, event: bytes) -> bool:
         event_id = _id_of(event)
         if event_id is None:
+            if self.awaits_next and _has_data(event):
+                raise EventOrderError("a resumed stream has an event of no id")
             return True
         if _is_number(event_id) and self.last_id and _is_number(self.last_id):
             step = int(event_id) - int(self.last_id)
@@ -81,11 +88,16 @@
                     f"event {event_id} follows event {self.last_id}"
                 )
         self.last_id = event_id
+        self.awaits_next = False
         return True
 
 
 def _is_number(event_id: str) -> bool:
-    return event_id.isascii() and event_id.isdigit()
+    return (
+        event_id.isascii()
+        and event_id.isdigit()
+        and len(event_id) <= MAX_ID_DIGITS
+    )
 
 
 def _end_of_event(buffer: bytearray, start: int) -> int:
@@ -97,6 +109,13 @@
     return min(ends, default=-1)
 
 
+def _has_data(event: bytes) -> bool:
+    """Returns whether an event is more than a comment."""
+    return any(
+        line and not line.startswith(b":") for line in event.splitlines()
+    )
+
+
 def _id_of(event: bytes) -> str | None:
     for line in event.splitlines():
         if line.startswith(b"id:"):
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -169,6 +169,8 @@
         self.state = State.SENT
         self.tried.append(target.upstream)
         self.forwarder.attempt_started(self, target)
+        if self._events.last_id is None and self.route.repeatable:
+            self._events.last_id = self.head.resume_after
         self._events.restart()
         attempt = _Attempt(self, target, now)
         self._attempt = attempt
@@ -413,9 +415,13 @@
             return
         now = self.forwarder.clock.now()
         if self._is_stream(head):
-            if self._events.pending or not self._response_started:
+            if (
+                self._events.pending
+                or self._events.awaits_next
+                or not self._response_started
+            ):
                 self._connection_broken(
-                    attempt, "stream ended within an event"
+                    attempt, "stream ended within or before an event"
                 )
                 return
             self._record_survival(attempt)
@@ -537,10 +543,21 @@
 
     # ---- Retries --------------------------------------------------------
 
+    @property
+    def _may_run_again(self) -> bool:
+        """Returns whether another run may go on where the last one ended.
+
+        A stream that began is resumed only after an event with an id.
+        """
+        if self._response_started:
+            return self.route.repeatable and self._events.last_id is not None
+        return self.route.repeatable or not self.may_have_run
+
     def _has_alternative(self, now: datetime.timedelta) -> bool:
         """Returns whether the call may run at another target in time."""
         return (
             self.route.repeatable
+            and self._may_run_again
             and len(set(self.tried)) < self.route.attempts
             and self.deadline - now > MIN_REMAINING_TIME
             and self.forwarder.has_alternative_target(self)
@@ -557,8 +574,9 @@
         now = self.forwarder.clock.now()
         self.cause = reason
         self.state = State.WAITING
-        may_run_again = self.route.repeatable or not self.may_have_run
-        allowed = may_run_again and self.deadline - now > MIN_REMAINING_TIME
+        allowed = (
+            self._may_run_again and self.deadline - now > MIN_REMAINING_TIME
+        )
         if counted:
             allowed = allowed and (
                 len(set(self.tried)) < self.route.attempts
--- a/figford/tests/test_eventstream.py
+++ b/figford/tests/test_eventstream.py
@@ -9,6 +9,12 @@
     return f"id: {number}\ndata: {'x' * number}\n\n".encode()
 
 
+def test_an_immense_id_is_no_position() -> None:
+    splitter = eventstream.EventSplitter()
+    for number in (b"9" * 5000, b"8" * 5000):
+        assert splitter.feed(b"id: " + number + b"\ndata: x\n\n")
+
+
 def test_events_split_anywhere_come_out_whole() -> None:
     data = b"".join(event(number) for number in range(1, 30))
     for size in (1, 2, 3, 7, 50, 1000):
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -631,3 +631,71 @@
     bench.answer(500, b"broken")
     receiver.answer_ended()
     assert bench.responder.status == 500 and bench.idle()
+
+
+# ---- Streams that broke off and are resumed -----------------------------
+
+
+def resumed(attempts: int = 2, *parts: bytes) -> Bench:
+    """Returns a call whose stream broke off after some parts."""
+    bench = Bench(routes.RetryMode.STREAM, resumable=True, attempts=attempts)
+    bench.begin()
+    bench.answer(200, *(parts or (event(1), event(2))), streamed=True)
+    bench.receiver.answer_failed(exchanges.Failure.BROKEN)
+    return bench
+
+
+@pytest.mark.parametrize(
+    "parts", [(), (event(1), event(2)), (event(1),), (b": comment\n\n",)]
+)
+def test_an_empty_resumption_does_not_complete_a_stream(parts) -> None:
+    """The stream ended as complete before its last event."""
+    bench = resumed()
+    receiver = bench.receiver
+    bench.answer(200, *parts, streamed=True)
+    receiver.answer_ended()
+    assert bench.responder.ends == ["cut"] and bench.idle()
+
+
+@pytest.mark.parametrize("status", [200, 204, 400, 404, 429, 500, 502, 503])
+@pytest.mark.parametrize("streamed", [False, True])
+@pytest.mark.parametrize("not_run", [False, True])
+def test_an_error_is_never_part_of_a_stream_that_began(
+    status: int, streamed: bool, not_run: bool
+) -> None:
+    bench = resumed()
+    receiver = bench.receiver
+    bench.answer(
+        status, b"event: error\ndata: broken\n\n", streamed=streamed,
+        not_run=not_run,
+    )  # fmt: skip
+    receiver.answer_ended()
+    assert bench.responder.body == event(1) + event(2)
+    assert bench.responder.ends == ["cut"] and bench.idle()
+
+
+def test_a_stream_without_ids_is_not_resumed() -> None:
+    """The second run began anew in the middle of the first one's answer."""
+    bench = resumed(2, b"data: a\n\n")
+    assert len(bench.pool.sent) == 1
+    assert bench.responder.ends == ["cut"] and bench.idle()
+
+
+def test_a_caller_that_resumes_gets_what_follows_its_last_event() -> None:
+    """An upstream that begins anew gave it events twice."""
+    bench = Bench(routes.RetryMode.STREAM, resumable=True)
+    bench.call.head = attrs.evolve(bench.call.head, resume_after="2")
+    bench.begin()
+    receiver = bench.receiver
+    bench.answer(200, event(1), event(2), event(3), streamed=True)
+    receiver.answer_ended()
+    assert bench.responder.body == event(3)
+    assert bench.responder.ends == ["whole"]
+
+
+def test_a_caller_that_resumes_misses_no_event() -> None:
+    bench = Bench(routes.RetryMode.STREAM, resumable=True)
+    bench.call.head = attrs.evolve(bench.call.head, resume_after="2")
+    bench.begin()
+    bench.answer(200, event(4), streamed=True)
+    assert bench.responder.body == b""
