An attempt never goes twice over one connection

One of the users' new reports: a faulty upstream writes an earlier refusal once more on a kept connection. Two ways were open. A caller that uses an id again got the copy as its answer, and was told that the request had not run while it ran; such a connection is not used for that id again. And a connection that was closed for bytes while idle could be given a request before its loss was reported; it no longer can.

--- a/figford/exchanges.py
+++ b/figford/exchanges.py
@@ -140,6 +140,8 @@
         self.max_idle_connections = MAX_IDLE_PER_UPSTREAM
         self._open = False
         self._ignored_bytes = 0
+        # The ids of the attempts that were sent on this connection.
+        self._attempts: set[str] = set()
 
     def connectionMade(self) -> None:
         """Sets the socket options that detect dead connections."""
@@ -165,9 +167,15 @@
         """Returns whether a request may be sent on this connection."""
         return self._open and self._exchange is None
 
+    def has_sent(self, attempt: str) -> bool:
+        """Returns whether an attempt was sent on this connection."""
+        return attempt in self._attempts
+
     def begin(self, exchange: Exchange) -> None:
         """Sends a request."""
         self._exchange = exchange
+        if exchange.attempt:
+            self._attempts.add(exchange.attempt)
         self._head = None
         self._ignored_bytes = 0
         self.max_idle_connections = exchange.max_idle_connections
@@ -194,6 +202,7 @@
         if self._exchange is None:
             # Bytes that belong to no request.
             self._pool.unmatched_answers += 1
+            self._open = False
             self.transport.abortConnection()
             return
         try:
@@ -368,9 +377,10 @@
         """Sends a request on an idle or a new connection.
 
         With `max_idle`, only a connection that was idle for at most that
-        long is reused.
+        long is reused. One that the same attempt was sent on before is not:
+        a second copy of the answer would be taken for the next one.
         """
-        connection = self._take_idle(address, max_idle)
+        connection = self._take_idle(address, max_idle, exchange.attempt)
         if connection is not None:
             connection.begin(exchange)
             return
@@ -428,7 +438,10 @@
         )
 
     def _take_idle(
-        self, address: str, max_idle: datetime.timedelta | None
+        self,
+        address: str,
+        max_idle: datetime.timedelta | None,
+        attempt: str = "",
     ) -> Connection | None:
         idle_connections = self._idle_by_address.get(address)
         now = self.clock.now()
@@ -438,7 +451,7 @@
                 max_idle is not None and now - connection.idle_since > max_idle
             )
             if connection.usable and now < connection.reusable_until:
-                if not too_old:
+                if not too_old and not connection.has_sent(attempt):
                     return connection
                 idle_connections.append(connection)
                 return None
