--- a/figford/tests/platform/faultsoak.py
+++ b/figford/tests/platform/faultsoak.py
@@ -6,10 +6,10 @@
 both directions or block one direction of the connections to upstreams and of
 their reports, or cut a whole group off for long. Both series of faults
 overlap. Meanwhile upstreams name limits, which change and end, and count the
-requests of all entries, and one prompt part after the other crashes them. The
-guarantees are checked during the run against what callers and upstreams
-observe. The same seed gives the same series of faults, but the interleaving
-depends on the machine.
+requests of all entries; they reject a part of them and count the repeats; one
+prompt part after the other crashes them. The guarantees are checked during the
+run against what callers and upstreams observe. The same seed gives the same
+series of faults, but the interleaving depends on the machine.
 """
 
 import collections
@@ -49,6 +49,11 @@
 # exceeded by what was sent within them.
 LIMITS_PER_SECOND = (0.5, 1.0, 1.5, None, None, None)
 LIMIT_SECONDS = (4.0, 12.0)
+# Upstreams reject one of these parts of their requests for a while.
+SHED_SHARES = (0.3, 0.7)
+SHED_SECONDS = (1.0, 4.0)
+BETWEEN_SHEDDING_SECONDS = (1.0, 4.0)
+RESTARTS_IN_SERIES = 3
 # A part crashes upstreams for so long, then another one does.
 CRASHING_SECONDS = (20.0, 40.0)
 BETWEEN_CRASHING_SECONDS = (0.02, 0.2)
@@ -212,7 +217,7 @@
         self.disturbed_at_by_name[name] = time.monotonic()
 
     def _inject_fault_into(self, name: str) -> None:
-        match self.rng.randrange(6):
+        match self.rng.randrange(7):
             case 0:
                 self.cluster.kill(name)
                 self.start(name)
@@ -232,9 +237,23 @@
                     self.start(controller)
             case 4 if time.monotonic() - self.disk_lost_at > SETTLE_SECONDS:
                 self.lose_disk(self.rng.choice(CONTROLLERS))
+            case 6:
+                self.restart_entries_in_series()
             case _:
                 self.signal(name, signal.SIGHUP)
 
+    def restart_entries_in_series(self) -> None:
+        """Kills all entries again and again."""
+        for entry in ENTRIES:
+            self.disturbed_at_by_name[entry] = math.inf
+        for _ in range(RESTARTS_IN_SERIES):
+            for entry in ENTRIES:
+                self.cluster.kill(entry)
+                self.start(entry)
+            time.sleep(self.rng.uniform(*BETWEEN_FAULTS_SECONDS))
+        for entry in ENTRIES:
+            self.disturbed_at_by_name[entry] = time.monotonic()
+
     def run_relay_faults(self) -> None:
         """Injects faults into upstreams' connections until the run is over."""
         rng = random.Random(f"{self.seed}/relays")
@@ -272,6 +291,20 @@
                 for index in range(count)
             )
 
+    def run_shedding(self) -> None:
+        """Lets upstreams reject requests until the run is over."""
+        rng = random.Random(f"{self.seed}/shedding")
+        upstreams = range(standin.ENGINE_COUNT + standin.PLAIN_COUNT)
+        while not self.finished.wait(rng.uniform(*BETWEEN_SHEDDING_SECONDS)):
+            chosen = rng.sample(upstreams, rng.randint(1, len(upstreams)))
+            share = rng.choice(SHED_SHARES)
+            for index in chosen:
+                self.cluster.shed(index, share)
+            self.record.outcomes["upstreams shed"] += len(chosen)
+            self.finished.wait(rng.uniform(*SHED_SECONDS))
+            for index in chosen:
+                self.cluster.shed(index, 0.0)
+
     def run_crashing_requests(self) -> None:
         """Sends requests with parts that crash upstreams.
 
@@ -389,6 +422,7 @@
         workers.append(threading.Thread(target=self.run_operator))
         workers.append(threading.Thread(target=self.run_relay_faults))
         workers.append(threading.Thread(target=self.run_limits))
+        workers.append(threading.Thread(target=self.run_shedding))
         workers.append(threading.Thread(target=self.run_crashing_requests))
         again = threading.Thread(target=self.run_requests_that_come_again)
         workers.append(again)
--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -29,6 +29,7 @@
 from figford.tests.platform import limitmeter
 from figford.tests.platform import noticemeter
 from figford.tools import enginefleet
+from figford.tools import retrymeter
 
 HEARTBEAT_SECONDS = 0.3
 STEP_SECONDS = 0.05
@@ -77,6 +78,10 @@
 CRASH_SECONDS = 0.05
 DOWN_SECONDS = 1.0
 SECOND = datetime.timedelta(seconds=1)
+# The retry budget of entries whose settings name none.
+RETRY_RATIO = 0.2
+RETRY_RESERVE = 10.0
+RETRY_WINDOW = 10 * SECOND
 MODELS = {
     "large": routes.Model("large", 4, 0.75, 1.0, 0.3 * SECOND, 0.1 * SECOND),
     "small": routes.Model("small", 1, 0.25, 1.0, 0.3 * SECOND, 0.1 * SECOND),
@@ -180,8 +185,11 @@
             self._answer(200, {})
         elif path == "/endless":
             self._set_endless(upstream)
+        elif path == "/shed":
+            self._set_shedding(upstream)
         else:
             self._count(upstream)
+            self._count_repeats(upstream)
             self._serve(upstream)
 
     def _set_limit(self, meter: limitmeter.LimitMeter) -> None:
@@ -280,6 +288,35 @@
             self.setHeader("server-limit", str(meter.rate))
             meter.record_answer(now())
 
+    def _set_shedding(self, upstream: "Upstream") -> None:
+        """Sets what a POST names; tells of the arrivals at the service."""
+        meter = upstream.repeats
+        if self.method == b"POST":
+            item = json.loads(self.content.read())
+            upstream.shed_share = item["share"]
+            meter.ratio = item["ratio"]
+            meter.reserve = item["reserve"]
+        counted = {
+            "requests": len(meter.requests),
+            "repeats": len(meter.repeats),
+        }
+        self._answer(200, counted)
+
+    def _count_repeats(self, upstream: "Upstream") -> None:
+        """Counts an arrival; the first one stands for the request."""
+        meter = upstream.repeats
+        attempt = self.getHeader("figford-attempt-id") or ""
+        if meter.record_arrival(attempt, now()):
+            violation = meter.violation(now())
+        else:
+            meter.record_request(now())
+            violation = None
+        if violation is not None:
+            print(
+                f"{INVARIANT_BROKEN}: {upstream.engine.service}: {violation}",
+                flush=True,
+            )
+
     def _answer(self, status: int, item: dict) -> None:
         self.setResponseCode(status)
         self.setHeader("content-type", "application/json")
@@ -325,6 +362,11 @@
         self.setHeader("figford-server-load", "1,0,13")
         if self._give_notice(upstream):
             return
+        if random.random() < upstream.shed_share:
+            self.responseHeaders.removeHeader("figford-response-signature")
+            self.setHeader("figford-not-executed", "1")
+            self._answer(503, {})
+            return
         if upstream.endless is not None:
             EndlessAnswer(upstream, self, attempt).begin()
             return
@@ -419,6 +461,8 @@
     # By the part, the path, or the path and account that crashes; shared by
     # all upstreams.
     crashing: dict[str, crashmeter.CrashMeter]
+    # Shared by all upstreams of the service.
+    repeats: retrymeter.RetryMeter
     runs: list[str | None] = attrs.field(factory=list)
     meter: limitmeter.LimitMeter = attrs.field(factory=limitmeter.LimitMeter)
     notices: noticemeter.NoticeMeter = attrs.field(
@@ -427,6 +471,8 @@
     # The element of answers that never ends; None if they end.
     endless: str | None = None
     endless_open: int = 0
+    # The part of requests that it rejects without running them.
+    shed_share: float = 0.0
     controller_index: int = 0
     channels: list[http.HTTPChannel] = attrs.field(factory=list)
     _listening: typing.Any = None
@@ -503,6 +549,12 @@
     start_ms = int(time.time() * 1000)
     upstreams: list[Upstream] = []
     crashing: dict[str, crashmeter.CrashMeter] = {}
+    repeats = {
+        service: retrymeter.RetryMeter(
+            RETRY_RATIO, RETRY_RESERVE, RETRY_WINDOW
+        )
+        for service in ("app", "pool")
+    }
     for index in range(ENGINE_COUNT + PLAIN_COUNT):
         plain = index >= ENGINE_COUNT
         engine = enginefleet.Engine(
@@ -518,7 +570,16 @@
         control = int(control_port) + int(port_step) * index
         controllers = [f"{ip}:{control}" for ip in ips]
         upstreams.append(
-            Upstream(engine, plain, fleet, controllers, agent, port, crashing)
+            Upstream(
+                engine,
+                plain,
+                fleet,
+                controllers,
+                agent,
+                port,
+                crashing,
+                repeats[engine.service],
+            )
         )
 
     def step() -> None:
--- a/figford/tests/platform/test_processes.py
+++ b/figford/tests/platform/test_processes.py
@@ -93,6 +93,10 @@
     module: str = "figford.platform"
     # Whether requests to upstreams and their reports pass through relays.
     uses_relays: bool = False
+    # Bounds in the settings of all processes.
+    bounds: dict[str, object] = attrs.field(
+        factory=lambda: {"fencing": True, "grace_s": 8}
+    )
 
     def start(self, ip: str, bootstrap: bool = True) -> None:
         """Starts a controller or an entry."""
@@ -112,7 +116,7 @@
             "seeds": [f"{seed}:{self.ports[0]}" for seed in CONTROLLERS],
             "bootstrap": bootstrap,
             "data_dir": str(self.folder / ip) if role != "entry" else None,
-            "bounds": {"fencing": True, "grace_s": 8},
+            "bounds": self.bounds,
         }
         file = self.folder / f"{ip}.json"
         file.write_text(json.dumps(boot))
@@ -308,6 +312,21 @@
         body = json.dumps(notice).encode()
         self.call(self._upstream_address(index), "POST", "/notices", body)
 
+    def shed(
+        self,
+        index: int,
+        share: float,
+        ratio: float = standin.RETRY_RATIO,
+        reserve: float = standin.RETRY_RESERVE,
+    ) -> None:
+        """Lets an upstream reject a part of its requests.
+
+        Ratio and reserve are those of the retry budget of its service.
+        """
+        item = {"share": share, "ratio": ratio, "reserve": reserve}
+        body = json.dumps(item).encode()
+        self.call(self._upstream_address(index), "POST", "/shed", body)
+
     def make_endless(self, index: int, kind: str | None) -> None:
         """Lets an element of an upstream's answers never end."""
         body = json.dumps({"kind": kind}).encode()
--- a/figford/tests/platform/unsafe.py
+++ b/figford/tests/platform/unsafe.py
@@ -3,6 +3,7 @@
 The fault soak must find the violation that follows.
 """
 
+import datetime
 import os
 import sys
 
@@ -15,6 +16,7 @@
 from figford.platform import __main__ as program
 from figford.platform import controlpages
 from figford import routes
+from figford import sharedbudget
 
 MECHANISM_VARIABLE = "FIGFORD_TEST_WITHOUT"
 # The version that a soak submits before its faults begin.
@@ -62,9 +64,27 @@
     )
 
 
+def give_new_processes_the_reserve() -> None:
+    """Lets each process begin with its part of the reserve."""
+    set_entries = sharedbudget.SharedBudget.set_entries
+
+    def set_and_fill(
+        budget: sharedbudget.SharedBudget,
+        entries: int | None,
+        now: datetime.timedelta,
+    ) -> None:
+        was_known = budget.entries is not None
+        set_entries(budget, entries, now)
+        if entries is not None and not was_known:
+            budget._reserve = budget.settings.reserve / entries
+
+    sharedbudget.SharedBudget.set_entries = set_and_fill
+
+
 DISABLE_BY_MECHANISM = {
     "callers-apart": tell_callers_not_apart,
     "limits": ignore_limits,
+    "retries-accrue": give_new_processes_the_reserve,
     "run-once": retry_all_calls,
     "stored-first": acknowledge_at_once,
     "verdicts": refuse_no_crashing_requests,
--- a/figford/tools/retrymeter.py
+++ b/figford/tools/retrymeter.py
@@ -36,7 +36,7 @@
     >>> for request in ("a", "b"):
     ...     meter.record_request(0 * second)
     ...     for _ in range(3):
-    ...         meter.record_arrival(request, 1 * second)
+    ...         _ = meter.record_arrival(request, 1 * second)
     >>> meter.worst()
     Excess(since=datetime.timedelta(seconds=1), repeats=4, allowed=2.0)
     """
@@ -52,11 +52,22 @@
         """Counts a request that a caller sent, whether it arrives or not."""
         self.requests.append(now)
 
-    def record_arrival(self, request: str, now: datetime.timedelta) -> None:
-        """Counts an arrival of a request, also one that is rejected."""
-        if request in self._arrived:
+    def record_arrival(self, request: str, now: datetime.timedelta) -> bool:
+        """Counts an arrival, also a rejected one; tells if it is a repeat."""
+        is_repeat = request in self._arrived
+        if is_repeat:
             self.repeats.append(now)
         self._arrived.add(request)
+        return is_repeat
+
+    def violation(self, now: datetime.timedelta) -> str | None:
+        """Returns a description if the window that ends now has too many."""
+        since = now - self.window
+        repeats = self.count(self.repeats, since)
+        allowed = self.allowed(since)
+        if repeats <= allowed:
+            return None
+        return f"{repeats} repeats in a window; allowed {allowed:.0f}"
 
     def allowed(self, since: datetime.timedelta) -> float:
         """Returns how many repeats may come in the window from a time on."""
