--- a/figford/exchanges.py
+++ b/figford/exchanges.py
@@ -31,6 +31,8 @@
 KEEP_ALIVE_MARGIN = datetime.timedelta(milliseconds=700)
 DEFAULT_KEEP_ALIVE = datetime.timedelta(seconds=4)
 MAX_IDLE_PER_UPSTREAM = 24
+# A second copy of an answer comes within so many requests.
+REMEMBERED_ATTEMPTS = 64
 # An answer that nobody waits for is read to its end, so that its connection
 # can be kept, only if it is about this short.
 IGNORED_LIMIT_BYTES = 64 << 10
@@ -140,8 +142,10 @@
         self.max_idle_connections = MAX_IDLE_PER_UPSTREAM
         self._open = False
         self._ignored_bytes = 0
-        # The ids of the attempts that were sent on this connection.
-        self._attempts: set[str] = set()
+        # The ids of the last attempts that were sent on this connection.
+        self._attempts: collections.deque[str] = collections.deque(
+            maxlen=REMEMBERED_ATTEMPTS
+        )
 
     def connectionMade(self) -> None:
         """Sets the socket options that detect dead connections."""
@@ -168,14 +172,14 @@
         return self._open and self._exchange is None
 
     def has_sent(self, attempt: str) -> bool:
-        """Returns whether an attempt was sent on this connection."""
+        """Returns whether an attempt was sent on this connection lately."""
         return attempt in self._attempts
 
     def begin(self, exchange: Exchange) -> None:
         """Sends a request."""
         self._exchange = exchange
         if exchange.attempt:
-            self._attempts.add(exchange.attempt)
+            self._attempts.append(exchange.attempt)
         self._head = None
         self._ignored_bytes = 0
         self.max_idle_connections = exchange.max_idle_connections
--- a/figford/tests/test_exchanges.py
+++ b/figford/tests/test_exchanges.py
@@ -3,6 +3,7 @@
 import datetime
 
 import attrs
+import h11
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -444,3 +445,14 @@
         bench.pool.send("127.0.0.1:1", other)
         assert bench.transport.value().startswith(b"POST /x")
     assert len(bench.pool.reactor.tcpClients) == 2
+
+
+def test_a_connection_remembers_a_bounded_number_of_attempts() -> None:
+    bench = Bench()
+    for number in range(3 * exchanges.REMEMBERED_ATTEMPTS):
+        bench.connection._exchange = None
+        bench.connection._http = h11.Connection(h11.CLIENT)
+        bench.connection.begin(
+            attrs.evolve(bench.exchange(), attempt=f"b{number}")
+        )
+    assert len(bench.connection._attempts) == exchanges.REMEMBERED_ATTEMPTS
