--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -278,7 +278,9 @@
             self.forwarder.placement.failed(self._attempt.target, now)
             if reason == GROUP_STALLED:
                 self.forwarder.placement.eject(self._attempt.target, now)
-        if self.forwarder.has_retry(self, now):
+        is_stream = self.route.retry_mode is routes.RetryMode.STREAM
+        # Streams that stand still hold the places of others in an overload.
+        if is_stream or self.forwarder.has_retry(self, now):
             self._drop_attempt()
             self._retry_or_refuse(reason, errors.UpstreamFailed(reason))
 
