--- a/figford/sharedbudget.py
+++ b/figford/sharedbudget.py
@@ -19,7 +19,7 @@
 # a window may be spent in it, besides those of requests within.
 RETENTION_PART = 0.2
 # This part of what an entry may use of the reserve in a window is kept for
-# bursts; the rest accrues evenly.
+# bursts, or one retry where that is more; the rest accrues evenly.
 BURST_PART = 0.5
 
 
@@ -119,8 +119,12 @@
             self._reserve = 0.0
             return
         part = self.settings.reserve * SAFETY_FACTOR / max(1, self.entries)
-        accrued = part * (1 - BURST_PART) * windows
-        self._reserve = min(part * BURST_PART, self._reserve + accrued)
+        kept = part * BURST_PART
+        if part >= 1:
+            # Less than a whole retry would never be used.
+            kept = max(1.0, kept)
+        accrued = (part - kept) * windows
+        self._reserve = min(kept, self._reserve + accrued)
 
 
 @attrs.define
--- a/figford/tests/test_sharedbudget.py
+++ b/figford/tests/test_sharedbudget.py
@@ -66,6 +66,11 @@
     assert withdrawn(make_budget(10), 60, 70) == int(part)
 
 
+def test_a_small_part_of_the_reserve_is_a_whole_retry() -> None:
+    """Half of it was kept, less than one, and never used."""
+    assert withdrawn(make_budget(90), 60, 70) == 1
+
+
 def test_an_entry_that_has_started_has_what_accrued_since() -> None:
     part = RESERVE / 10 * sharedbudget.SAFETY_FACTOR
     accruing = part * (1 - sharedbudget.BURST_PART)
