An entry that can't start exits

Its logs show that an entry found its port taken (by another run of tests on this machine) and did not exit: the thread that writes to the disk kept the process. A supervisor would wait for ever. The new test fails without the change.

--- a/figford/daemon.py
+++ b/figford/daemon.py
@@ -302,11 +302,15 @@
             yield port.stopListening()
         yield self.hub.stop()
         yield self.gateway.client.close()
-        if self._writer is not None:
-            self._writer.stop()
+        self.stop_writing()
         _log.info("entry stopped: late={}", deadline_passed)
         self.stopped.callback(not deadline_passed)
 
+    def stop_writing(self) -> None:
+        """Ends the thread that writes to the disk; the process can exit."""
+        if self._writer is not None:
+            self._writer.stop()
+
     def _fatal(self, failure: typing.Any) -> None:
         """Exits at once after a failed invariant or disk write."""
         _log.critical("entry failed: {}", failure.getTraceback())
@@ -542,6 +546,7 @@
     def failed(failure: typing.Any) -> None:
         _log.critical("entry can't start: {}", failure.getErrorMessage())
         exit_codes.append(1)
+        entry.stop_writing()
         reactor.stop()
 
     entry.stopped.addCallback(stopped)
--- a/figford/tests/test_processes.py
+++ b/figford/tests/test_processes.py
@@ -10,6 +10,7 @@
 import ipaddress
 import json
 import signal
+import socket
 import ssl
 import urllib.error
 import urllib.request
@@ -375,6 +376,21 @@
     assert runs(service)["k3"] == 1
 
 
+def test_an_entry_that_cannot_start_exits(tmp_path):
+    """The thread that writes to the disk kept the process for good."""
+    running = deployment.Deployment(tmp_path / "d", ENTRIES[:1])
+    host, port = running.callers_address("entry-1").split(":")
+    try:
+        with socket.socket() as other:
+            other.bind((host, int(port)))
+            other.listen()
+            running.start_entries()
+            process = running.process_by_name["entry-1"]
+            assert process.wait(deployment.WAIT_SECONDS) == 1
+    finally:
+        running.kill_all()
+
+
 def test_callers_port_serves_tls(tmp_path):
     key = tmp_path / "key.pem"
     certificate = tmp_path / "certificate.pem"
