Reads of plain services ask the retry budget by its present names

Since each repeatable call of a plain service at the own interface failed with an unexpected error (calls that run once and model requests did not). No test made such a call; the demo did. The new test, at the real dispatcher, fails without the change.

--- a/figford/servicecalls.py
+++ b/figford/servicecalls.py
@@ -80,7 +80,8 @@
 
     def begin(self) -> None:
         """Makes the first attempt."""
-        self.gateway.dispatcher.budget.deposit()
+        now = self.gateway.clock.now()
+        self.gateway.dispatcher.budget.record_request(now)
         self._attempt()
 
     def _attempt(self) -> None:
@@ -107,12 +108,13 @@
 
     def _failed(self, failure: failures.Failure, address: str) -> None:
         failure.trap(errors.FigfordError)
-        breakers = self.gateway.dispatcher.breakers
-        breakers.failed(address, self.gateway.clock.now())
+        now = self.gateway.clock.now()
+        dispatcher = self.gateway.dispatcher
+        dispatcher.breakers.failed(address, now)
         if not failure.check(upstreams.NothingSentError):
             self._sent = True
         may_retry = len(self._tried_addresses) < READ_ATTEMPTS
-        if may_retry and self.gateway.dispatcher.budget.try_withdraw():
+        if may_retry and dispatcher.budget.try_withdraw(now):
             self._attempt()
             return
         self._refuse(
--- /dev/null
+++ b/figford/tests/test_servicecalls.py
@@ -0,0 +1,110 @@
+"""Repeatable calls of plain services, at the real dispatcher's budget."""
+
+import collections
+import datetime
+import random
+
+import attrs
+import pytest
+from twisted.internet import defer
+
+from figford import dispatch
+from figford import errors
+from figford import groups
+from figford import membership
+from figford import operators
+from figford import routing
+from figford import servicecalls
+from figford import upstreams
+
+SERVICE = operators.PlainService(name="shelters", prefix="/shelters")
+REQUEST = upstreams.PlainRequest(b"GET", "", b"/shelters/1", [], b"")
+
+
+@attrs.define
+class Clock:
+    """A clock whose time tests set."""
+
+    time: datetime.timedelta = datetime.timedelta(seconds=100)
+
+    def now(self) -> datetime.timedelta:
+        """Returns the time that was set."""
+        return self.time
+
+
+@attrs.define
+class Responder:
+    """Records what a caller received."""
+
+    status: int = 0
+    refusal: errors.Refusal | None = None
+
+    def begin(self, status: int, headers: object) -> None:
+        """Records the status."""
+        self.status = status
+
+    def write(self, data: bytes) -> None:
+        """Ignores the body."""
+
+    def finish(self) -> None:
+        """Ignores the end."""
+
+    def refuse(self, refusal: errors.Refusal) -> None:
+        """Records a refusal."""
+        self.refusal = refusal
+
+
+class Gateway:
+    """The parts of a gateway that a call uses; some attempts fail."""
+
+    def __init__(self, failing: int, started_at: datetime.timedelta) -> None:
+        self.clock = Clock()
+        self.dispatcher = dispatch.Dispatcher(
+            groups.GroupTable(membership.UpstreamTable("north")),
+            routing.Router(random.Random(1)),
+            started_at=started_at,
+        )
+        self.client = self
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.internal_errors: list = []
+        self._failing = failing
+
+    def choose_service(self, name: str, tried: set[str]) -> str:
+        """Returns an address that was not tried."""
+        return f"127.0.0.1:{9000 + len(tried)}"
+
+    def call(self, request: object, timeout: object) -> defer.Deferred:
+        """Fails the first attempts and answers the next one."""
+        self.outcomes["attempt"] += 1
+        if self.outcomes["attempt"] <= self._failing:
+            return defer.fail(upstreams.NothingSentError("refused"))
+        return defer.succeed(upstreams.PlainAnswer(200, [], b"ok"))
+
+    def on_internal_error(self, failure: object) -> None:
+        """Records an error that is none of the upstream's."""
+        self.internal_errors.append(failure)
+
+    def service_call_ended(self, call: object, outcome: str) -> None:
+        """Counts an outcome."""
+        self.outcomes[outcome] += 1
+
+
+@pytest.mark.parametrize(
+    ("seconds_up", "failing", "attempts", "status"),
+    [(60, 0, 1, 200), (60, 2, 3, 200), (60, 3, 3, 0), (0, 1, 1, 0)],
+)
+def test_a_read_is_repeated_within_the_retry_budget(
+    seconds_up: int, failing: int, attempts: int, status: int
+) -> None:
+    """The budget was asked by names that it no longer has."""
+    up = datetime.timedelta(seconds=seconds_up)
+    gateway = Gateway(failing, Clock().time - up)
+    responder = Responder()
+    servicecalls.RepeatableCall(
+        gateway, SERVICE, None, operators.RequestClass.STATUS, REQUEST,
+        responder, gateway.clock.now(),
+    ).begin()  # fmt: skip
+    assert gateway.internal_errors == []
+    assert gateway.outcomes["attempt"] == attempts
+    assert responder.status == status
+    assert (responder.refusal is None) is (status == 200)
