No change of voters bears fewer losses than the state before

Cause: the successor became the fourth voter at once, and the dead voter was removed only after 8 s of silence, a constant beside `catch_up_s`. In between the quorum was 3 of 4 with a dead one.

Why this works: an odd number of voters first loses the dead one and then gets the successor; neither step raises the quorum. Silence is bounded by half of `catch_up_s`, read from the settings, and a learner waits with the log by then. At least 2 * fault_tolerance + 1 voters are kept, before 3 on all sites.

--- a/figford/agreement.py
+++ b/figford/agreement.py
@@ -247,13 +247,21 @@
         recently: a dead replica that becomes a voter counts against the
         quorum.
         """
-        progress = self._progress_by_voter.get(learner)
-        if progress is None or not progress.match_index:
+        if not self._replies(learner, now):
             return False
-        if now - progress.last_reply_at > PROMOTION_SILENCE:
+        match_index = self._progress_by_voter[learner].match_index
+        return self.log.last_index - match_index <= PROMOTION_LAG_ENTRIES
+
+    def all_reply(self, now: datetime.timedelta) -> bool:
+        """Returns whether all other voters have replied recently."""
+        return all(self._replies(voter, now) for voter in self._other_voters())
+
+    def _replies(self, voter: str, now: datetime.timedelta) -> bool:
+        """Returns whether a voter or learner confirmed entries recently."""
+        progress = self._progress_by_voter.get(voter)
+        if progress is None or not progress.match_index:
             return False
-        lag = self.log.last_index - progress.match_index
-        return lag <= PROMOTION_LAG_ENTRIES
+        return now - progress.last_reply_at <= PROMOTION_SILENCE
 
     def compact(self, index: int, state: bytes) -> Output:
         """Replaces the log up to a committed index by a snapshot."""
--- a/figford/control.py
+++ b/figford/control.py
@@ -17,10 +17,10 @@
 # A voter that is silent this long is replaced by a live replica. Process
 # pauses and network cuts of a few seconds end before that.
 VOTER_SILENCE_TIMEOUT = datetime.timedelta(seconds=8)
-# Unreachable voters are removed only while there are more voters than this,
-# so that a network cut never shrinks the quorum further.
-MIN_VOTERS = 3
-VOTER_REVIEW_INTERVAL = datetime.timedelta(seconds=1)
+VOTER_REVIEW_INTERVAL = datetime.timedelta(milliseconds=100)
+# A longer gap between two ticks means that this process was suspended; what
+# others sent meanwhile was not received.
+PAUSE_THRESHOLD = datetime.timedelta(seconds=1)
 # Proposals beyond this number are answered as undecided; their origin retries
 # them until their deadline.
 MAX_PENDING_PROPOSALS = 10_000
@@ -110,9 +110,15 @@
     peers: membership.PeerTable
     agreement: agreements.Agreement
     ledger: ledgers.Ledger = attrs.field(factory=ledgers.Ledger)
+    voter_silence_timeout: datetime.timedelta = VOTER_SILENCE_TIMEOUT
+    # The number of replicas whose disks may be lost at once.
+    fault_tolerance: int = 1
     _pending_by_index: dict[int, _PendingProposal] = attrs.field(factory=dict)
     _review_due: datetime.timedelta = datetime.timedelta(0)
     _leader_since: datetime.timedelta = datetime.timedelta(0)
+    # When this process started or last ran on after it was suspended.
+    _resumed_at: datetime.timedelta = datetime.timedelta(0)
+    _ticked_at: datetime.timedelta = datetime.timedelta(0)
     _results: list[messages.ProposalResult] = attrs.field(factory=list)
 
     def restore(
@@ -140,6 +146,9 @@
     def tick(self, now: datetime.timedelta) -> list[effects.Effect]:
         """Runs elections, heartbeats and the periodic review of the voters."""
         result = self._process_output(self.agreement.tick(now))
+        if now - self._ticked_at > PAUSE_THRESHOLD:
+            self._resumed_at = now
+        self._ticked_at = now
         if not self.agreement.leading:
             self._leader_since = now
         if self.agreement.leading and now >= self._review_due:
@@ -248,24 +257,68 @@
     # ---- Voters ---------------------------------------------------------
 
     def _review_voters(self, now: datetime.timedelta) -> list[effects.Effect]:
-        """Removes replaced or unreachable voters; promotes live learners."""
+        """Removes replaced or unreachable voters; promotes live learners.
+
+        Each change adds or removes one voter. None of them reduces the number
+        of live voters that may fail before the quorum is lost, and none lets
+        a quorum be smaller than `fault_tolerance + 1`:
+
+        - An even number of voters takes a learner: the quorum stays the same.
+        - An odd number loses a dead voter: the quorum stays the same.
+        - An even number loses a dead voter if enough voters remain.
+        - An odd number takes a learner, which raises the quorum, only while
+          all voters reply.
+        """
         voters = self.agreement.voters
-        removable = [
-            voter for voter in voters if self._disk_was_replaced(voter, now)
+        dead = self._dead_voters(now)
+        learners = self._waiting_learners(now)
+        if len(voters) >= MAX_VOTERS and not dead:
+            learners = []
+        self.agreement.set_learners(set(learners), now)
+        caught_up = [
+            learner
+            for learner in learners
+            if self.agreement.caught_up(learner, now)
         ]
-        if not removable and len(voters) > MIN_VOTERS:
-            removable = [
-                voter for voter in voters if self._is_unreachable(voter, now)
-            ]
-        if removable:
-            kept = [voter for voter in voters if voter != removable[0]]
-            return self._change_voters(kept, now)
-        learner = self._next_learner(now)
-        self.agreement.set_learners({learner} if learner else set(), now)
-        if learner and self.agreement.caught_up(learner, now):
-            return self._change_voters([*voters, learner], now)
+        has_even_count = len(voters) % 2 == 0
+        if has_even_count and caught_up:
+            return self._change_voters([*voters, caught_up[0]], now)
+        for voter in dead:
+            if self._may_remove(voter, bool(caught_up), now):
+                kept = [other for other in voters if other != voter]
+                return self._change_voters(kept, now)
+        can_grow = len(voters) < MAX_VOTERS and self.agreement.all_reply(now)
+        if caught_up and can_grow:
+            return self._change_voters([*voters, caught_up[0]], now)
         return []
 
+    def _dead_voters(self, now: datetime.timedelta) -> list[str]:
+        """Returns the voters that won't reply, those with lost disks first."""
+        voters = self.agreement.voters
+        replaced = [
+            voter for voter in voters if self._disk_was_replaced(voter, now)
+        ]
+        silent = [
+            voter for voter in voters if self._is_unreachable(voter, now)
+        ]
+        return [*replaced, *silent]
+
+    def _may_remove(
+        self, voter: str, has_successor: bool, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether a dead voter can be removed now.
+
+        A silent voter may return, so without a successor it is removed only
+        while more voters remain than tolerate the loss of `fault_tolerance`.
+        """
+        voters = self.agreement.voters
+        has_spare = len(voters) > 2 * self.fault_tolerance + 1
+        if len(voters) % 2 == 0:
+            return has_spare
+        return (
+            has_spare or has_successor or self._disk_was_replaced(voter, now)
+        )
+
     def _change_voters(
         self, voters: list[str], now: datetime.timedelta
     ) -> list[effects.Effect]:
@@ -286,20 +339,23 @@
         return known.peer.voter != voter
 
     def _is_unreachable(self, voter: str, now: datetime.timedelta) -> bool:
-        """Returns whether a voter was silent beyond VOTER_SILENCE_TIMEOUT."""
+        """Returns whether a voter was silent beyond the silence timeout."""
         if voter == self.agreement.voter:
             return False
         instance = self.peers.instance_of_voter(voter)
         known = self.peers.by_instance.get(instance or "")
-        if known is None or known.heard_at is None:
-            return now - self._leader_since > VOTER_SILENCE_TIMEOUT
-        return now - known.heard_at > VOTER_SILENCE_TIMEOUT
+        heard_at = self._leader_since
+        if known is not None and known.heard_at is not None:
+            heard_at = known.heard_at
+        silent_since = max(heard_at, self._resumed_at)
+        return now - silent_since > self.voter_silence_timeout
+
+    def _waiting_learners(self, now: datetime.timedelta) -> list[str]:
+        """Returns live replicas without a vote.
 
-    def _next_learner(self, now: datetime.timedelta) -> str | None:
-        """Returns the next learner, from a data centre with fewest voters."""
+        Those of data centres with the fewest voters come first.
+        """
         voters = set(self.agreement.voters)
-        if len(voters) >= MAX_VOTERS:
-            return None
         count_by_data_centre: dict[str, int] = {}
         for peer in self.peers.all_peers():
             if peer.voter in voters:
@@ -310,13 +366,10 @@
             for peer in self.peers.live(now)
             if peer.voter is not None and peer.voter not in voters
         ]
-        if not candidates:
-            return None
-        chosen = min(
-            candidates,
+        candidates.sort(
             key=lambda peer: (
                 count_by_data_centre.get(peer.data_centre, 0),
                 peer.instance,
-            ),
+            )
         )
-        return chosen.voter
+        return [peer.voter for peer in candidates if peer.voter is not None]
--- a/figford/controllerdaemon.py
+++ b/figford/controllerdaemon.py
@@ -40,6 +40,9 @@
 # After SIGTERM, this controller keeps answering for this long while
 # others take over.
 STOP_DELAY = datetime.timedelta(milliseconds=300)
+# The part of `catch_up` after which a silent controller is replaced; in the
+# rest its successor starts, copies the log and gets the vote.
+VOTER_SILENCE_PART = 0.5
 # Orders to join, open and stage are logged only if they did not succeed; the
 # events of groups tell of the others.
 LOGGED_ACTIONS = (formations.Action.CLOSE, formations.Action.LEAVE)
@@ -104,7 +107,13 @@
         peers = membership.PeerTable(self.own_peer(voter))
         self.state = controllers.Controller(
             peers,
-            control.Control(peers, agreement.Agreement(voter, rng)),
+            control.Control(
+                peers,
+                agreement.Agreement(voter, rng),
+                voter_silence_timeout=self.config.catch_up
+                * VOTER_SILENCE_PART,
+                fault_tolerance=self.config.fault_tolerance,
+            ),
             rng,
             self.clock.now(),
             callers_seen=not self._first_start,
--- a/figford/platform/boot.py
+++ b/figford/platform/boot.py
@@ -85,6 +85,12 @@
         stop_timeout=datetime.timedelta(
             seconds=service_bounds.get("grace_s", 8)
         ),
+        catch_up=datetime.timedelta(
+            seconds=service_bounds.get("catch_up_s", 4)
+        ),
+        fault_tolerance=max(
+            1, int((item.get("fault_tolerance") or {}).get("machines", 1))
+        ),
         checks_fencing=service_bounds.get("fencing") is True,
         budget=sharedbudget.BudgetSettings(
             ratio=service_bounds.get("retry_budget_ratio", 0.2),
--- a/figford/tests/platform/test_boot.py
+++ b/figford/tests/platform/test_boot.py
@@ -1,5 +1,6 @@
 """The platform's settings file is read into node settings."""
 
+import datetime
 import json
 import pathlib
 
@@ -37,6 +38,19 @@
     assert settings.budget.reserve == 132
 
 
+def test_what_may_be_lost_at_once_is_read(tmp_path) -> None:
+    settings = read(tmp_path)
+    assert settings.catch_up == datetime.timedelta(seconds=4)
+    assert settings.fault_tolerance == 1
+    settings = read(
+        tmp_path,
+        fault_tolerance={"machines": 2, "zones": 1},
+        bounds={"catch_up_s": 6},
+    )
+    assert settings.catch_up == datetime.timedelta(seconds=6)
+    assert settings.fault_tolerance == 2
+
+
 def test_only_the_first_start_names_founders(tmp_path) -> None:
     assert read(tmp_path, bootstrap=False).founders == ()
 
--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -52,6 +52,9 @@
 
     seed: int
     entries: tuple[str, ...] = ENTRIES
+    founders: tuple[str, ...] = CONTROLLERS
+    voter_silence_timeout: datetime.timedelta = control.VOTER_SILENCE_TIMEOUT
+    fault_tolerance: int = 1
     now: datetime.timedelta = 10 * SECOND
     process_by_name: dict = attrs.field(factory=dict)
     disk_by_name: dict = attrs.field(factory=dict)
@@ -60,17 +63,19 @@
     in_flight: list = attrs.field(factory=list)
     acknowledged: int = 0
     submitted: int = 0
+    controllers: set[str] = attrs.field(init=False)
     rng: random.Random = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Creates three controllers with their disks; starts the entries."""
+        """Creates the founders with their disks; starts the entries."""
         self.rng = random.Random(self.seed)
-        for name in CONTROLLERS:
-            others = [f"{other}.first" for other in CONTROLLERS]
+        self.controllers = set(self.founders)
+        for name in self.founders:
+            others = [f"{other}.first" for other in self.founders]
             self.disk_by_name[name] = control.bootstrap_records(
                 f"{name}.first", others
             )
-        for name in (*CONTROLLERS, *self.entries):
+        for name in (*self.founders, *self.entries):
             self.start(name)
 
     # ---- Processes ------------------------------------------------------
@@ -78,7 +83,7 @@
     def start(self, name: str) -> None:
         """Starts a process from the contents of its disk."""
         voter = None
-        if name in CONTROLLERS:
+        if name in self.controllers:
             if name not in self.disk_by_name:
                 fresh = f"{name}.{self.rng.randrange(1 << 40):x}"
                 self.disk_by_name[name] = [messages.Identity(fresh)]
@@ -90,7 +95,12 @@
         if voter is None:
             process = Process(name, entries.EntryState(peers))
         else:
-            disk = control.Control(peers, agreement.Agreement(voter, self.rng))
+            disk = control.Control(
+                peers,
+                agreement.Agreement(voter, self.rng),
+                voter_silence_timeout=self.voter_silence_timeout,
+                fault_tolerance=self.fault_tolerance,
+            )
             state = controller.Controller(peers, disk, self.rng, self.now)
             process = Process(name, state)
         self.process_by_name[name] = process
@@ -98,6 +108,11 @@
             records = list(self.disk_by_name[name])
             self.carry_out(process, process.state.start(records, self.now))
 
+    def start_controller(self, name: str) -> None:
+        """Starts a controller at a new address, with an empty disk."""
+        self.controllers.add(name)
+        self.start(name)
+
     def kill(self, name: str) -> None:
         """Ends a process; unsynced writes are lost."""
         self.process_by_name.pop(name, None)
@@ -139,7 +154,7 @@
         for one in names:
             for other in names:
                 pair = frozenset((one, other))
-                wanted = one < other and set(pair) & set(CONTROLLERS)
+                wanted = one < other and set(pair) & self.controllers
                 if pair in self.cut:
                     self.unlink(one, other)
                 elif wanted and pair not in self.linked:
