A stopping entry takes only requests that it can complete

Why this works: once 2.6 s have passed, a request that was read is begun only if its deadline is before the end of the process, and is refused as not run otherwise; each connection ends with its answer. At the end, requests without an answer get a true one (503 or 504), and the process waits for answers that are still being sent.

test_entrydaemon: the call in progress of a test now lets itself be ended, as the daemon ends calls in place of dropping them; what is asserted is the same.

--- a/figford/entrydaemon.py
+++ b/figford/entrydaemon.py
@@ -26,8 +26,10 @@
 # The load balancer checks readiness once a second and removes an entry
 # after two failed checks; until then it still opens new connections.
 BALANCER_REMOVAL_DELAY = datetime.timedelta(milliseconds=2600)
-# Requests still in progress this long before the stop timeout are aborted.
+# Requests still in progress this long before the stop timeout are ended.
 STOP_MARGIN = datetime.timedelta(milliseconds=400)
+# Until this long before the stop timeout, answers are sent to slow callers.
+FLUSH_MARGIN = datetime.timedelta(milliseconds=150)
 
 
 @attrs.define(eq=False)
@@ -40,6 +42,8 @@
     ingress: ingresses.Ingress = attrs.field(init=False)
     _callers_port: typing.Any = None
     _stopping_since: datetime.timedelta | None = None
+    # Requests that were ended since they outlasted this process.
+    _calls_cut: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Creates the parts; opens no socket yet."""
@@ -167,9 +171,13 @@
         """Starts a graceful shutdown that lets requests finish."""
         if self._stopping_since is not None:
             return
-        self._stopping_since = self.clock.now()
+        now = self.clock.now()
+        self._stopping_since = now
         self.state.stopping = True
-        self.ingress.stopping = True
+        self.ingress.begin_stop(
+            now + BALANCER_REMOVAL_DELAY,
+            now + self.config.stop_timeout - STOP_MARGIN,
+        )
         _log.info("process stopping", in_progress=len(self.forwarder.calls))
 
     def _check_stopped(self, now: datetime.timedelta) -> None:
@@ -177,17 +185,19 @@
         if since is None or now - since < BALANCER_REMOVAL_DELAY:
             return
         self._close_callers_port()
-        deadline_passed = now - since >= self.config.stop_timeout - STOP_MARGIN
-        if self.forwarder.calls and not deadline_passed:
+        remaining = self.config.stop_timeout - (now - since)
+        if remaining <= STOP_MARGIN:
+            self._calls_cut += self.forwarder.end_calls()
+        is_flushing = self.ingress.channels and remaining > FLUSH_MARGIN
+        if self.forwarder.calls or is_flushing:
             return
         self._stopping_since = None
-        self._close(deadline_passed).addErrback(self.fatal)
+        self._close().addErrback(self.fatal)
 
     def _close_callers_port(self) -> None:
         """Closes the listening port and idle connections.
 
-        A request that arrived later could not finish before the stop
-        timeout. Requests in progress go on.
+        Requests in progress go on; each connection ends with its answer.
         """
         if self._callers_port is not None:
             self._callers_port.stopListening()
@@ -195,9 +205,12 @@
         self.ingress.close_idle()
 
     @defer.inlineCallbacks
-    def _close(self, deadline_passed: bool) -> typing.Iterator[typing.Any]:
-        _log.info("process stopped", cut=len(self.forwarder.calls))
-        self.ingress.close_idle()
+    def _close(self) -> typing.Iterator[typing.Any]:
+        _log.info(
+            "process stopped",
+            cut=self._calls_cut,
+            connections=len(self.ingress.channels),
+        )
         yield self.close_ports()
         self.forwarder.pool.close()
-        self.stopped.callback(not deadline_passed)
+        self.stopped.callback(not self._calls_cut)
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -280,6 +280,19 @@
             self._isolated(call, call.check, now)
         self._report_crashes(now)
 
+    def end_calls(self) -> int:
+        """Ends all calls, as this process ends; returns their number.
+
+        Queued ones end first, so that they don't take the places of others.
+        """
+        calls = sorted(
+            self.calls,
+            key=lambda call: call.state is not forwarding.State.WAITING,
+        )
+        for call in calls:
+            call.end_unanswered("this entry stopped before the answer came")
+        return len(calls)
+
     def _isolated(
         self,
         call: forwarding.ForwardedCall,
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -263,7 +263,7 @@
         if self.state is State.ENDED:
             return
         if now >= self.deadline:
-            self._end_at_deadline()
+            self.end_unanswered("the request was not answered by its deadline")
             return
         held = self._held_retry
         if held is not None and now >= held.until:
@@ -284,23 +284,22 @@
             self._drop_attempt()
             self._retry_or_refuse(reason, errors.UpstreamFailed(reason))
 
-    def _end_at_deadline(self) -> None:
+    def end_unanswered(self, detail: str) -> None:
+        """Ends a call that has no more time.
+
+        Says that the request did not run only if no upstream received it.
+        """
         if self._attempt is not None and not self._response_started:
             now = self.forwarder.clock.now()
             self.forwarder.placement.failed(self._attempt.target, now)
         if self.may_have_run or self._attempt is not None:
             self.refuse(
                 errors.DeadlineMissed(
-                    "the request was not answered by its deadline",
-                    run_state=errors.RunState.UNKNOWN,
+                    detail, run_state=errors.RunState.UNKNOWN
                 )
             )
         else:
-            self.refuse(
-                self.forwarder.no_capacity(
-                    "the deadline passed while the request was queued"
-                )
-            )
+            self.refuse(self.forwarder.no_capacity(detail))
 
     def _stall_reason(self, attempt: _Attempt, now: datetime.timedelta) -> str:
         """Returns why an attempt is abandoned; empty if it is not."""
--- a/figford/ingress.py
+++ b/figford/ingress.py
@@ -8,6 +8,7 @@
 import datetime
 import typing
 
+import attrs
 import logbook
 from twisted.internet import interfaces
 from twisted.python import failure as failures
@@ -78,6 +79,8 @@
         remaining = (
             head.remaining if head.remaining else DEFAULT_REQUEST_TIMEOUT
         )
+        deadline = now + min(remaining, route.timeout)
+        ingress.check_can_finish(now, deadline)
         self.call = forwarding.ForwardedCall(
             forwarder=ingress.forwarder,
             route=route,
@@ -89,7 +92,7 @@
             body=body,
             responder=self,
             arrived_at=now,
-            deadline=now + min(remaining, route.timeout),
+            deadline=deadline,
         )
         ingress.forwarder.begin(self.call)
 
@@ -130,8 +133,13 @@
             self.channel.persistent = False
 
     def finish(self) -> None:
-        """Completes the answer."""
+        """Completes the answer; ends the connection of a stopping entry.
+
+        An answer that began before the stop did not announce that.
+        """
         if not self.caller_gone:
+            if self.channel.factory.ingress.stopping:
+                self.channel.persistent = False
             if self.producer is not None:
                 self.unregisterProducer()
             super().finish()
@@ -204,6 +212,14 @@
         """Writes no access log; each call logs its outcome."""
 
 
+@attrs.frozen
+class _Stop:
+    """The times of a graceful shutdown, see `Ingress.begin_stop`."""
+
+    accept_until: datetime.timedelta
+    ends_at: datetime.timedelta
+
+
 class Ingress:
     """Accepts callers while the entry has a route table."""
 
@@ -216,7 +232,22 @@
         self.forwarder = forwarder
         self.on_request = on_request
         self.channels: set[CallerChannel] = set()
-        self.stopping = False
+        self._stop: _Stop | None = None
+
+    @property
+    def stopping(self) -> bool:
+        """Returns whether this entry stops."""
+        return self._stop is not None
+
+    def begin_stop(
+        self, accept_until: datetime.timedelta, ends_at: datetime.timedelta
+    ) -> None:
+        """Closes connections with their answers from now on.
+
+        After `accept_until`, only requests are accepted whose deadline is not
+        after `ends_at`.
+        """
+        self._stop = _Stop(accept_until, ends_at)
 
     @property
     def limits(self) -> routes.CallerLimits:
@@ -232,6 +263,18 @@
                 + NOT_READY_SPREAD * self.forwarder.rng.random(),
             )
 
+    def check_can_finish(
+        self, now: datetime.timedelta, deadline: datetime.timedelta
+    ) -> None:
+        """Raises Draining if a request may outlast this process."""
+        stop = self._stop
+        if stop is None or now <= stop.accept_until:
+            return
+        if deadline > stop.ends_at:
+            raise errors.Draining(
+                "this entry is stopping", retry_after=datetime.timedelta(0)
+            )
+
     def refused(self, refusal: errors.Refusal, request: http.Request) -> None:
         """Logs and counts a request that was refused before its call began."""
         self.forwarder.metrics.outcome("", "", refusal.kind)
--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -73,6 +73,8 @@
 PLAIN_COUNT = 3
 EVENTS_PER_STREAM = 6
 EVENT_INTERVAL_SECONDS = 0.02
+# A caller's header with another interval, in seconds.
+INTERVAL_HEADER = "x-event-interval"
 # A request that crashes its upstream does so this long after it arrived, and
 # the upstream is back after some more.
 CRASH_SECONDS = 0.05
@@ -385,16 +387,21 @@
             return
         self.setHeader("content-type", "text/event-stream")
         after = int(self.getHeader("last-event-id") or 0)
-        self._stream(after + 1)
+        interval = self.getHeader(INTERVAL_HEADER)
+        self._stream(
+            after + 1, float(interval) if interval else EVENT_INTERVAL_SECONDS
+        )
 
-    def _stream(self, number: int) -> None:
+    def _stream(self, number: int, interval_seconds: float) -> None:
         if self._disconnected:
             return
         if number > EVENTS_PER_STREAM:
             self.finish()
             return
         self.write(f"id: {number}\ndata: piece {number}\n\n".encode())
-        reactor.callLater(EVENT_INTERVAL_SECONDS, self._stream, number + 1)
+        reactor.callLater(
+            interval_seconds, self._stream, number + 1, interval_seconds
+        )
 
 
 class EndlessAnswer:
--- a/figford/tests/test_entrydaemon.py
+++ b/figford/tests/test_entrydaemon.py
@@ -8,6 +8,7 @@
 
 from figford import effects
 from figford import entrydaemon
+from figford import forwarding
 from figford import nodesettings
 from figford.platform import dialect
 
@@ -45,9 +46,16 @@
 class Call:
     """A request in progress."""
 
+    calls: set = attrs.field(factory=set)
+    state: forwarding.State = forwarding.State.SENT
+
     def check(self, now: datetime.timedelta) -> None:
         """Does nothing: the request stays in progress."""
 
+    def end_unanswered(self, detail: str) -> None:
+        """Ends the request."""
+        self.calls.discard(self)
+
 
 def make_daemon(clock: Clock) -> entrydaemon.EntryDaemon:
     config = nodesettings.NodeSettings(
@@ -101,7 +109,7 @@
 def test_unfinished_requests_are_aborted_before_the_stop_timeout() -> None:
     clock = Clock()
     daemon = make_daemon(clock)
-    daemon.forwarder.calls.add(Call())
+    daemon.forwarder.calls.add(Call(daemon.forwarder.calls))
     ended: list = []
     daemon.stopped.addCallback(ended.append)
     daemon.stop()
@@ -113,6 +121,38 @@
     assert ended == [False]
 
 
+def test_answers_are_sent_to_slow_callers_before_the_process_ends() -> None:
+    """It ended though the end of an answer waited in its own buffer."""
+    clock = Clock()
+    daemon = make_daemon(clock)
+    slow = Channel()
+    daemon.ingress.channels.add(slow)
+    ended: list = []
+    daemon.stopped.addCallback(ended.append)
+    daemon.stop()
+    clock.time += entrydaemon.BALANCER_REMOVAL_DELAY
+    daemon.tick()
+    assert slow.closed and not ended
+    daemon.ingress.channels.clear()
+    daemon.tick()
+    assert ended == [True]
+
+
+def test_a_caller_that_reads_nothing_does_not_delay_the_end() -> None:
+    clock = Clock()
+    daemon = make_daemon(clock)
+    daemon.ingress.channels.add(Channel())
+    ended: list = []
+    daemon.stopped.addCallback(ended.append)
+    daemon.stop()
+    clock.time += daemon.config.stop_timeout - entrydaemon.FLUSH_MARGIN - MS
+    daemon.tick()
+    assert not ended
+    clock.time += MS
+    daemon.tick()
+    assert ended == [True]
+
+
 def test_a_route_table_that_cannot_be_read_ends_no_entry() -> None:
     """All entries get it, and each one that started again."""
     daemon = make_daemon(Clock())
