A sign-off reaches all entries, whoever knows the upstream

Cause: controllers forget upstreams when all are killed. The sign-off of an unknown upstream was dropped and acknowledged.

Why this works: a sign-off is a message of its own that the controller which is called sends to all it is linked to, and that each controller passes on once. It is kept for reports that arrive later, with a bound and an end.

Existing tests: calls of sign_off name a time; nothing that is asserted changed.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -26,6 +26,7 @@
 from figford import planrounds
 from figford import proposals
 from figford import routes
+from figford import signoffs
 from figford import warming
 
 HEARTBEAT_INTERVAL = datetime.timedelta(milliseconds=400)
@@ -215,6 +216,9 @@
                 fleetmessages.UpstreamLimits(self.limit_table.all()),
             ),
             effects.SendPeer(peer.instance, self._verdicts()),
+            effects.SendPeer(
+                peer.instance, signoffs.SignOffs(self.fleet.sign_offs.all())
+            ),
             effects.SendPeer(
                 peer.instance,
                 fleetmessages.FleetUpdate(self.fleet.all_registrations()),
@@ -252,12 +256,20 @@
         )
         return []
 
-    def sign_off(self, upstream: str, now: datetime.timedelta) -> list[Effect]:
-        """Processes an upstream's announcement that it leaves for good."""
+    def sign_off(
+        self, sign_off: signoffs.SignOff, now: datetime.timedelta
+    ) -> list[Effect]:
+        """Processes an upstream's announcement that it leaves for good.
+
+        All others are told even if this controller doesn't know the upstream.
+        It was made by the start that is known, whatever the clocks say.
+        """
         self._detect_pause(now)
-        if not self.fleet.sign_off(upstream, now):
-            return []
-        return self._forward(upstream)
+        known = self.fleet.by_name.get(sign_off.upstream)
+        if known is not None:
+            time_ms = max(sign_off.time_ms, known.registration.incarnation)
+            sign_off = attrs.evolve(sign_off, time_ms=time_ms)
+        return self._spread_sign_off(sign_off, None, now)
 
     def propose(
         self,
@@ -308,6 +320,11 @@
             case fleetmessages.FleetBeats():
                 self._on_beats(message, now)
                 return []
+            case signoffs.SignOffs(sign_offs):
+                result: list[Effect] = []
+                for sign_off in sign_offs:
+                    result += self._spread_sign_off(sign_off, instance, now)
+                return result
             case fleetmessages.CallersSeen():
                 self.callers_seen = True
                 return []
@@ -429,6 +446,22 @@
             if self.fleet.report(registration, now):
                 self._plan_soon()
 
+    def _spread_sign_off(
+        self,
+        sign_off: signoffs.SignOff,
+        source: str | None,
+        now: datetime.timedelta,
+    ) -> list[Effect]:
+        """Applies a sign-off; tells all others of one that is new.
+
+        Each process passes it on once, so that it also reaches those that
+        the controller that was called can't reach.
+        """
+        if not self.fleet.sign_off(sign_off, now):
+            return []
+        self._plan_soon()
+        return self._broadcast(signoffs.SignOffs([sign_off]), source)
+
     def _forward(self, upstream: str) -> list[Effect]:
         """Sends what is known of an upstream, a sign-off included."""
         registration = self.fleet.by_name[upstream].registration
--- a/figford/controllerdaemon.py
+++ b/figford/controllerdaemon.py
@@ -22,6 +22,7 @@
 from figford import membership
 from figford import messages
 from figford import nodes
+from figford import signoffs
 from figford import store
 from figford import wire
 
@@ -259,8 +260,17 @@
 
     def sign_off(self, upstream: str) -> None:
         """Records that an upstream has deregistered for good."""
-        _log.info("upstream signed off", upstream=upstream)
-        self.apply_or_exit(self.state.sign_off, upstream, self.clock.now())
+        _log.info(
+            "upstream signed off",
+            upstream=upstream,
+            known=upstream in self.state.fleet.by_name,
+        )
+        time_ms = int(self.clock.wall().timestamp() * 1000)
+        self.apply_or_exit(
+            self.state.sign_off,
+            signoffs.SignOff(upstream, time_ms),
+            self.clock.now(),
+        )
 
     def store(self, version: int, packed: bytes, reply: Reply) -> None:
         """Commits a route table to the replicated log, then replies."""
--- a/figford/entry.py
+++ b/figford/entry.py
@@ -17,6 +17,7 @@
 from figford import membership
 from figford import messages
 from figford import permits as permit_tables
+from figford import signoffs
 
 HEARTBEAT_INTERVAL = datetime.timedelta(milliseconds=400)
 # A request for a route table is repeated after this time.
@@ -197,6 +198,8 @@
                 return pulled + self._on_leading_term(instance, state, now)
             case fleetmessages.FleetUpdate(registrations):
                 return self._on_fleet(registrations, now)
+            case signoffs.SignOffs(sign_offs):
+                return self._on_sign_offs(sign_offs, now)
             case fleetmessages.FleetStatus():
                 return [FleetStatusReceived(message)]
             case fleetmessages.RoutesView():
@@ -286,6 +289,14 @@
             ),
         ]
 
+    def _on_sign_offs(
+        self, sign_offs: list[signoffs.SignOff], now: datetime.timedelta
+    ) -> list[Effect]:
+        before = self.fleet.revision
+        for sign_off in sign_offs:
+            self.fleet.sign_off(sign_off, now)
+        return [FleetChanged()] if self.fleet.revision != before else []
+
     def _on_fleet(
         self,
         registrations: list[fleetmessages.Registration],
--- a/figford/fleet.py
+++ b/figford/fleet.py
@@ -6,7 +6,7 @@
 whichever process forwarded it. A beat shows that an upstream is alive, but not
 what its reports said, so it leaves the sequence of the content as it is. A
 sign-off is final for its incarnation; it has no sequence and is merged into
-whatever report is known.
+whatever report is known, or arrives later.
 """
 
 import datetime
@@ -14,6 +14,7 @@
 import attrs
 
 from figford import fleetmessages
+from figford import signoffs
 
 # Upstreams report every 1.2 s; one report may be lost and the next late.
 SILENCE_TIMEOUT = datetime.timedelta(seconds=3.2)
@@ -70,6 +71,9 @@
     by_name: dict[str, UpstreamRecord] = attrs.field(factory=dict)
     revision: int = 0
     stale_reports: int = 0
+    sign_offs: signoffs.SignOffTable = attrs.field(
+        factory=signoffs.SignOffTable
+    )
     _name_by_address: dict[str, str] = attrs.field(factory=dict)
 
     def report(
@@ -89,6 +93,12 @@
             return False
         if known is not None:
             self._release_address(known)
+        if self.sign_offs.covers(
+            registration.upstream, registration.incarnation
+        ):
+            registration = attrs.evolve(
+                registration, leaving=True, signed_off=True
+            )
         signed_off_at = now if registration.signed_off else None
         self.by_name[registration.upstream] = UpstreamRecord(
             registration, now, now, signed_off_at
@@ -193,13 +203,21 @@
         if known.registration.incarnation == incarnation:
             known.record_sequence(sequence, now)
 
-    def sign_off(self, upstream: str, now: datetime.timedelta) -> bool:
+    def sign_off(
+        self, sign_off: signoffs.SignOff, now: datetime.timedelta
+    ) -> bool:
         """Marks an upstream as signed off; returns whether that is new.
 
-        Its process may continue with work in progress for a while.
+        Its process may continue with work in progress for a while. It need
+        not be known: the sign-off is kept for reports that still arrive.
         """
-        known = self.by_name.get(upstream)
-        return known is not None and self._mark_signed_off(known, now)
+        is_new = self.sign_offs.add(sign_off, now)
+        known = self.by_name.get(sign_off.upstream)
+        if known is None or not sign_off.covers(
+            known.registration.incarnation
+        ):
+            return is_new
+        return self._mark_signed_off(known, now) or is_new
 
     def _mark_signed_off(
         self, known: UpstreamRecord, now: datetime.timedelta
@@ -256,6 +274,7 @@
         `SIGNED_OFF_RETENTION` after their sign-off or their last report,
         whichever is later.
         """
+        self.sign_offs.evict(now)
         for known in list(self.by_name.values()):
             if known.signed_off_at is not None:
                 last_sign = max(known.heard_at, known.signed_off_at)
@@ -272,6 +291,7 @@
         never be reported as ended; above `MAX_PRESENT`, those with the
         oldest news are removed.
         """
+        self.sign_offs.evict(now)
         not_ended = []
         for known in list(self.by_name.values()):
             if not (known.registration.gone or known.registration.signed_off):
--- a/figford/messages.py
+++ b/figford/messages.py
@@ -7,6 +7,7 @@
 
 from figford import bounds
 from figford import fleetmessages
+from figford import signoffs
 
 # ---- Upstreams ----------------------------------------------------------
 
@@ -642,6 +643,7 @@
     | DrainReply
     | fleetmessages.FleetUpdate
     | fleetmessages.FleetBeats
+    | signoffs.SignOffs
     | fleetmessages.FleetStatus
     | fleetmessages.UpstreamDoubt
     | fleetmessages.CallersSeen
--- a/figford/platform/announcing.py
+++ b/figford/platform/announcing.py
@@ -9,6 +9,7 @@
 
 # The latest start of a process, in Unix milliseconds: the year 2109.
 MAX_START_MS = 1 << 42
+MAX_NAME_LENGTH = 1_000
 
 
 def read(upstream: str, body: bytes) -> fleetmessages.Registration:
@@ -16,6 +17,7 @@
 
     Raises MessageError if a field is missing or has the wrong type.
     """
+    check_name(upstream)
     try:
         return _registration(upstream, json.loads(body))
     except (ValueError, TypeError, KeyError, RecursionError) as error:
@@ -25,6 +27,13 @@
         ) from error
 
 
+def check_name(upstream: str) -> str:
+    """Returns an upstream's name; raises MessageError if it can't be one."""
+    if not 0 < len(upstream) <= MAX_NAME_LENGTH:
+        raise errors.MessageError("the path names no upstream")
+    return upstream
+
+
 def _typed(item: typing.Any, name: str, kind: type) -> typing.Any:
     value = item[name]
     if isinstance(value, bool) or not isinstance(value, kind):
@@ -35,8 +44,8 @@
 def _registration(
     upstream: str, item: typing.Any
 ) -> fleetmessages.Registration:
-    if not isinstance(item, dict) or not upstream:
-        raise ValueError("body is not an object or path names no upstream")
+    if not isinstance(item, dict):
+        raise ValueError("body is not an object")
     state = item["state"]
     if state not in ("ready", "draining"):
         raise ValueError("unknown state")
--- a/figford/platform/controlpages.py
+++ b/figford/platform/controlpages.py
@@ -73,7 +73,8 @@
             port.report(announcing.read(name, body))
             self._answer(200, {})
         elif path.startswith(_INSTANCES) and path.endswith(_DEREGISTER):
-            port.sign_off(path[len(_INSTANCES) : -len(_DEREGISTER)])
+            name = path[len(_INSTANCES) : -len(_DEREGISTER)]
+            port.sign_off(announcing.check_name(name))
             self._answer(200, {})
         elif path == _REPLACE_PATH and self.method == b"POST":
             table = manifest.read(body)
--- a/figford/tests/plannerworld.py
+++ b/figford/tests/plannerworld.py
@@ -11,6 +11,7 @@
 from figford import groupplanner
 from figford import loadrecord
 from figford import routes
+from figford import signoffs
 from figford.tools import enginefleet
 
 SECOND = datetime.timedelta(seconds=1)
@@ -188,7 +189,8 @@
     def sign_off(self, name: str) -> None:
         """Signs an engine off; it keeps running for a while."""
         self.signed_off.add(name)
-        self.fleet.sign_off(name, self.now)
+        incarnation = self.engines.by_name[name].incarnation
+        self.fleet.sign_off(signoffs.SignOff(name, incarnation), self.now)
 
     def stop_reports(self, name: str) -> None:
         """Stops an engine's reports until it changes; orders arrive."""
--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -24,12 +24,15 @@
 from figford import permitslots
 from figford import planrounds
 from figford import routes
+from figford import signoffs
 from figford.tests import plannerworld
 
 STEP = datetime.timedelta(milliseconds=20)
 SECOND = datetime.timedelta(seconds=1)
 CONTROLLERS = ("c1", "c2", "c3")
 ENTRIES = ("e1", "e2")
+# After the start of the first incarnation, before that of the second.
+SIGNED_OFF_MS = 50
 
 
 @attrs.define
@@ -382,7 +385,8 @@
 def sign_off_at(net: Net, name: str) -> None:
     """Signs the upstream off at a controller."""
     process = net.process_by_name[name]
-    net.carry_out(process, process.state.sign_off("u1", net.now))
+    sign_off = signoffs.SignOff("u1", SIGNED_OFF_MS)
+    net.carry_out(process, process.state.sign_off(sign_off, net.now))
 
 
 def stored_at(net: Net, name: str) -> fleetmessages.Registration:
@@ -436,6 +440,99 @@
     assert stored_at(net, "c2").signed_off
 
 
+@pytest.mark.parametrize("called", CONTROLLERS)
+def test_a_sign_off_that_no_controller_knows_reaches_all(called: str) -> None:
+    """All controllers were killed while the upstream could not reach them."""
+    net = Net(seed=7)
+    net.run(3)
+    report_to(net, "c1", registration(1))
+    net.run(1)
+    for name in CONTROLLERS:
+        net.kill(name)
+    net.run(0.5)
+    for name in CONTROLLERS:
+        net.start(name)
+    net.run(4)
+    assert stored_at(net, "e1").leaving is False
+    sign_off_at(net, called)
+    net.run(0.3)
+    for name in ENTRIES:
+        assert stored_at(net, name).signed_off, name
+        assert stored_at(net, name).leaving, name
+
+
+def test_a_sign_off_outlives_the_controller_that_acknowledged_it() -> None:
+    """It is told to the others at once, so that any of them tells entries."""
+    net = Net(seed=7)
+    net.run(3)
+    for name in ENTRIES:
+        net.cut.add(frozenset(("c2", name)))
+        net.cut.add(frozenset(("c3", name)))
+    report_to(net, "c1", registration(1))
+    net.run(1)
+    for name in ENTRIES:
+        net.cut.add(frozenset(("c1", name)))
+    net.run(0.1)
+    sign_off_at(net, "c1")
+    net.run(0.1)
+    net.kill("c1")
+    net.cut.clear()
+    net.run(1)
+    for name in ENTRIES:
+        assert stored_at(net, name).signed_off, name
+
+
+def test_a_sign_off_reaches_entries_across_a_cut() -> None:
+    """The controller that was called reaches one other controller only."""
+    net = Net(seed=7)
+    net.run(3)
+    report_to(net, "c2", registration(1))
+    net.run(1)
+    for name in CONTROLLERS:
+        net.kill(name)
+        net.start(name)
+    for name in (*ENTRIES, "c3"):
+        net.cut.add(frozenset(("c1", name)))
+    net.run(4)
+    sign_off_at(net, "c1")
+    net.run(0.3)
+    for name in ENTRIES:
+        assert stored_at(net, name).signed_off, name
+
+
+def test_a_report_that_a_sign_off_overtook_is_of_a_leaving_upstream() -> None:
+    net = Net(seed=7)
+    net.run(3)
+    sign_off_at(net, "c1")
+    net.run(0.3)
+    report_to(net, "c2", registration(1))
+    net.run(0.3)
+    for name in (*CONTROLLERS, *ENTRIES):
+        assert stored_at(net, name).signed_off, name
+
+
+def test_a_sign_off_is_not_of_the_next_start_under_the_same_name() -> None:
+    net = Net(seed=7)
+    net.run(3)
+    sign_off_at(net, "c1")
+    net.run(0.3)
+    report_to(net, "c2", registration(1, incarnation=SIGNED_OFF_MS + 2000))
+    net.run(0.3)
+    for name in (*CONTROLLERS, *ENTRIES):
+        assert not stored_at(net, name).leaving, name
+
+
+def test_a_known_upstream_signs_off_though_the_clock_was_set_back() -> None:
+    net = Net(seed=7)
+    net.run(3)
+    report_to(net, "c1", registration(1, incarnation=SIGNED_OFF_MS + 4000))
+    net.run(0.3)
+    sign_off_at(net, "c1")
+    net.run(0.3)
+    for name in (*CONTROLLERS, *ENTRIES):
+        assert stored_at(net, name).signed_off, name
+
+
 def test_a_beat_does_not_hide_a_seat_that_a_cut_hid() -> None:
     """The planner would take the member of a group for free."""
     seat = fleetmessages.FleetSeat("g", 1, 0, fleetmessages.SeatState.OPEN)
--- a/figford/tests/test_fleet.py
+++ b/figford/tests/test_fleet.py
@@ -7,8 +7,11 @@
 
 from figford import fleet
 from figford import fleetmessages
+from figford import signoffs
 
 NOW = datetime.timedelta(seconds=100)
+# Of the start that `report` names.
+SIGN_OFF = signoffs.SignOff("u1", 5)
 LATER = NOW + datetime.timedelta(seconds=1)
 
 
@@ -55,8 +58,8 @@
 def test_a_late_report_does_not_undo_a_sign_off() -> None:
     table = fleet.FleetTable()
     table.report(report(), NOW)
-    assert table.sign_off("u1", NOW)
-    assert not table.sign_off("u1", NOW)
+    assert table.sign_off(SIGN_OFF, NOW)
+    assert not table.sign_off(SIGN_OFF, NOW)
     table.report(report(sequence=9), LATER)
     stored = table.by_name["u1"].registration
     assert stored.leaving and stored.signed_off
@@ -66,7 +69,7 @@
     """Otherwise its group would be dissolved as if the process had ended."""
     table = fleet.FleetTable()
     table.report(report(), NOW)
-    table.sign_off("u1", NOW)
+    table.sign_off(SIGN_OFF, NOW)
     assert [item.upstream for item in table.present()] == ["u1"]
     table.evict_ended(NOW + fleet.SIGNED_OFF_RETENTION * 2)
     assert table.present() == []
@@ -98,7 +101,7 @@
 def test_ended_upstreams_are_evicted_after_their_retention() -> None:
     table = fleet.FleetTable()
     table.report(report(), NOW)
-    table.sign_off("u1", NOW)
+    table.sign_off(SIGN_OFF, NOW)
     table.evict_ended(NOW + fleet.ENDED_RETENTION / 2)
     assert "u1" in table.by_name
     table.evict_ended(NOW + fleet.ENDED_RETENTION * 2)
@@ -111,7 +114,7 @@
     """Otherwise an upstream that signed off would be given work again."""
     sender = fleet.FleetTable()
     sender.report(report(sequence=2), NOW)
-    sender.sign_off("u1", NOW)
+    sender.sign_off(SIGN_OFF, NOW)
     forwarded = sender.by_name["u1"].registration
     for sequence in (1, 2, 3, 9):
         table = fleet.FleetTable()
@@ -127,7 +130,7 @@
 def test_a_sign_off_does_not_hide_the_next_report() -> None:
     table = fleet.FleetTable()
     table.report(report(), NOW)
-    table.sign_off("u1", NOW)
+    table.sign_off(SIGN_OFF, NOW)
     table.report(report(sequence=2, slots=7), LATER)
     assert table.by_name["u1"].registration.slots == 7
 
@@ -155,7 +158,7 @@
         assert received.present() == []
     called = fleet.FleetTable()
     called.report(report(), NOW)
-    called.sign_off("u1", late)
+    called.sign_off(SIGN_OFF, late)
     called.evict_ended(late + fleet.SIGNED_OFF_RETENTION)
     assert called.present() != []
 
