Whatever manifest is accepted can be planned, and a failed round ends no leader

Cause: surplus_model divides by the share; an error in a planning round ended the process, and the next leader planned with the same input.

Why this works: numbers without a meaning become the nearest ones that have one where the types of the route table are made; what JSON does not have is refused.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -7,6 +7,7 @@
 
 import datetime
 import random
+import traceback
 
 import attrs
 
@@ -40,6 +41,10 @@
 # A longer gap between two events means that the process was suspended; then
 # no upstream counts as silent for `SETTLE_TIME`.
 PAUSE_THRESHOLD = datetime.timedelta(seconds=1)
+# A failed planning round is repeated after this time.
+FAILED_PLAN_INTERVAL = datetime.timedelta(seconds=2)
+# Characters of the input and of the trace that the log of one names.
+MAX_LOGGED_INPUT = 2_000
 # A change of the slots of limits is proposed again after this time.
 SLOTS_PROPOSAL_INTERVAL = datetime.timedelta(seconds=1)
 LIFT_DEADLINE = datetime.timedelta(seconds=2)
@@ -763,7 +768,12 @@
         view = self._planning_view(now)
         if not view.engines:
             return []
-        orders = self.planner.plan(view, now)
+        try:
+            orders = self.planner.plan(view, now)
+        except AssertionError:
+            raise
+        except Exception as error:
+            return self._planning_failed(error, now)
         # Before the orders, so that a successor knows of their loads.
         result = self._tell_loads(now)
         for order in orders:
@@ -773,6 +783,32 @@
             result.append(SendGroupOrder(order))
         return result + self._query_order_counts(view, now) + self._notes()
 
+    def _planning_failed(
+        self, error: Exception, now: datetime.timedelta
+    ) -> list[Effect]:
+        """Reports a round that failed; the groups stay as they are.
+
+        The next leader would plan with the same input, so this process does
+        not end. A broken invariant still ends it.
+        """
+        self._plan_due = now + FAILED_PLAN_INTERVAL
+        trace = "".join(traceback.format_exception(error))
+        engines = [
+            attrs.asdict(service.engine)
+            for service in self.table.services
+            if service.engine is not None
+        ]
+        return [
+            effects.StateChanged(
+                "planning failed",
+                (
+                    ("table_version", self.view.version),
+                    ("engines", str(engines)[:MAX_LOGGED_INPUT]),
+                    ("trace", trace[-MAX_LOGGED_INPUT:]),
+                ),
+            )
+        ]
+
     def _heard_predecessor(self, now: datetime.timedelta) -> bool:
         """Returns whether the last planner was heard until lately."""
         heard_at = self._planner_heard_at
--- a/figford/forming.py
+++ b/figford/forming.py
@@ -31,6 +31,9 @@
 # A group of a model in surplus is dissolved, in favour of a model that lacks
 # one, only when no group has changed for this long; repairs take much less.
 REBALANCE_WAIT = datetime.timedelta(seconds=30)
+# Stands for a share of 0 where instances are compared with shares: any group
+# of such a model is a surplus.
+MIN_SHARE = 1e-6
 
 
 def instances_by_model(
@@ -63,7 +66,7 @@
     return sorted(
         engine.models,
         key=lambda model: (
-            (allocated[model.name] + model.size) / max(model.share, 1e-6),
+            (allocated[model.name] + model.size) / max(model.share, MIN_SHARE),
             model.name,
         ),
     )
@@ -163,7 +166,8 @@
     if not lacking or not in_surplus:
         return None
     return max(
-        in_surplus, key=lambda model: allocated[model.name] / model.share
+        in_surplus,
+        key=lambda model: allocated[model.name] / max(model.share, MIN_SHARE),
     )
 
 
--- a/figford/platform/manifest.py
+++ b/figford/platform/manifest.py
@@ -2,6 +2,7 @@
 
 import datetime
 import json
+import math
 import typing
 import zlib
 
@@ -23,7 +24,8 @@
     Raises ConfigurationInvalid if any part of it can't be read.
     """
     try:
-        return _table(_mapping(json.loads(document), "manifest"))
+        manifest = json.loads(document, parse_constant=_refuse_constant)
+        return _table(_mapping(manifest, "manifest"))
     except (
         ValueError,
         TypeError,
@@ -46,6 +48,10 @@
     return zlib.decompress(packed)
 
 
+def _refuse_constant(name: str) -> typing.NoReturn:
+    raise ValueError(f"{name} is not a number in JSON")
+
+
 def _mapping(value: object, field_name: str) -> dict[str, typing.Any]:
     if not isinstance(value, dict):
         raise ValueError(f"{field_name} is not an object")
@@ -68,6 +74,8 @@
 def _number(value: object, field_name: str) -> float:
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise ValueError(f"{field_name} is not a number")
+    if not math.isfinite(value):
+        raise ValueError(f"{field_name} is too large")
     return value
 
 
--- a/figford/routes.py
+++ b/figford/routes.py
@@ -58,6 +58,18 @@
         return False
 
 
+def _at_least_one(value: int) -> int:
+    return max(1, value)
+
+
+def _not_negative(value: float) -> float:
+    return max(0.0, value)
+
+
+def _positive_or_one(value: float) -> float:
+    return value if value > 0 else 1.0
+
+
 @attrs.frozen
 class Model:
     """A model and the group of instances that one replica needs.
@@ -67,12 +79,15 @@
     multiplies all predicted times of a group. `load_time` is the time to load
     the weights from the weight store, `warm_load_time` the time on a host
     that already holds them.
+
+    Operators may set any numbers; those without a meaning become the nearest
+    one that has one.
     """
 
     name: str
-    size: int
-    share: float
-    time_factor: float
+    size: int = attrs.field(converter=_at_least_one)
+    share: float = attrs.field(converter=_not_negative)
+    time_factor: float = attrs.field(converter=_positive_or_one)
     load_time: datetime.timedelta
     warm_load_time: datetime.timedelta
 
@@ -86,12 +101,14 @@
     step_ms: float = 0.0
     step_ms_per_sequence: float = 0.0
     prefill_tokens_per_second: float = 0.0
-    loads_per_second: float = 1.0
-    loads_at_once: int = 1
+    loads_per_second: float = attrs.field(default=1.0, converter=_not_negative)
+    loads_at_once: int = attrs.field(default=1, converter=_at_least_one)
     form_time: datetime.timedelta = datetime.timedelta(0)
-    cross_domain_factor: float = 1.0
+    cross_domain_factor: float = attrs.field(
+        default=1.0, converter=_positive_or_one
+    )
     # Token steps that an engine runs before it admits new requests.
-    steps_per_pass: int = 1
+    steps_per_pass: int = attrs.field(default=1, converter=_at_least_one)
     # Tokens of a typical prompt.
     typical_prompt_tokens: float = 0.0
 
