Tests: heads that stop midway; disks that are full in turn

A head that stops midway and closes: at each byte, on new and kept connections, also after an informational head, the exchange ends as broken and nothing began.

--- a/figford/tests/test_exchanges.py
+++ b/figford/tests/test_exchanges.py
@@ -198,6 +198,27 @@
     assert bench.receiver.ends == [exchanges.Failure.BROKEN]
 
 
+@pytest.mark.parametrize("kept", [False, True])
+@pytest.mark.parametrize(
+    "informational", [b"", b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"]
+)
+def test_an_answer_whose_head_stops_midway_never_begins(
+    informational: bytes, kept: bool
+) -> None:
+    """Operators saw status 200 with an empty body that was framed as whole."""
+    head = informational + OK[: OK.index(b"\r\n\r\n") + 3]
+    for size in range(1, len(head) + 1):
+        bench = Bench()
+        if kept:
+            bench.connection.dataReceived(OK)
+            bench.receiver = Receiver()
+            bench.connection.begin(bench.exchange())
+        bench.connection.dataReceived(head[:size])
+        bench.lose(internet_errors.ConnectionDone)
+        assert bench.receiver == Receiver(ends=[exchanges.Failure.BROKEN])
+        assert bench.kept() == 0
+
+
 def test_bytes_that_are_no_answer_are_invalid() -> None:
     bench = Bench()
     bench.connection.dataReceived(b"\x00\x01rubbish\r\n\r\n")
--- a/figford/tests/test_store.py
+++ b/figford/tests/test_store.py
@@ -1,6 +1,8 @@
 """The journal: torn tails are truncated, earlier damage is an error."""
 
 import datetime
+import errno
+import os
 
 from hypothesis import given
 from hypothesis import strategies
@@ -41,6 +43,62 @@
     assert read(tmp_path) == records
 
 
+class FullDisk:
+    """Takes some more bytes and syncs, then refuses each of them."""
+
+    def __init__(self, monkeypatch, calls, left_bytes):
+        self.calls_left = calls
+        self.left_bytes = left_bytes
+        for name in ("write", "fsync", "fdatasync", "rename", "ftruncate"):
+            monkeypatch.setattr(store.os, name, self.limited(name))
+
+    def limited(self, name):
+        function = getattr(os, name)
+
+        def call(*arguments):
+            if not self.calls_left:
+                if name == "write" and self.left_bytes:
+                    data = arguments[1][: self.left_bytes]
+                    self.left_bytes = 0
+                    return function(arguments[0], data)
+                raise OSError(errno.ENOSPC, "No space left on device")
+            self.calls_left -= 1
+            return function(*arguments)
+
+        return call
+
+
+@pytest.mark.parametrize("left_bytes", [0, 1, 9, 30])
+@pytest.mark.parametrize("calls", range(6))
+@pytest.mark.parametrize("is_rewrite", [False, True])
+def test_a_journal_goes_on_after_the_disk_was_full(
+    tmp_path, monkeypatch, is_rewrite, calls, left_bytes
+):
+    """Each write in turn is refused or cut; the process then starts again."""
+    before = [messages.Identity("a.1"), record(1)]
+    write(tmp_path, before)
+    after = [messages.Identity("a.1"), record(9)]
+    if not is_rewrite:
+        after = [*before, record(2)]
+    journal = store.FileJournal(tmp_path)
+    journal.open()
+    with monkeypatch.context() as patch:
+        FullDisk(patch, calls, left_bytes)
+        try:
+            if is_rewrite:
+                journal.rewrite(after)
+            else:
+                journal.append([record(2)])
+        except OSError:
+            pass
+    # As the process ends: nothing is written.
+    journal.close()
+    found = read(tmp_path)
+    assert found in (before, after)
+    write(tmp_path, [record(3)])
+    assert read(tmp_path) == [*found, record(3)]
+
+
 def test_second_process_is_refused(tmp_path):
     journal = store.FileJournal(tmp_path)
     journal.open()
