Sign-offs keep their age and go in one message; failed rounds keep their pause

- A sign-off that was told at a new link began a new retention at its receiver, so that controllers which link up again and again could keep it for ever.
It now carries its age (test_a_sign_off_that_is_told_again_keeps_its_age), and all that a process is told is passed on in one message.
- A change of an engine triggered a planning round 40 ms after a failed one, in place of 2 s; each would have been logged.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -221,9 +221,7 @@
                 fleetmessages.UpstreamLimits(self.limit_table.all()),
             ),
             effects.SendPeer(peer.instance, self._verdicts()),
-            effects.SendPeer(
-                peer.instance, signoffs.SignOffs(self.fleet.sign_offs.all())
-            ),
+            effects.SendPeer(peer.instance, self._all_sign_offs(now)),
             effects.SendPeer(
                 peer.instance,
                 fleetmessages.FleetUpdate(self.fleet.all_registrations()),
@@ -274,7 +272,9 @@
         if known is not None:
             time_ms = max(sign_off.time_ms, known.registration.incarnation)
             sign_off = attrs.evolve(sign_off, time_ms=time_ms)
-        return self._spread_sign_off(sign_off, None, now)
+        if not self.fleet.sign_off(sign_off, now):
+            return []
+        return self._tell_sign_offs([sign_off.upstream], None, now)
 
     def propose(
         self,
@@ -325,11 +325,9 @@
             case fleetmessages.FleetBeats():
                 self._on_beats(message, now)
                 return []
-            case signoffs.SignOffs(sign_offs):
-                result: list[Effect] = []
-                for sign_off in sign_offs:
-                    result += self._spread_sign_off(sign_off, instance, now)
-                return result
+            case signoffs.SignOffs():
+                new = self.fleet.apply_sign_offs(message, now)
+                return self._tell_sign_offs(new, instance, now)
             case fleetmessages.CallersSeen():
                 self.callers_seen = True
                 return []
@@ -451,21 +449,22 @@
             if self.fleet.report(registration, now):
                 self._plan_soon()
 
-    def _spread_sign_off(
-        self,
-        sign_off: signoffs.SignOff,
-        source: str | None,
-        now: datetime.timedelta,
+    def _all_sign_offs(self, now: datetime.timedelta) -> signoffs.SignOffs:
+        table = self.fleet.sign_offs
+        return table.message(table.upstreams(), now)
+
+    def _tell_sign_offs(
+        self, new: list[str], source: str | None, now: datetime.timedelta
     ) -> list[Effect]:
-        """Applies a sign-off; tells all others of one that is new.
+        """Tells all others but their source of new sign-offs.
 
-        Each process passes it on once, so that it also reaches those that
+        Each controller passes one on once, so that it also reaches those that
         the controller that was called can't reach.
         """
-        if not self.fleet.sign_off(sign_off, now):
+        if not new:
             return []
         self._plan_soon()
-        return self._broadcast(signoffs.SignOffs([sign_off]), source)
+        return self._broadcast(self.fleet.sign_offs.message(new, now), source)
 
     def _forward(self, upstream: str) -> list[Effect]:
         """Sends what is known of an upstream, a sign-off included."""
@@ -791,7 +790,8 @@
         The next leader would plan with the same input, so this process does
         not end. A broken invariant still ends it.
         """
-        self._plan_due = now + FAILED_PLAN_INTERVAL
+        # Nor does a change of an engine trigger a round before that.
+        self._plan_due = self._planned_at = now + FAILED_PLAN_INTERVAL
         trace = "".join(traceback.format_exception(error))
         engines = [
             attrs.asdict(service.engine)
--- a/figford/entry.py
+++ b/figford/entry.py
@@ -198,8 +198,8 @@
                 return pulled + self._on_leading_term(instance, state, now)
             case fleetmessages.FleetUpdate(registrations):
                 return self._on_fleet(registrations, now)
-            case signoffs.SignOffs(sign_offs):
-                return self._on_sign_offs(sign_offs, now)
+            case signoffs.SignOffs():
+                return self._on_sign_offs(message, now)
             case fleetmessages.FleetStatus():
                 return [FleetStatusReceived(message)]
             case fleetmessages.RoutesView():
@@ -290,11 +290,10 @@
         ]
 
     def _on_sign_offs(
-        self, sign_offs: list[signoffs.SignOff], now: datetime.timedelta
+        self, told: signoffs.SignOffs, now: datetime.timedelta
     ) -> list[Effect]:
         before = self.fleet.revision
-        for sign_off in sign_offs:
-            self.fleet.sign_off(sign_off, now)
+        self.fleet.apply_sign_offs(told, now)
         return [FleetChanged()] if self.fleet.revision != before else []
 
     def _on_fleet(
--- a/figford/fleet.py
+++ b/figford/fleet.py
@@ -204,14 +204,17 @@
             known.record_sequence(sequence, now)
 
     def sign_off(
-        self, sign_off: signoffs.SignOff, now: datetime.timedelta
+        self,
+        sign_off: signoffs.SignOff,
+        now: datetime.timedelta,
+        age: datetime.timedelta = datetime.timedelta(0),
     ) -> bool:
         """Marks an upstream as signed off; returns whether that is new.
 
         Its process may continue with work in progress for a while. It need
         not be known: the sign-off is kept for reports that still arrive.
         """
-        is_new = self.sign_offs.add(sign_off, now)
+        is_new = self.sign_offs.add(sign_off, now, age)
         known = self.by_name.get(sign_off.upstream)
         if known is None or not sign_off.covers(
             known.registration.incarnation
@@ -219,6 +222,18 @@
             return is_new
         return self._mark_signed_off(known, now) or is_new
 
+    def apply_sign_offs(
+        self, told: signoffs.SignOffs, now: datetime.timedelta
+    ) -> list[str]:
+        """Applies what another process told; returns what was new of it."""
+        return [
+            sign_off.upstream
+            for sign_off, age_ms in zip(told.sign_offs, told.ages_ms)
+            if self.sign_off(
+                sign_off, now, datetime.timedelta(milliseconds=age_ms)
+            )
+        ]
+
     def _mark_signed_off(
         self, known: UpstreamRecord, now: datetime.timedelta
     ) -> bool:
--- a/figford/signoffs.py
+++ b/figford/signoffs.py
@@ -6,6 +6,7 @@
 """
 
 import datetime
+import typing
 
 import attrs
 
@@ -15,6 +16,9 @@
 RETENTION = datetime.timedelta(minutes=10)
 # Above this number the oldest sign-offs are dropped.
 MAX_SIGN_OFFS = 2_000
+# Ages above it name no sign-off; far below the range of a duration.
+MAX_AGE_MS = 1 << 40
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 @attrs.frozen
@@ -37,31 +41,51 @@
         return incarnation <= self.time_ms
 
 
+def _are_ages(
+    instance: object, attribute: attrs.Attribute, values: list[int]
+) -> None:
+    for value in values:
+        bounds.is_count(instance, attribute, value)
+        if value > MAX_AGE_MS:
+            raise ValueError(f"{attribute.name} holds a value out of range")
+
+
 @attrs.frozen
 class SignOffs:
-    """Message: sign-offs that the receiver may not know."""
+    """Message: sign-offs that the receiver may not know.
+
+    `ages_ms` is, for each of them, the time since it was made.
+    """
 
     sign_offs: list[SignOff]
+    ages_ms: list[int] = attrs.field(validator=_are_ages)
 
 
 @attrs.define
 class SignOffTable:
-    """The newest sign-off of each upstream, oldest first."""
+    """The newest sign-off of each upstream, in the order of arrival."""
 
     _by_upstream: dict[str, tuple[SignOff, datetime.timedelta]] = attrs.field(
         factory=dict
     )
 
-    def add(self, sign_off: SignOff, now: datetime.timedelta) -> bool:
+    def add(
+        self,
+        sign_off: SignOff,
+        now: datetime.timedelta,
+        age: datetime.timedelta = datetime.timedelta(0),
+    ) -> bool:
         """Stores a sign-off; returns whether it is new.
 
-        One that is repeated within the retention is not.
+        One that is repeated within the retention, or older, is not.
         """
+        if age > RETENTION:
+            return False
         known = self._by_upstream.get(sign_off.upstream)
         if known is not None and known[0].covers(sign_off.time_ms):
             return False
         self._by_upstream.pop(sign_off.upstream, None)
-        self._by_upstream[sign_off.upstream] = (sign_off, now)
+        self._by_upstream[sign_off.upstream] = (sign_off, now - age)
         self.evict(now)
         return True
 
@@ -70,16 +94,27 @@
         known = self._by_upstream.get(upstream)
         return known is not None and known[0].covers(incarnation)
 
-    def all(self) -> list[SignOff]:
-        """Returns all sign-offs, the oldest first."""
-        return [sign_off for sign_off, _ in self._by_upstream.values()]
+    def message(
+        self, upstreams: typing.Iterable[str], now: datetime.timedelta
+    ) -> SignOffs:
+        """Returns the sign-offs of some upstreams with their ages."""
+        known = [
+            self._by_upstream[upstream]
+            for upstream in upstreams
+            if upstream in self._by_upstream
+        ]
+        return SignOffs(
+            [sign_off for sign_off, _ in known],
+            [(now - at) // _MILLISECOND for _, at in known],
+        )
+
+    def upstreams(self) -> list[str]:
+        """Returns the names of all upstreams with a sign-off."""
+        return list(self._by_upstream)
 
     def evict(self, now: datetime.timedelta) -> None:
-        """Drops old sign-offs, and the oldest above `MAX_SIGN_OFFS`."""
-        excess = len(self._by_upstream) - MAX_SIGN_OFFS
-        for index, (upstream, (_, at)) in enumerate(
-            list(self._by_upstream.items())
-        ):
-            if index >= excess and now - at <= RETENTION:
-                return
-            del self._by_upstream[upstream]
+        """Drops old sign-offs, and the first above `MAX_SIGN_OFFS`."""
+        for upstream, (_, at) in list(self._by_upstream.items()):
+            has_excess = len(self._by_upstream) > MAX_SIGN_OFFS
+            if has_excess or now - at > RETENTION:
+                del self._by_upstream[upstream]
--- a/figford/tests/test_signoffs.py
+++ b/figford/tests/test_signoffs.py
@@ -2,6 +2,8 @@
 
 import datetime
 
+import pytest
+
 from figford import signoffs
 
 NOW = datetime.timedelta(seconds=100)
@@ -20,7 +22,7 @@
     table = signoffs.SignOffTable()
     for number in range(signoffs.MAX_SIGN_OFFS + 10):
         table.add(signoffs.SignOff(f"u{number}", 50), NOW)
-    assert len(table.all()) == signoffs.MAX_SIGN_OFFS
+    assert len(table.upstreams()) == signoffs.MAX_SIGN_OFFS
     assert not table.covers("u0", 1)
     assert table.covers(f"u{signoffs.MAX_SIGN_OFFS}", 1)
 
@@ -32,3 +34,24 @@
     assert table.covers("u1", 50)
     table.evict(NOW + signoffs.RETENTION + SECOND)
     assert not table.covers("u1", 50)
+
+
+@pytest.mark.parametrize("age_ms", [-1, 1 << 50, True, "1"])
+def test_ages_are_bounded(age_ms: object) -> None:
+    with pytest.raises(ValueError, match="ages_ms"):
+        signoffs.SignOffs([signoffs.SignOff("u1", 50)], [age_ms])
+
+
+def test_a_sign_off_that_is_told_again_keeps_its_age() -> None:
+    """Controllers that link up again and again would keep it for ever."""
+    table = signoffs.SignOffTable()
+    table.add(signoffs.SignOff("u1", 50), NOW)
+    later = NOW + signoffs.RETENTION - SECOND
+    told = table.message(["u1", "u2"], later)
+    assert [item.upstream for item in told.sign_offs] == ["u1"]
+    age = datetime.timedelta(milliseconds=told.ages_ms[0])
+    other = signoffs.SignOffTable()
+    assert other.add(told.sign_offs[0], later, age)
+    other.evict(later + 2 * SECOND)
+    assert not other.covers("u1", 1)
+    assert not other.add(told.sign_offs[0], later, age + 2 * SECOND)
