An answer that is cut is logged with what was known of it

Logs named the cause of the last attempt only. Now one line says how long the upstream was silent, how late this entry's tick was, what was left of the time, and whether a retry and another target were left; a counter tells the kinds. The new test fails before. No decision is changed.

--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -76,6 +76,9 @@
         factory=list
     )
     _queued: int = 0
+    _ticked_at: datetime.timedelta | None = None
+    # Between the last two ticks.
+    _tick_interval: datetime.timedelta = datetime.timedelta(0)
     _budgets: sharedbudget.SharedBudgets = attrs.field(init=False)
     _demand: permitdemand.PermitDemand = attrs.field(init=False)
 
@@ -271,6 +274,9 @@
     def tick(self) -> None:
         """Places queued calls, refuses late ones and checks all calls."""
         now = self.clock.now()
+        if self._ticked_at is not None:
+            self._tick_interval = now - self._ticked_at
+        self._ticked_at = now
         self._update_budgets(now)
         self.permits.issue_slots(now)
         self._place_queued()
@@ -650,6 +656,38 @@
             table_version=self.table.version,
         )
 
+    def answer_cut(
+        self, call: forwarding.ForwardedCall, refusal: errors.Refusal
+    ) -> None:
+        """Logs and counts an answer that is to end before its last byte.
+
+        `silent_ms` is the time since its last data, `tick_ms` the time
+        between the last two ticks.
+        """
+        now = self.clock.now()
+        self.metrics.event(f"answer-cut-{refusal.kind}")
+        _log.warning(
+            "answer cut",
+            request=call.head.attempt,
+            service=call.service,
+            upstreams=",".join(call.tried),
+            kind=refusal.kind,
+            cause=call.cause,
+            detail=refusal.detail,
+            ms=logs.milliseconds(now - call.arrived_at),
+            remaining_ms=logs.milliseconds(call.deadline - now),
+            silent_ms=logs.milliseconds(
+                now - (call.last_data_at or call.arrived_at)
+            ),
+            tick_ms=logs.milliseconds(self._tick_interval),
+            retry_left=self.has_retry(call, now),
+            target_left=self.has_alternative_target(call),
+            targets=len(
+                self.placement.targets(call.service, self._model(call))
+            ),
+            entries=self.entries,
+        )
+
     def call_ended(
         self,
         call: forwarding.ForwardedCall,
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -113,6 +113,7 @@
     may_have_run: bool = False
     retry_count: int = 0
     first_data_at: datetime.timedelta | None = None
+    last_data_at: datetime.timedelta | None = None
     cause: str = ""
     # The convicted trait that this request tests.
     probed_trait: str | None = None
@@ -206,6 +207,7 @@
             return
         self._drop_attempt()
         if self._response_started:
+            self.forwarder.answer_cut(self, refusal)
             self._end("broken", 0, refusal.kind)
             self.responder.abort()
             return
@@ -402,6 +404,7 @@
     def _forward_data(
         self, head: wire.AnswerHead, data: bytes, now: datetime.timedelta
     ) -> None:
+        self.last_data_at = now
         if not self._response_started:
             self._response_started = True
             self.first_data_at = now
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -10,6 +10,7 @@
 import attrs
 import hypothesis
 from hypothesis import strategies
+import logbook
 import pytest
 
 from figford import crashes
@@ -338,6 +339,25 @@
     assert len(bench.pool.sent) == 2
 
 
+def test_an_answer_that_is_cut_is_logged_with_what_was_known() -> None:
+    """Logs did not tell an upstream's silence from that of the entry."""
+    bench = Bench(routes.RetryMode.STREAM, resumable=True, entries=None)
+    bench.begin()
+    bench.answer(200, event(1), streamed=True)
+    bench.forwarder.tick()
+    bench.clock.time += 40 * MS
+    bench.forwarder.tick()
+    bench.clock.time += 2 * SECOND
+    with logbook.TestHandler() as logged:
+        bench.receiver.answer_failed(exchanges.Failure.BROKEN)
+    (line,) = [item for item in logged.records if item.msg == "answer cut"]
+    assert line.kwargs["silent_ms"] == 2040
+    assert line.kwargs["tick_ms"] == 40
+    assert line.kwargs["remaining_ms"] == 3960
+    assert line.kwargs["cause"] == "answer broken"
+    assert line.kwargs["target_left"] and not line.kwargs["retry_left"]
+
+
 def test_a_slow_stream_that_sends_events_is_not_cut() -> None:
     bench = Bench(routes.RetryMode.STREAM, resumable=True).begin()
     bench.answer(200, streamed=True)
