Known red: answers that have begun are cut when their upstream is silent

The stand-in takes a list of intervals between events; callers of test_stops have a stream share, models and an entry of their own.

--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -73,7 +73,8 @@
 PLAIN_COUNT = 3
 EVENTS_PER_STREAM = 6
 EVENT_INTERVAL_SECONDS = 0.02
-# A caller's header with another interval, in seconds.
+# A caller's header with other intervals in seconds, separated by commas: after
+# each event in turn, also after the last one, before the end.
 INTERVAL_HEADER = "x-event-interval"
 # A request that crashes its upstream does so this long after it arrived, and
 # the upstream is back after some more.
@@ -387,20 +388,19 @@
             return
         self.setHeader("content-type", "text/event-stream")
         after = int(self.getHeader("last-event-id") or 0)
-        interval = self.getHeader(INTERVAL_HEADER)
-        self._stream(
-            after + 1, float(interval) if interval else EVENT_INTERVAL_SECONDS
-        )
+        text = self.getHeader(INTERVAL_HEADER) or str(EVENT_INTERVAL_SECONDS)
+        self._stream(after + 1, [float(item) for item in text.split(",")])
 
-    def _stream(self, number: int, interval_seconds: float) -> None:
+    def _stream(self, number: int, intervals_seconds: list[float]) -> None:
         if self._disconnected:
             return
         if number > EVENTS_PER_STREAM:
             self.finish()
             return
         self.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+        interval = intervals_seconds[(number - 1) % len(intervals_seconds)]
         reactor.callLater(
-            interval_seconds, self._stream, number + 1, interval_seconds
+            interval, self._stream, number + 1, intervals_seconds
         )
 
 
--- a/figford/tests/platform/test_stops.py
+++ b/figford/tests/platform/test_stops.py
@@ -75,13 +75,18 @@
     port: int
     rng: random.Random
     ended: threading.Event
+    entry: str = ENTRY
+    stream_share: float = 0.7
+    models: tuple[str, ...] = ("large", "small")
     sent: list[Sent] = attrs.field(factory=list)
 
     def run(self) -> None:
         """Opens connections, and sends requests over each."""
         while not self.ended.is_set():
             connection = http.client.HTTPConnection(
-                ENTRY, self.port, timeout=test_processes.WAIT_TIMEOUT_SECONDS
+                self.entry,
+                self.port,
+                timeout=test_processes.WAIT_TIMEOUT_SECONDS,
             )
             with contextlib.closing(connection):
                 try:
@@ -101,22 +106,26 @@
                 time.sleep(self.rng.uniform(*BODY_SECONDS) / 4)
             yield b"x" * self.rng.randrange(1, 20_000)
 
+    def intervals(self) -> list[float]:
+        """Returns the seconds after each event of a stream."""
+        duration = self.rng.uniform(*STREAM_SECONDS)
+        return [duration / standin.EVENTS_PER_STREAM]
+
     def _request(self, connection: http.client.HTTPConnection) -> None:
-        is_stream = self.rng.random() < 0.7
+        is_stream = self.rng.random() < self.stream_share
         path, seconds = (
             ("/ask/x", STREAM_TIME_SECONDS)
             if is_stream
             else ("/book/x", CALL_TIME_SECONDS)
         )
         attempt = f"c{self.number}-{len(self.sent)}"
-        duration = self.rng.uniform(*STREAM_SECONDS)
         headers = {
             "Host": "h.example",
             "Figford-Attempt-Id": attempt,
             "Figford-Deadline-Remaining": str(int(seconds * 1000)),
-            "Figford-Model": self.rng.choice(("large", "small")),
+            "Figford-Model": self.rng.choice(self.models),
             "X-Api-Key": test_processes.KEY,
-            standin.INTERVAL_HEADER: str(duration / standin.EVENTS_PER_STREAM),
+            standin.INTERVAL_HEADER: ",".join(map(str, self.intervals())),
         }
         in_chunks = self.rng.random() < 0.5
         body: bytes | typing.Iterator[bytes] = b"x" * 100
