Events before one that is out of order reach the caller

What callers saw: a stream without some of its events (ORDER), if an upstream sent sound events and one out of order in the same packet. The entry dropped all of them, but went on after the last sound one at the next upstream.

Cause: one splitter for all attempts of a call kept the position of events that were never passed on. Now each attempt has its own, and the position of the call is that of the last event that was passed on.

test_eventstream: a resumption is a new splitter in place of restart(); it asserts the same and that no rest of an event is kept.

--- a/figford/eventstream.py
+++ b/figford/eventstream.py
@@ -39,17 +39,16 @@
     # Bytes of the buffer in which no event ends.
     _searched: int = 0
 
+    @classmethod
+    def after(cls, last_id: str | None) -> "EventSplitter":
+        """Returns a splitter of what follows an event, or of a whole stream."""
+        return cls(last_id=last_id, awaits_next=last_id is not None)
+
     @property
     def pending(self) -> bool:
         """Returns whether an incomplete event is buffered."""
         return bool(self._buffer)
 
-    def restart(self) -> None:
-        """Drops the incomplete event of the previous upstream."""
-        self._buffer.clear()
-        self._searched = 0
-        self.awaits_next = self.last_id is not None
-
     def feed(self, data: bytes) -> list[bytes]:
         """Returns the complete events that follow the last one.
 
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from figford import attempts
 from figford import crashes
 from figford import errors
 from figford import eventstream
@@ -117,14 +118,13 @@
     cause: str = ""
     # The convicted trait that this request tests.
     probed_trait: str | None = None
-    _attempt: _Attempt | None = None
+    _attempt: attempts.Attempt | None = None
     _held_retry: _HeldRetry | None = None
     _suspect: fleetmessages.Suspect | None = None
     _response_started: bool = False
     _paused: bool = False
-    _events: eventstream.EventSplitter = attrs.field(
-        factory=eventstream.EventSplitter
-    )
+    # The id of the last event that the caller received.
+    _last_event_id: str | None = None
 
     # ---- Called by the forwarder ----------------------------------------
 
@@ -170,12 +170,17 @@
         self.state = State.SENT
         self.tried.append(target.upstream)
         self.forwarder.attempt_started(self, target)
-        if self._events.last_id is None and self.route.repeatable:
-            self._events.last_id = self.head.resume_after
-        self._events.restart()
-        attempt = _Attempt(self, target, now)
+        if self._last_event_id is None and self.route.repeatable:
+            self._last_event_id = self.head.resume_after
+        attempt = attempts.Attempt(
+            self,
+            target,
+            now,
+            eventstream.EventSplitter.after(self._last_event_id),
+        )
         self._attempt = attempt
-        resume_after = self._events.last_id if self._response_started else None
+        self.forwarder.placement.started(target, now)
+        resume_after = self._last_event_id if self._response_started else None
         outgoing = wire.Outgoing(
             remaining=self.deadline - now,
             upstream=target.upstream,
@@ -303,7 +308,9 @@
         else:
             self.refuse(self.forwarder.no_capacity(detail))
 
-    def _stall_reason(self, attempt: _Attempt, now: datetime.timedelta) -> str:
+    def _stall_reason(
+        self, attempt: attempts.Attempt, now: datetime.timedelta
+    ) -> str:
         """Returns why an attempt is abandoned; empty if it is not."""
         if not self.route.repeatable or self._paused:
             return ""
@@ -328,7 +335,13 @@
 
     # ---- Events of the upstream -----------------------------------------
 
-    def answer_began(self, attempt: _Attempt, head: wire.AnswerHead) -> None:
+    def is_current(self, attempt: attempts.Attempt) -> bool:
+        """Returns whether the call still waits for an attempt."""
+        return attempt is self._attempt
+
+    def answer_began(
+        self, attempt: attempts.Attempt, head: wire.AnswerHead
+    ) -> None:
         """Handles status and headers of an answer."""
         now = self.forwarder.clock.now()
         attempt.head = head
@@ -349,7 +362,7 @@
 
     def _not_run(
         self,
-        attempt: _Attempt,
+        attempt: attempts.Attempt,
         head: wire.AnswerHead,
         now: datetime.timedelta,
     ) -> None:
@@ -366,7 +379,7 @@
             ),
         )
 
-    def answer_data(self, attempt: _Attempt, data: bytes) -> None:
+    def answer_data(self, attempt: attempts.Attempt, data: bytes) -> None:
         """Forwards complete events; buffers other bodies until complete."""
         now = self.forwarder.clock.now()
         self.forwarder.placement.sent_data(attempt.target, now)
@@ -383,13 +396,15 @@
             ):
                 self._attempt_failed(attempt, "answer too large")
             return
-        completed = self._events.completed
+        splitter = attempt.splitter
+        completed = splitter.completed
         try:
-            events = self._events.feed(data)
+            events = splitter.feed(data)
         except eventstream.EventOrderError as error:
             self._attempt_failed(attempt, str(error))
             return
-        if self._events.completed > completed:
+        self._last_event_id = splitter.last_id
+        if splitter.completed > completed:
             # Parts of an event alone are no progress.
             attempt.active_at = now
         attempt.events += len(events)
@@ -411,7 +426,7 @@
             self.responder.begin(head.status, head.headers)
         self.responder.write(data)
 
-    def answer_ended(self, attempt: _Attempt) -> None:
+    def answer_ended(self, attempt: attempts.Attempt) -> None:
         """Completes the answer to the caller, or retries a failed attempt."""
         head = attempt.head
         if head is None:
@@ -420,8 +435,8 @@
         now = self.forwarder.clock.now()
         if self._is_stream(head):
             if (
-                self._events.pending
-                or self._events.awaits_next
+                attempt.splitter.pending
+                or attempt.splitter.awaits_next
                 or not self._response_started
             ):
                 self._connection_broken(
@@ -440,7 +455,7 @@
         self._record_survival(attempt)
         self._deliver(attempt, head)
 
-    def _record_survival(self, attempt: _Attempt) -> None:
+    def _record_survival(self, attempt: attempts.Attempt) -> None:
         """Records that the upstream outlived the beginning of the answer."""
         if not attempt.survived:
             attempt.survived = True
@@ -450,7 +465,7 @@
 
     def _upstream_failed(
         self,
-        attempt: _Attempt,
+        attempt: attempts.Attempt,
         head: wire.AnswerHead,
         now: datetime.timedelta,
     ) -> None:
@@ -468,7 +483,9 @@
             return
         self._deliver(attempt, head)
 
-    def _deliver(self, attempt: _Attempt, head: wire.AnswerHead) -> None:
+    def _deliver(
+        self, attempt: attempts.Attempt, head: wire.AnswerHead
+    ) -> None:
         """Forwards a complete answer, successful or not."""
         if self._response_started:
             self._attempt_failed(
@@ -488,7 +505,7 @@
         self.responder.finish()
 
     def answer_failed(
-        self, attempt: _Attempt, failure: exchanges.Failure
+        self, attempt: attempts.Attempt, failure: exchanges.Failure
     ) -> None:
         """Retries or refuses the call after a failed attempt."""
         if failure is exchanges.Failure.NOT_SENT:
@@ -508,7 +525,9 @@
         else:
             self._attempt_failed(attempt, f"answer {failure.value}")
 
-    def _connection_broken(self, attempt: _Attempt, reason: str) -> None:
+    def _connection_broken(
+        self, attempt: attempts.Attempt, reason: str
+    ) -> None:
         """Handles an answer that ended early, maybe as its upstream did.
 
         A request that may have been the cause is not repeated until that is
@@ -532,7 +551,7 @@
             target.upstream, target.incarnation, reason, now + RULING_TIMEOUT
         )
 
-    def _attempt_failed(self, attempt: _Attempt, reason: str) -> None:
+    def _attempt_failed(self, attempt: attempts.Attempt, reason: str) -> None:
         now = self.forwarder.clock.now()
         self.cause = reason
         self.forwarder.placement.failed(attempt.target, now)
@@ -554,7 +573,7 @@
         A stream that began is resumed only after an event with an id.
         """
         if self._response_started:
-            return self.route.repeatable and self._events.last_id is not None
+            return self.route.repeatable and self._last_event_id is not None
         return self.route.repeatable or not self.may_have_run
 
     def _has_alternative(self, now: datetime.timedelta) -> bool:
@@ -604,7 +623,7 @@
 
     # ---- Ending ---------------------------------------------------------
 
-    def _release(self, attempt: _Attempt) -> None:
+    def _release(self, attempt: attempts.Attempt) -> None:
         """Releases the slot at a target, once."""
         if attempt is self._attempt:
             self._attempt = None
@@ -635,48 +654,3 @@
     def _end(self, outcome: str, status: int, kind: str) -> None:
         self.state = State.ENDED
         self.forwarder.call_ended(self, outcome, status, kind)
-
-
-@attrs.define(eq=False)
-class _Attempt:
-    """One attempt at one target; forwards events while it is current."""
-
-    call: ForwardedCall
-    target: placement.Target
-    active_at: datetime.timedelta
-    exchange: exchanges.Exchange | None = None
-    head: wire.AnswerHead | None = None
-    body: bytearray = attrs.field(factory=bytearray)
-    events: int = 0
-    survived: bool = False
-    # Whether its target counts as failing since the attempt stands still.
-    doubted: bool = False
-
-    @property
-    def has_begun(self) -> bool:
-        """Returns whether the upstream has begun to write the answer."""
-        return self.events >= crashes.BEGUN_EVENTS
-
-    def __attrs_post_init__(self) -> None:
-        """Counts the attempt at its target."""
-        self.call.forwarder.placement.started(self.target, self.active_at)
-
-    def answer_began(self, head: wire.AnswerHead) -> None:
-        """Receives status and headers."""
-        if self.call._attempt is self:
-            self.call.answer_began(self, head)
-
-    def answer_data(self, data: bytes) -> None:
-        """Receives a part of the body."""
-        if self.call._attempt is self:
-            self.call.answer_data(self, data)
-
-    def answer_ended(self) -> None:
-        """Is called when the answer is complete."""
-        if self.call._attempt is self:
-            self.call.answer_ended(self)
-
-    def answer_failed(self, failure: exchanges.Failure) -> None:
-        """Is called when the answer can no longer be completed."""
-        if self.call._attempt is self:
-            self.call.answer_failed(self, failure)
--- a/figford/tests/test_eventstream.py
+++ b/figford/tests/test_eventstream.py
@@ -30,8 +30,9 @@
 def test_events_that_were_passed_on_are_dropped_after_a_resumption() -> None:
     splitter = eventstream.EventSplitter()
     splitter.feed(event(1) + event(2) + b"id: 3\nda")
-    splitter.restart()
-    assert splitter.feed(event(2) + event(3)) == [event(3)]
+    resumed = eventstream.EventSplitter.after(splitter.last_id)
+    assert resumed.awaits_next and not resumed.pending
+    assert resumed.feed(event(2) + event(3)) == [event(3)]
 
 
 def test_a_missing_event_is_an_error() -> None:
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -318,6 +318,17 @@
     assert bench.responder.ends == ["cut"]
 
 
+def test_events_before_one_out_of_order_are_not_lost() -> None:
+    """They were dropped, and the stream was resumed after them."""
+    bench = Bench(routes.RetryMode.STREAM, resumable=True).begin()
+    bench.answer(200, event(1), event(2) + event(4), streamed=True)
+    receiver = bench.receiver
+    bench.answer(200, event(2), event(3), streamed=True)
+    receiver.answer_ended()
+    assert bench.responder.body == event(1) + event(2) + event(3)
+    assert bench.responder.ends == ["whole"]
+
+
 def test_stream_that_ends_within_an_event_is_aborted() -> None:
     bench = Bench(routes.RetryMode.STREAM).begin()
     receiver = bench.receiver
