A silent stream keeps its attempt until another one sends the next event

Cause: after 0.8 s (group) or 1.7 s (stream) without data an attempt was dropped before anything else was known, if any other target existed. Then the answer was cut when no retry was left, or when the second upstream refused, broke off or had nothing to add. The class: a conclusion from silence that can't be taken back, drawn before its replacement works.

Why this works: while a begun stream stands still it is resumed elsewhere beside its attempt; the one that sends the next event goes on. A refused or broken resumption leaves the first attempt as it was. endings.py lists the causes that may cut an answer; all others let it go on. A verdict still cuts answers of fewer than two events, which may be about to crash their upstream. Streams that have not begun are given up as before: their callers get an answer.

test_forwarding: the attempt of a stalled group is now dropped with the first event of the resumption, asserted instead of at once; what held before is asserted of streams that have not begun. The fake of test_entrydaemon takes the cause.

--- a/figford/eventstream.py
+++ b/figford/eventstream.py
@@ -41,7 +41,7 @@
 
     @classmethod
     def after(cls, last_id: str | None) -> "EventSplitter":
-        """Returns a splitter of what follows an event, or of a whole stream."""
+        """Returns a splitter for what follows an event, or for all."""
         return cls(last_id=last_id, awaits_next=last_id is not None)
 
     @property
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -12,6 +12,7 @@
 
 from figford import crashes
 from figford import crashguard
+from figford import endings
 from figford import errors
 from figford import exchanges
 from figford import fleet as fleets
@@ -158,11 +159,12 @@
         if self._refuse_convicted(call, now):
             return
         if not self.placement.has_any(call.service, self._model(call)):
-            call.refuse(
+            call.end_early(
+                endings.Cause.REFUSED,
                 self.no_capacity(
                     "no complete group or upstream is available",
                     REPAIR_RETRY_AFTER,
-                )
+                ),
             )
             return
         self._demand.record_arrival(self._key(call), now)
@@ -180,7 +182,9 @@
         if end is None or end < call.arrived_at + _max_queue_time(call):
             return False
         detail = "all upstreams asked for a pause"
-        call.refuse(self.no_capacity(detail, end - now))
+        call.end_early(
+            endings.Cause.REFUSED, self.no_capacity(detail, end - now)
+        )
         return True
 
     def _choose_service(self, call: forwarding.ForwardedCall) -> str:
@@ -269,7 +273,10 @@
             if call.state is forwarding.State.WAITING and (
                 now - call.arrived_at >= _max_queue_time(call)
             ):
-                call.refuse(self.no_capacity("no slot became free in time"))
+                call.end_early(
+                    endings.Cause.REFUSED,
+                    self.no_capacity("no slot became free in time"),
+                )
 
     def tick(self) -> None:
         """Places queued calls, refuses late ones and checks all calls."""
@@ -296,7 +303,10 @@
             key=lambda call: call.state is not forwarding.State.WAITING,
         )
         for call in calls:
-            call.end_unanswered("this entry stopped before the answer came")
+            call.end_unanswered(
+                endings.Cause.PROCESS_ENDS,
+                "this entry stopped before the answer came",
+            )
         return len(calls)
 
     def _isolated(
@@ -317,11 +327,12 @@
         except Exception:
             self.metrics.event("call-failed")
             _log.exception("call failed", request=call.head.attempt)
-            call.cancel(
+            call.end_early(
+                endings.Cause.UNEXPECTED_ERROR,
                 errors.UpstreamFailed(
                     "the request could not be forwarded",
                     run_state=errors.RunState.UNKNOWN,
-                )
+                ),
             )
 
     # ---- Requests that crash upstreams ----------------------------------
@@ -451,14 +462,19 @@
             return False
         self.metrics.event("convicted-refused")
         call.cause = trait
-        call.cancel(
+        call.end_early(
+            endings.Cause.CONVICTED,
             errors.CrashesUpstreams(
                 "requests like this one have crashed upstreams",
                 retry_after=CONVICTED_RETRY_AFTER,
-            )
+            ),
         )
         return True
 
+    def is_convicted(self, call: forwarding.ForwardedCall) -> bool:
+        """Returns whether a call has a convicted trait."""
+        return self.guard.convicted_trait(call.suspect) is not None
+
     # ---- Limits ---------------------------------------------------------
 
     @property
@@ -497,8 +513,9 @@
                 continue
             remaining = call.arrived_at + _max_queue_time(call) - now
             if ahead[key] and ahead[key] > rate * remaining.total_seconds():
-                call.refuse(
-                    self.no_capacity("upstreams are at the limits they named")
+                call.end_early(
+                    endings.Cause.REFUSED,
+                    self.no_capacity("upstreams are at the limits they named"),
                 )
             else:
                 ahead[key] += 1
@@ -656,37 +673,43 @@
             table_version=self.table.version,
         )
 
-    def answer_cut(
-        self, call: forwarding.ForwardedCall, refusal: errors.Refusal
-    ) -> None:
-        """Logs and counts an answer that is to end before its last byte.
+    def describe_cut(
+        self,
+        call: forwarding.ForwardedCall,
+        cause: endings.Cause,
+        refusal: errors.Refusal,
+    ) -> dict[str, object]:
+        """Returns what is known of an answer that is about to be cut.
 
         `silent_ms` is the time since its last data, `tick_ms` the time
         between the last two ticks.
         """
         now = self.clock.now()
-        self.metrics.event(f"answer-cut-{refusal.kind}")
-        _log.warning(
-            "answer cut",
-            request=call.head.attempt,
-            service=call.service,
-            upstreams=",".join(call.tried),
-            kind=refusal.kind,
-            cause=call.cause,
-            detail=refusal.detail,
-            ms=logs.milliseconds(now - call.arrived_at),
-            remaining_ms=logs.milliseconds(call.deadline - now),
-            silent_ms=logs.milliseconds(
-                now - (call.last_data_at or call.arrived_at)
-            ),
-            tick_ms=logs.milliseconds(self._tick_interval),
-            retry_left=self.has_retry(call, now),
-            target_left=self.has_alternative_target(call),
-            targets=len(
-                self.placement.targets(call.service, self._model(call))
-            ),
-            entries=self.entries,
-        )
+        last_data_at = call.last_data_at or call.arrived_at
+        targets = self.placement.targets(call.service, self._model(call))
+        return {
+            "request": call.head.attempt,
+            "service": call.service,
+            "upstreams": ",".join(call.tried),
+            "rule": endings.RULE_BY_CAUSE[cause].reason,
+            "cause": call.cause,
+            "detail": refusal.detail,
+            "ms": logs.milliseconds(now - call.arrived_at),
+            "remaining_ms": logs.milliseconds(call.deadline - now),
+            "silent_ms": logs.milliseconds(now - last_data_at),
+            "tick_ms": logs.milliseconds(self._tick_interval),
+            "retry_left": self.has_retry(call, now),
+            "target_left": self.has_alternative_target(call),
+            "targets": len(targets),
+            "entries": self.entries,
+        }
+
+    def answer_cut(
+        self, cause: endings.Cause, described: dict[str, object]
+    ) -> None:
+        """Logs and counts an answer that ends before its last byte."""
+        self.metrics.event(f"answer-cut-{cause.value}")
+        _log.warning("answer cut", **described)
 
     def call_ended(
         self,
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -3,7 +3,11 @@
 The call is a small state machine. Unless the caller disconnects first, it
 ends in exactly one of four ways: an answer is forwarded, an upstream's error
 is forwarded, this entry refuses the request, or the caller's connection is
-aborted because an answer was sent in part and can't be completed.
+aborted because an answer was sent in part and can't be completed. `endings`
+says when that is allowed.
+
+A stream that stands still keeps its attempt while it is resumed elsewhere. The
+one of the two that sends the next event goes on; the other one is cancelled.
 """
 
 from __future__ import annotations
@@ -16,6 +20,7 @@
 
 from figford import attempts
 from figford import crashes
+from figford import endings
 from figford import errors
 from figford import eventstream
 from figford import exchanges
@@ -43,6 +48,8 @@
 # call would be unknown.
 FRESH_CONNECTION_MAX_IDLE = datetime.timedelta(seconds=1)
 GROUP_STALLED = "group stands still"
+# Whether a stream that stands still can be resumed is looked up this often.
+RESUMPTION_INTERVAL = datetime.timedelta(milliseconds=150)
 # The leader rules on a crash within this time; without a ruling, a request
 # that may have caused it is not repeated.
 RULING_TIMEOUT = datetime.timedelta(milliseconds=250)
@@ -119,6 +126,11 @@
     # The convicted trait that this request tests.
     probed_trait: str | None = None
     _attempt: attempts.Attempt | None = None
+    # Resumes the stream elsewhere while `_attempt` stands still.
+    _resumption: attempts.Attempt | None = None
+    _resumable_at: datetime.timedelta = datetime.timedelta(0)
+    # Set by an unexpected error; only the deadline is applied from then on.
+    _unchecked: bool = False
     _held_retry: _HeldRetry | None = None
     _suspect: fleetmessages.Suspect | None = None
     _response_started: bool = False
@@ -162,10 +174,30 @@
     @property
     def is_beginning(self) -> bool:
         """Returns whether an upstream may be about to begin the answer."""
-        return self._attempt is not None and not self._attempt.has_begun
+        return any(not attempt.has_begun for attempt in self._attempts)
+
+    @property
+    def _attempts(self) -> list[attempts.Attempt]:
+        """Returns the attempts in progress."""
+        both = (self._attempt, self._resumption)
+        return [attempt for attempt in both if attempt is not None]
+
+    @property
+    def _progress(self) -> endings.Progress:
+        """Returns what the caller has received, and whether more may come."""
+        if not self._response_started:
+            return endings.Progress.NOT_BEGUN
+        if self._attempt is None or not self._attempt.events:
+            return endings.Progress.BROKEN_OFF
+        if not self._attempt.has_begun:
+            return endings.Progress.BEGINNING
+        return endings.Progress.GOES_ON
 
     def start(self, target: placement.Target) -> None:
-        """Sends the request to a target, or resumes its stream there."""
+        """Sends the request to a target, or resumes its stream there.
+
+        An attempt in progress goes on.
+        """
         now = self.forwarder.clock.now()
         self.state = State.SENT
         self.tried.append(target.upstream)
@@ -178,7 +210,10 @@
             now,
             eventstream.EventSplitter.after(self._last_event_id),
         )
-        self._attempt = attempt
+        if self._attempt is None:
+            self._attempt = attempt
+        else:
+            self._resumption = attempt
         self.forwarder.placement.started(target, now)
         resume_after = self._last_event_id if self._response_started else None
         outgoing = wire.Outgoing(
@@ -206,25 +241,37 @@
             FRESH_CONNECTION_MAX_IDLE if once else None,
         )
 
-    def refuse(self, refusal: errors.Refusal) -> None:
-        """Ends the call with a refusal, or aborts an answer in progress."""
+    def end_early(self, cause: endings.Cause, refusal: errors.Refusal) -> None:
+        """Refuses the call, or cuts an answer in progress where it may.
+
+        Never says that a request did not run if it may have. An answer that
+        may not be cut goes on without another attempt.
+        """
         if self.state is State.ENDED:
             return
-        self._drop_attempt()
-        if self._response_started:
-            self.forwarder.answer_cut(self, refusal)
+        if not endings.may_end(cause, self._progress):
+            self._drop(self._resumption)
+            self._unchecked |= cause is endings.Cause.UNEXPECTED_ERROR
+            return
+        cut = (
+            self.forwarder.describe_cut(self, cause, refusal)
+            if self._response_started
+            else None
+        )
+        self._held_retry = None
+        self._drop_all()
+        if cut is not None:
+            self.forwarder.answer_cut(cause, cut)
             self._end("broken", 0, refusal.kind)
             self.responder.abort()
             return
+        if self.may_have_run and refusal.status in (503, 429):
+            refusal = errors.UpstreamFailed(
+                refusal.detail, run_state=errors.RunState.UNKNOWN
+            )
         self._end("refused", refusal.status, refusal.kind)
         self.responder.refuse(refusal)
 
-    def cancel(self, refusal: errors.Refusal) -> None:
-        """Cancels the attempt and refuses the call."""
-        self._held_retry = None
-        self._drop_attempt()
-        self._refuse_after_attempt(refusal)
-
     def crash_ruled(
         self, upstream: str, incarnation: int, blamed: bool
     ) -> None:
@@ -241,28 +288,30 @@
         )
         if blamed:
             self.forwarder.metrics.event("retry-refused-after-crash")
-            self.refuse(refusal)
+            self.end_early(endings.Cause.UPSTREAM_FAILED, refusal)
         else:
             self._retry_or_refuse(held.reason, refusal)
 
     def pause(self) -> None:
         """Stops reading the answer while its caller is slow."""
         self._paused = True
-        if self._attempt is not None and self._attempt.exchange is not None:
-            self._attempt.exchange.pause()
+        for attempt in self._attempts:
+            if attempt.exchange is not None:
+                attempt.exchange.pause()
 
     def resume(self) -> None:
         """Reads the answer again."""
         self._paused = False
-        if self._attempt is not None and self._attempt.exchange is not None:
-            self._attempt.active_at = self.forwarder.clock.now()
-            self._attempt.exchange.resume()
+        for attempt in self._attempts:
+            if attempt.exchange is not None:
+                attempt.active_at = self.forwarder.clock.now()
+                attempt.exchange.resume()
 
     def caller_left(self) -> None:
-        """Cancels the attempt after the caller disconnected."""
+        """Cancels the attempts after the caller disconnected."""
         if self.state is State.ENDED:
             return
-        self._drop_attempt()
+        self._drop_all()
         self._end("caller left", 0, "")
 
     def check(self, now: datetime.timedelta) -> None:
@@ -270,28 +319,75 @@
         if self.state is State.ENDED:
             return
         if now >= self.deadline:
-            self.end_unanswered("the request was not answered by its deadline")
+            self.end_unanswered(
+                endings.Cause.DEADLINE,
+                "the request was not answered by its deadline",
+            )
             return
         held = self._held_retry
         if held is not None and now >= held.until:
             self.crash_ruled(held.upstream, held.incarnation, blamed=True)
-        if self._attempt is None:
+        if self._attempt is None or self._unchecked:
             return
         reason = self._stall_reason(self._attempt, now)
-        if not reason or not self._has_alternative(now):
+        if not reason:
             return
-        if not self._attempt.doubted:
-            self._attempt.doubted = True
-            self.forwarder.placement.failed(self._attempt.target, now)
-            if reason == GROUP_STALLED:
-                self.forwarder.placement.eject(self._attempt.target, now)
-        is_stream = self.route.retry_mode is routes.RetryMode.STREAM
-        # Streams that stand still hold the places of others in an overload.
-        if is_stream or self.forwarder.has_retry(self, now):
-            self._drop_attempt()
-            self._retry_or_refuse(reason, errors.UpstreamFailed(reason))
-
-    def end_unanswered(self, detail: str) -> None:
+        if self._response_started:
+            self._resume_elsewhere(reason, now)
+        elif self._has_alternative(now):
+            self._doubt(self._attempt, reason, now)
+            is_stream = self.route.retry_mode is routes.RetryMode.STREAM
+            # Streams that stand still hold the places of others in an
+            # overload.
+            if is_stream or self.forwarder.has_retry(self, now):
+                self._drop(self._attempt)
+                self._retry_or_refuse(reason, errors.UpstreamFailed(reason))
+
+    def _doubt(
+        self,
+        attempt: attempts.Attempt,
+        reason: str,
+        now: datetime.timedelta,
+    ) -> None:
+        """Counts the target of an attempt that stands still as failing."""
+        if attempt.doubted:
+            return
+        attempt.doubted = True
+        self.forwarder.placement.failed(attempt.target, now)
+        if reason == GROUP_STALLED:
+            self.forwarder.placement.eject(attempt.target, now)
+
+    def _resume_elsewhere(self, reason: str, now: datetime.timedelta) -> None:
+        """Resumes a stream that stands still at another target, if it can.
+
+        The attempt goes on until the other one has sent an event.
+        """
+        if now < self._resumable_at:
+            return
+        self._resumable_at = now + RESUMPTION_INTERVAL
+        resumption = self._resumption
+        if resumption is not None:
+            stalled = self._stall_reason(resumption, now)
+            if not stalled:
+                return
+            self._doubt(resumption, stalled, now)
+        if self._attempt is None or not self._has_alternative(now):
+            return
+        self._doubt(self._attempt, reason, now)
+        if (
+            not self.forwarder.has_retry(self, now)
+            or self.forwarder.is_convicted(self)
+            or not self.forwarder.take_retry(self, now)
+        ):
+            return
+        self._drop(resumption)
+        self.cause = reason
+        self.retry_count += 1
+        self.forwarder.attempt_ended(self, reason, counted=True)
+        self.forwarder.metrics.event("resumption-placed")
+        self.forwarder.place_again(self, now)
+
+    def end_unanswered(self, cause: endings.Cause, detail: str) -> None:
         """Ends a call that has no more time.
 
         Says that the request did not run only if no upstream received it.
@@ -300,13 +396,12 @@
             now = self.forwarder.clock.now()
             self.forwarder.placement.failed(self._attempt.target, now)
         if self.may_have_run or self._attempt is not None:
-            self.refuse(
-                errors.DeadlineMissed(
-                    detail, run_state=errors.RunState.UNKNOWN
-                )
+            refusal: errors.Refusal = errors.DeadlineMissed(
+                detail, run_state=errors.RunState.UNKNOWN
             )
         else:
-            self.refuse(self.forwarder.no_capacity(detail))
+            refusal = self.forwarder.no_capacity(detail)
+        self.end_early(cause, refusal)
 
     def _stall_reason(
         self, attempt: attempts.Attempt, now: datetime.timedelta
@@ -337,7 +432,7 @@
 
     def is_current(self, attempt: attempts.Attempt) -> bool:
         """Returns whether the call still waits for an attempt."""
-        return attempt is self._attempt
+        return attempt in self._attempts
 
     def answer_began(
         self, attempt: attempts.Attempt, head: wire.AnswerHead
@@ -367,7 +462,7 @@
         now: datetime.timedelta,
     ) -> None:
         """Retries after an upstream stated that it did not run the request."""
-        self._drop_attempt(keep_connection=True, ran=False)
+        self._drop(attempt, keep_connection=True, ran=False)
         if head.status == MISDIRECTED:
             self.forwarder.misdirected(attempt.target)
         else:
@@ -403,16 +498,28 @@
         except eventstream.EventOrderError as error:
             self._attempt_failed(attempt, str(error))
             return
-        self._last_event_id = splitter.last_id
         if splitter.completed > completed:
             # Parts of an event alone are no progress.
             attempt.active_at = now
         attempt.events += len(events)
-        if events:
+        if splitter.last_id != self._last_event_id:
+            self._last_event_id = splitter.last_id
+            self._drop_other(attempt)
+        if events and attempt is self._attempt:
             self._forward_data(head, b"".join(events), now)
         if attempt.has_begun:
             self._record_survival(attempt)
 
+    def _drop_other(self, attempt: attempts.Attempt) -> None:
+        """Cancels the other attempt once one has sent the next event."""
+        if self._resumption is None:
+            return
+        if attempt is self._resumption:
+            self.forwarder.metrics.event("resumption-took-over")
+            self._drop(self._attempt)
+        else:
+            self._drop(self._resumption)
+
     def _is_stream(self, head: wire.AnswerHead) -> bool:
         return head.streamed and 200 <= head.status < 300
 
@@ -445,10 +552,16 @@
                 return
             self._record_survival(attempt)
             self._release(attempt)
+            self._drop_all()
             self.forwarder.placement.succeeded(attempt.target)
             self._end("answered", head.status, "")
             self.responder.finish()
             return
+        if self._response_started:
+            self._attempt_failed(
+                attempt, f"resumption answered with status {head.status}"
+            )
+            return
         if head.status >= 500:
             self._upstream_failed(attempt, head, now)
             return
@@ -478,20 +591,12 @@
                 errors.UpstreamFailed(f"upstream status {head.status}"),
             )
             return
-        if self._response_started:
-            self._attempt_failed(attempt, f"upstream status {head.status}")
-            return
         self._deliver(attempt, head)
 
     def _deliver(
         self, attempt: attempts.Attempt, head: wire.AnswerHead
     ) -> None:
         """Forwards a complete answer, successful or not."""
-        if self._response_started:
-            self._attempt_failed(
-                attempt, f"resumption answered with status {head.status}"
-            )
-            return
         self._release(attempt)
         if head.status < 500:
             self.forwarder.placement.succeeded(attempt.target)
@@ -511,9 +616,12 @@
         if failure is exchanges.Failure.NOT_SENT:
             now = self.forwarder.clock.now()
             self.forwarder.placement.failed(attempt.target, now)
-            self._drop_attempt(ran=False)
+            self._drop(attempt, ran=False)
             self.tried.remove(attempt.target.upstream)
             self.unreachable.append(attempt.target.upstream)
+            if self._attempt is not None:
+                self.forwarder.place_again(self, now)
+                return
             self._retry_or_refuse(
                 "not connected",
                 self.forwarder.no_capacity("no upstream is reachable"),
@@ -538,6 +646,7 @@
         self.forwarder.attempt_broken(self, target, attempt.has_begun)
         if (
             attempt.has_begun
+            or len(self._attempts) > 1
             or not self.route.repeatable
             or not self.forwarder.guard.may_be_blamed(self.suspect(), now)
         ):
@@ -545,7 +654,7 @@
             return
         self.cause = reason
         self.forwarder.placement.failed(target, now)
-        self._drop_attempt()
+        self._drop(attempt)
         self.state = State.WAITING
         self._held_retry = _HeldRetry(
             target.upstream, target.incarnation, reason, now + RULING_TIMEOUT
@@ -555,14 +664,14 @@
         now = self.forwarder.clock.now()
         self.cause = reason
         self.forwarder.placement.failed(attempt.target, now)
-        self._drop_attempt()
+        self._drop(attempt)
         refusal = errors.UpstreamFailed(
             reason, run_state=errors.RunState.UNKNOWN
         )
         if self.route.repeatable:
             self._retry_or_refuse(reason, refusal)
         else:
-            self.refuse(refusal)
+            self.end_early(endings.Cause.UPSTREAM_FAILED, refusal)
 
     # ---- Retries --------------------------------------------------------
 
@@ -591,9 +700,12 @@
     ) -> None:
         """Retries at another target, or ends the call with the refusal.
 
-        `counted` states whether the retry counts against the retry budget
-        and the attempts of the route.
+        Does nothing while another attempt goes on. `counted` states whether
+        the retry counts against the retry budget and the attempts of the
+        route.
         """
+        if self._attempt is not None:
+            return
         now = self.forwarder.clock.now()
         self.cause = reason
         self.state = State.WAITING
@@ -605,40 +717,37 @@
                 len(set(self.tried)) < self.route.attempts
                 and self.forwarder.take_retry(self, now)
             )
-        if not allowed:
-            self._refuse_after_attempt(refusal)
-            return
-        self.retry_count += counted
-        self.forwarder.attempt_ended(self, reason, counted)
-        if not self.forwarder.place_again(self, now):
-            self._refuse_after_attempt(refusal)
-
-    def _refuse_after_attempt(self, refusal: errors.Refusal) -> None:
-        """Refuses a call; never claims that it did not run if it may have."""
-        if self.may_have_run and refusal.status in (503, 429):
-            refusal = errors.UpstreamFailed(
-                refusal.detail, run_state=errors.RunState.UNKNOWN
-            )
-        self.refuse(refusal)
+        if allowed:
+            self.retry_count += counted
+            self.forwarder.attempt_ended(self, reason, counted)
+            if self.forwarder.place_again(self, now):
+                return
+        self.end_early(endings.Cause.UPSTREAM_FAILED, refusal)
 
     # ---- Ending ---------------------------------------------------------
 
     def _release(self, attempt: attempts.Attempt) -> None:
-        """Releases the slot at a target, once."""
+        """Releases the slot at a target, once; the other attempt goes on."""
         if attempt is self._attempt:
-            self._attempt = None
-            self.forwarder.buffered_bytes -= len(attempt.body)
-            self.forwarder.placement.finished(attempt.target)
+            self._attempt, self._resumption = self._resumption, None
+        elif attempt is self._resumption:
+            self._resumption = None
+        else:
+            return
+        self.forwarder.buffered_bytes -= len(attempt.body)
+        self.forwarder.placement.finished(attempt.target)
 
-    def _drop_attempt(
-        self, keep_connection: bool = False, ran: bool = True
+    def _drop(
+        self,
+        attempt: attempts.Attempt | None,
+        keep_connection: bool = False,
+        ran: bool = True,
     ) -> None:
-        """Abandons the current attempt, and its connection unless kept.
+        """Abandons an attempt, and its connection unless kept.
 
         `ran` is false if the attempt certainly did not run the request.
         """
-        attempt = self._attempt
-        if attempt is None:
+        if attempt is None or attempt not in self._attempts:
             return
         self._release(attempt)
         exchange = attempt.exchange
@@ -651,6 +760,11 @@
         else:
             exchange.cancel()
 
+    def _drop_all(self) -> None:
+        """Abandons all attempts."""
+        for attempt in self._attempts:
+            self._drop(attempt)
+
     def _end(self, outcome: str, status: int, kind: str) -> None:
         self.state = State.ENDED
         self.forwarder.call_ended(self, outcome, status, kind)
--- a/figford/tests/test_cutanswers.py
+++ b/figford/tests/test_cutanswers.py
@@ -184,7 +184,7 @@
     source.answer_failed(exchanges.Failure.BROKEN)
     assert bench.responder.ends == [] and len(bench.pool.sent) == 2
     bench.answer(200, streamed=True)
-    complete(bench.receiver, 2)
+    complete(bench, bench.receiver, 2)
     assert_complete(bench, 1, 2)
 
 
@@ -249,7 +249,7 @@
     assert bench.responder.ends == []
     bench.call.crash_ruled(bench.call.tried[0], 1, blamed=False)
     bench.answer(200, streamed=True)
-    complete(bench.receiver, 2)
+    complete(bench, bench.receiver, 2)
     assert_complete(bench, 1, 2)
 
 
@@ -269,17 +269,29 @@
     assert_complete(bench, 1, 2)
 
 
-def test_a_verdict_does_not_cut_an_answer(monkeypatch) -> None:
-    """A verdict on its request cut an answer of one event."""
-    bench = stream(1)
+def test_a_verdict_does_not_cut_a_silent_answer(monkeypatch) -> None:
+    """The answer was cut when it could not be resumed because of a verdict."""
+    bench = stream(1, 2)
     source = bench.receiver
     guard = bench.forwarder.guard
     monkeypatch.setattr(type(guard), "convicted_trait", lambda *_: "request:x")
     bench.forwarder.verdicts_changed()
     pass_time(bench, base.SECOND)
     assert bench.responder.ends == [] and len(bench.pool.sent) == 1
-    complete(bench, source, 2)
-    assert_complete(bench, 1, 2)
+    complete(bench, source, 3)
+    assert_complete(bench, 1, 2, 3)
+
+
+def test_a_verdict_cancels_a_resumption_only(monkeypatch) -> None:
+    bench = stream(1, 2)
+    source = bench.receiver
+    pass_time(bench, 900 * MS)
+    guard = bench.forwarder.guard
+    monkeypatch.setattr(type(guard), "convicted_trait", lambda *_: "request:x")
+    bench.forwarder.verdicts_changed()
+    assert bench.pool.sent[1][1].receiver is None
+    complete(bench, source, 3)
+    assert_complete(bench, 1, 2, 3)
 
 
 def test_a_silent_stream_takes_a_retry_only_for_a_resumption_that_is_sent(
--- a/figford/tests/test_entrydaemon.py
+++ b/figford/tests/test_entrydaemon.py
@@ -7,6 +7,7 @@
 from twisted.internet import testing
 
 from figford import effects
+from figford import endings
 from figford import entrydaemon
 from figford import forwarding
 from figford import nodesettings
@@ -52,7 +53,7 @@
     def check(self, now: datetime.timedelta) -> None:
         """Does nothing: the request stays in progress."""
 
-    def end_unanswered(self, detail: str) -> None:
+    def end_unanswered(self, cause: endings.Cause, detail: str) -> None:
         """Ends the request."""
         self.calls.discard(self)
 
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -385,6 +385,18 @@
     bench.clock.time += forwarding.GROUP_STALL_TIMEOUT
     bench.forwarder.tick()
     assert len(bench.pool.sent) == 2
+    assert bench.responder.ends == []
+    bench.answer(200, event(2), streamed=True)
+    assert bench.pool.sent[0][1].receiver is None
+    assert bench.pool.sent[1][1].receiver is not None
+    assert bench.responder.body == event(1) + event(2)
+
+
+def test_a_stream_that_did_not_begin_is_retried_at_another() -> None:
+    bench = Bench(routes.RetryMode.STREAM, resumable=True).begin()
+    bench.clock.time += forwarding.GROUP_STALL_TIMEOUT
+    bench.forwarder.tick()
+    assert len(bench.pool.sent) == 2
     assert bench.pool.sent[0][1].receiver is None
 
 
