An entry that was late concludes nothing from silence until it has read

Cause: after a pause the reactor runs its timers before it reads. The tick found all streams silent, calls slow, the leader unheard, and a ruling on a crash overdue.

Why this works: what arrived before a tick has been read by the next one, so silence is counted up to the tick before. The retry budget still counts by the present time: others may use an entry's part once they have not heard it for long, whoever was late.

test_crashforwarding: without a ruling a suspect is refused with the tick after the one that was due, as the ruling may lie unread; test_forwarding passes both times to check.

--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -78,6 +78,9 @@
     )
     _queued: int = 0
     _ticked_at: datetime.timedelta | None = None
+    # What arrived until then has been read: all sockets are read between two
+    # ticks, but a process that was late finds its timers due before its data.
+    _read_until: datetime.timedelta = datetime.timedelta(0)
     # Between the last two ticks.
     _tick_interval: datetime.timedelta = datetime.timedelta(0)
     _budgets: sharedbudget.SharedBudgets = attrs.field(init=False)
@@ -85,6 +88,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Starts without demand for permits and without retries."""
+        self._read_until = self.clock.now()
         self._demand = permitdemand.PermitDemand(self.placement)
         self._budgets = sharedbudget.SharedBudgets(self.budget_settings)
         self._update_budgets(self.clock.now())
@@ -281,8 +285,8 @@
     def tick(self) -> None:
         """Places queued calls, refuses late ones and checks all calls."""
         now = self.clock.now()
-        if self._ticked_at is not None:
-            self._tick_interval = now - self._ticked_at
+        self._read_until = now if self._ticked_at is None else self._ticked_at
+        self._tick_interval = now - self._read_until
         self._ticked_at = now
         self._update_budgets(now)
         self.permits.issue_slots(now)
@@ -290,7 +294,7 @@
         self._refuse_late(now)
         self._refuse_beyond_limits(now)
         for call in list(self.calls):
-            self._isolated(call, call.check, now)
+            self._isolated(call, call.check, now, self._read_until)
         self._report_crashes(now)
 
     def end_calls(self) -> int:
@@ -337,12 +341,14 @@
 
     # ---- Requests that crash upstreams ----------------------------------
 
-    def _hears_leader(self, now: datetime.timedelta) -> bool:
-        return self.permits.hears_keeper(now, crashguard.LEADER_TIMEOUT)
+    def _hears_leader(self) -> bool:
+        return self.permits.hears_keeper(
+            self._read_until, crashguard.LEADER_TIMEOUT
+        )
 
     def _report_crashes(self, now: datetime.timedelta) -> None:
         """Reports the upstreams that crashed; judges if no leader does."""
-        hears_leader = self._hears_leader(now)
+        hears_leader = self._hears_leader()
         for item in self.guard.take_settled(self.pool.is_connected, now):
             match item:
                 case crashes.Reset(upstream, incarnation):
@@ -382,7 +388,7 @@
             return
         self.guard.record_crash(report, now)
         self._log_crash(attrs.evolve(crash, report=report))
-        if self._hears_leader(now) and self.on_crash is not None:
+        if self._hears_leader() and self.on_crash is not None:
             self.on_crash(report)
         else:
             self._rule_alone(report)
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -314,8 +314,14 @@
         self._drop_all()
         self._end("caller left", 0, "")
 
-    def check(self, now: datetime.timedelta) -> None:
-        """Applies the deadline and the stall timeouts."""
+    def check(
+        self, now: datetime.timedelta, read_until: datetime.timedelta
+    ) -> None:
+        """Applies the deadline and the stall timeouts.
+
+        What arrived until `read_until` has been read; silence counts only up
+        to then.
+        """
         if self.state is State.ENDED:
             return
         if now >= self.deadline:
@@ -325,15 +331,15 @@
             )
             return
         held = self._held_retry
-        if held is not None and now >= held.until:
+        if held is not None and read_until >= held.until:
             self.crash_ruled(held.upstream, held.incarnation, blamed=True)
         if self._attempt is None or self._unchecked:
             return
-        reason = self._stall_reason(self._attempt, now)
+        reason = self._stall_reason(self._attempt, read_until)
         if not reason:
             return
         if self._response_started:
-            self._resume_elsewhere(reason, now)
+            self._resume_elsewhere(reason, now, read_until)
         elif self._has_alternative(now):
             self._doubt(self._attempt, reason, now)
             is_stream = self.route.retry_mode is routes.RetryMode.STREAM
@@ -357,7 +363,12 @@
         if reason == GROUP_STALLED:
             self.forwarder.placement.eject(attempt.target, now)
 
-    def _resume_elsewhere(self, reason: str, now: datetime.timedelta) -> None:
+    def _resume_elsewhere(
+        self,
+        reason: str,
+        now: datetime.timedelta,
+        read_until: datetime.timedelta,
+    ) -> None:
         """Resumes a stream that stands still at another target, if it can.
 
         The attempt goes on until the other one has sent an event.
@@ -367,7 +378,7 @@
         self._resumable_at = now + RESUMPTION_INTERVAL
         resumption = self._resumption
         if resumption is not None:
-            stalled = self._stall_reason(resumption, now)
+            stalled = self._stall_reason(resumption, read_until)
             if not stalled:
                 return
             self._doubt(resumption, stalled, now)
@@ -404,12 +415,12 @@
         self.end_early(cause, refusal)
 
     def _stall_reason(
-        self, attempt: attempts.Attempt, now: datetime.timedelta
+        self, attempt: attempts.Attempt, read_until: datetime.timedelta
     ) -> str:
         """Returns why an attempt is abandoned; empty if it is not."""
         if not self.route.repeatable or self._paused:
             return ""
-        idle_for = now - attempt.active_at
+        idle_for = read_until - attempt.active_at
         if self.route.retry_mode is not routes.RetryMode.STREAM:
             limit = max(
                 self.route.objective * ATTEMPT_TIMEOUT_FRACTION,
@@ -421,7 +432,7 @@
         )
         if (
             idle_for >= GROUP_STALL_TIMEOUT
-            and now - target_state.active_at >= GROUP_STALL_TIMEOUT
+            and read_until - target_state.active_at >= GROUP_STALL_TIMEOUT
         ):
             return GROUP_STALLED
         if idle_for >= STREAM_STALL_TIMEOUT:
--- a/figford/tests/test_crashforwarding.py
+++ b/figford/tests/test_crashforwarding.py
@@ -139,6 +139,8 @@
     bench.begin().crash()
     bench.clock.time += forwarding.RULING_TIMEOUT
     bench.forwarder.tick()
+    # What came before this tick is read by the next one.
+    bench.forwarder.tick()
     assert len(bench.pool.sent) == 1
     assert bench.refusal.status == 502 and bench.idle()
 
--- a/figford/tests/test_cutanswers.py
+++ b/figford/tests/test_cutanswers.py
@@ -242,6 +242,9 @@
     bench = stream(1)
     guard = type(bench.forwarder.guard)
     monkeypatch.setattr(guard, "may_be_blamed", lambda *_: True)
+    monkeypatch.setattr(
+        type(bench.forwarder), "_report_crashes", lambda *_: None
+    )
     pass_time(bench, 90 * MS)
     bench.receiver.answer_failed(exchanges.Failure.BROKEN)
     bench.clock.time += base.SECOND
@@ -325,3 +328,19 @@
     bench = stream(1)
     bench.forwarder.end_calls()
     assert bench.responder.ends == ["cut"] and bench.idle()
+
+
+def test_an_entry_that_was_late_does_not_judge_alone(monkeypatch) -> None:
+    """Messages of the leader lay unread."""
+    bench = stream(1)
+    heard: list[bool] = []
+    guard = type(bench.forwarder.guard)
+    monkeypatch.setattr(
+        guard, "judge_alone", lambda _, hears, now: heard.append(hears) or []
+    )
+    for pause in (0 * MS, TICK, 2 * base.SECOND, TICK):
+        bench.clock.time += pause
+        if pause == TICK:
+            bench.forwarder.permits.keeper_heard("k", 1, bench.clock.now())
+        bench.forwarder.tick()
+    assert heard[2:] == [True, True]
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -422,7 +422,7 @@
             ) = (1e9, bench.clock.now())
     bench.begin()
     bench.clock.time += 6 * SECOND
-    bench.call.check(bench.clock.now())
+    bench.call.check(bench.clock.now(), bench.clock.now())
     assert bench.responder.refusal.status == (504 if sent else 503)
     assert bench.idle()
 
