The stop timeout runs from when the signal may have come

What callers saw: an entry that was late when SIGTERM came would have been killed in the midst of answers, as it counted its 8 s from when it ran again (a process test that pauses the entries for 1 s at the SIGTERM: it ended after 8.6 s, with a stream cut that was sent 3.35 s after it).

Why this works: the signal came after the process last read, so the stop counts from then, in normal operation up to two ticks (60 ms) earlier than before. The log line 'process stopping' says how late it was. The fake call of test_entrydaemon takes the second time of check.

--- a/figford/entrydaemon.py
+++ b/figford/entrydaemon.py
@@ -14,6 +14,7 @@
 from figford import fleetmessages
 from figford import forwarder as forwarders
 from figford import ingress as ingresses
+from figford import logs
 from figford import membership
 from figford import nodes
 from figford import placement
@@ -168,17 +169,26 @@
     # ---- Stopping -------------------------------------------------------
 
     def stop(self) -> None:
-        """Starts a graceful shutdown that lets requests finish."""
+        """Starts a graceful shutdown that lets requests finish.
+
+        The signal may have come at any time since this process last read; the
+        stop timeout runs from then.
+        """
         if self._stopping_since is not None:
             return
         now = self.clock.now()
-        self._stopping_since = now
+        since = min(now, self.forwarder.read_until)
+        self._stopping_since = since
         self.state.stopping = True
         self.ingress.begin_stop(
-            now + BALANCER_REMOVAL_DELAY,
-            now + self.config.stop_timeout - STOP_MARGIN,
+            since + BALANCER_REMOVAL_DELAY,
+            since + self.config.stop_timeout - STOP_MARGIN,
+        )
+        _log.info(
+            "process stopping",
+            in_progress=len(self.forwarder.calls),
+            late_ms=logs.milliseconds(now - since),
         )
-        _log.info("process stopping", in_progress=len(self.forwarder.calls))
 
     def _check_stopped(self, now: datetime.timedelta) -> None:
         since = self._stopping_since
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -68,6 +68,9 @@
     )
     guard: crashguard.CrashGuard = attrs.field(factory=crashguard.CrashGuard)
     on_crash: typing.Callable[[fleetmessages.CrashReport], None] | None = None
+    # What arrived until then has been read: all sockets are read between two
+    # ticks, but a process that was late finds its timers due before its data.
+    read_until: datetime.timedelta = datetime.timedelta(0)
     # Of answers that are not streams, in progress.
     buffered_bytes: int = 0
     calls: set[forwarding.ForwardedCall] = attrs.field(factory=set)
@@ -78,9 +81,6 @@
     )
     _queued: int = 0
     _ticked_at: datetime.timedelta | None = None
-    # What arrived until then has been read: all sockets are read between two
-    # ticks, but a process that was late finds its timers due before its data.
-    _read_until: datetime.timedelta = datetime.timedelta(0)
     # Between the last two ticks.
     _tick_interval: datetime.timedelta = datetime.timedelta(0)
     _budgets: sharedbudget.SharedBudgets = attrs.field(init=False)
@@ -88,7 +88,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Starts without demand for permits and without retries."""
-        self._read_until = self.clock.now()
+        self.read_until = self.clock.now()
         self._demand = permitdemand.PermitDemand(self.placement)
         self._budgets = sharedbudget.SharedBudgets(self.budget_settings)
         self._update_budgets(self.clock.now())
@@ -285,8 +285,8 @@
     def tick(self) -> None:
         """Places queued calls, refuses late ones and checks all calls."""
         now = self.clock.now()
-        self._read_until = now if self._ticked_at is None else self._ticked_at
-        self._tick_interval = now - self._read_until
+        self.read_until = now if self._ticked_at is None else self._ticked_at
+        self._tick_interval = now - self.read_until
         self._ticked_at = now
         self._update_budgets(now)
         self.permits.issue_slots(now)
@@ -294,7 +294,7 @@
         self._refuse_late(now)
         self._refuse_beyond_limits(now)
         for call in list(self.calls):
-            self._isolated(call, call.check, now, self._read_until)
+            self._isolated(call, call.check, now, self.read_until)
         self._report_crashes(now)
 
     def end_calls(self) -> int:
@@ -343,7 +343,7 @@
 
     def _hears_leader(self) -> bool:
         return self.permits.hears_keeper(
-            self._read_until, crashguard.LEADER_TIMEOUT
+            self.read_until, crashguard.LEADER_TIMEOUT
         )
 
     def _report_crashes(self, now: datetime.timedelta) -> None:
--- a/figford/tests/test_entrydaemon.py
+++ b/figford/tests/test_entrydaemon.py
@@ -4,11 +4,13 @@
 import pathlib
 
 import attrs
+import pytest
 from twisted.internet import testing
 
 from figford import effects
 from figford import endings
 from figford import entrydaemon
+from figford import errors
 from figford import forwarding
 from figford import nodesettings
 from figford.platform import dialect
@@ -50,7 +52,9 @@
     calls: set = attrs.field(factory=set)
     state: forwarding.State = forwarding.State.SENT
 
-    def check(self, now: datetime.timedelta) -> None:
+    def check(
+        self, now: datetime.timedelta, read_until: datetime.timedelta
+    ) -> None:
         """Does nothing: the request stays in progress."""
 
     def end_unanswered(self, cause: endings.Cause, detail: str) -> None:
@@ -122,6 +126,29 @@
     assert ended == [False]
 
 
+def test_an_entry_that_was_late_ends_in_time_after_the_signal() -> None:
+    """It counted from when it ran again, and would have been killed."""
+    clock = Clock()
+    daemon = make_daemon(clock)
+    daemon.forwarder.calls.add(Call(daemon.forwarder.calls))
+    ended: list = []
+    daemon.stopped.addCallback(ended.append)
+    for _ in range(2):
+        clock.time += 30 * MS
+        daemon.forwarder.tick()
+    signalled_at = clock.time
+    clock.time += 1500 * MS
+    daemon.stop()
+    deadline = signalled_at + daemon.config.stop_timeout
+    with pytest.raises(errors.Draining):
+        daemon.ingress.check_can_finish(
+            signalled_at + 3000 * MS, deadline - 300 * MS
+        )
+    clock.time = deadline - entrydaemon.STOP_MARGIN
+    daemon.tick()
+    assert ended == [False]
+
+
 def test_answers_are_sent_to_slow_callers_before_the_process_ends() -> None:
     """It ended though the end of an answer waited in its own buffer."""
     clock = Clock()
