A resumption that may have crashed its upstream waits for the ruling

What callers could see: with max_attempts of 3, a request that had crashed the upstream of its resumption went to a third one before the leader had ruled, since the silent attempt beside it kept the call going.

Why this works: the retry is held as for a single attempt, and a request that a crash is blamed on gets no further attempt; the one that goes on is kept. The new test fails before.

--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -132,6 +132,8 @@
     # Set by an unexpected error; only the deadline is applied from then on.
     _unchecked: bool = False
     _held_retry: _HeldRetry | None = None
+    # Whether a crash is blamed on this request.
+    _blamed: bool = False
     _suspect: fleetmessages.Suspect | None = None
     _response_started: bool = False
     _paused: bool = False
@@ -275,7 +277,10 @@
     def crash_ruled(
         self, upstream: str, incarnation: int, blamed: bool
     ) -> None:
-        """Retries after a crash unless this request is blamed for it."""
+        """Retries after a crash unless this request is blamed for it.
+
+        Another attempt goes on, but none follows once it is blamed.
+        """
         held = self._held_retry
         if held is None or (held.upstream, held.incarnation) != (
             upstream,
@@ -283,6 +288,9 @@
         ):
             return
         self._held_retry = None
+        self._blamed |= blamed
+        if self._attempt is not None:
+            return
         refusal = errors.UpstreamFailed(
             held.reason, run_state=errors.RunState.UNKNOWN
         )
@@ -373,7 +381,7 @@
 
         The attempt goes on until the other one has sent an event.
         """
-        if now < self._resumable_at:
+        if now < self._resumable_at or self._held_retry is not None:
             return
         self._resumable_at = now + RESUMPTION_INTERVAL
         resumption = self._resumption
@@ -657,7 +665,6 @@
         self.forwarder.attempt_broken(self, target, attempt.has_begun)
         if (
             attempt.has_begun
-            or len(self._attempts) > 1
             or not self.route.repeatable
             or not self.forwarder.guard.may_be_blamed(self.suspect(), now)
         ):
@@ -666,7 +673,8 @@
         self.cause = reason
         self.forwarder.placement.failed(target, now)
         self._drop(attempt)
-        self.state = State.WAITING
+        if self._attempt is None:
+            self.state = State.WAITING
         self._held_retry = _HeldRetry(
             target.upstream, target.incarnation, reason, now + RULING_TIMEOUT
         )
@@ -692,6 +700,8 @@
 
         A stream that began is resumed only after an event with an id.
         """
+        if self._blamed:
+            return False
         if self._response_started:
             return self.route.repeatable and self._last_event_id is not None
         return self.route.repeatable or not self.may_have_run
@@ -711,7 +721,8 @@
     ) -> None:
         """Retries at another target, or ends the call with the refusal.
 
-        Does nothing while another attempt goes on. `counted` states whether
+        Does nothing while another attempt goes on, or until the ruling on a
+        crash that this request may have caused. `counted` states whether
         the retry counts against the retry budget and the attempts of the
         route.
         """
@@ -720,6 +731,8 @@
         now = self.forwarder.clock.now()
         self.cause = reason
         self.state = State.WAITING
+        if self._held_retry is not None:
+            return
         allowed = (
             self._may_run_again and self.deadline - now > MIN_REMAINING_TIME
         )
--- a/figford/tests/test_cutanswers.py
+++ b/figford/tests/test_cutanswers.py
@@ -344,3 +344,23 @@
             bench.forwarder.permits.keeper_heard("k", 1, bench.clock.now())
         bench.forwarder.tick()
     assert heard[2:] == [True, True]
+
+
+def test_a_crash_of_a_resumption_waits_for_its_ruling(monkeypatch) -> None:
+    """A silent stream was repeated though it may have crashed a resumption."""
+    bench = stream(1, attempts=3)
+    bench.place("u1", "u2", "u3")
+    guard = type(bench.forwarder.guard)
+    monkeypatch.setattr(guard, "may_be_blamed", lambda *_: True)
+    monkeypatch.setattr(
+        type(bench.forwarder), "_report_crashes", lambda *_: None
+    )
+    pass_time(bench, 900 * MS)
+    assert len(bench.pool.sent) == 2
+    crashed = bench.call.tried[1]
+    bench.receiver.answer_failed(exchanges.Failure.BROKEN)
+    pass_time(bench, 180 * MS)
+    assert len(bench.pool.sent) == 2
+    bench.call.crash_ruled(crashed, 1, blamed=True)
+    pass_time(bench, base.SECOND)
+    assert len(bench.pool.sent) == 2 and bench.responder.ends == []
