A late entry ends requests as if its SIGTERM came last, and reads first

What callers could see: answers cut before the last sixth of the stop timeout, if the signal came at the end of a time in which the entry did not run; or cut though their last bytes lay in its sockets.

Cause: took the earliest time at which the signal may have come for the end of requests in progress too. Now that time only bounds what is begun, and requests in progress are ended by the time at which the signal was handled, with the second tick after it was due. What the platform kills before that was sent within 3 s of the signal and still runs in the last sixth.

--- a/figford/entrydaemon.py
+++ b/figford/entrydaemon.py
@@ -43,6 +43,8 @@
     ingress: ingresses.Ingress = attrs.field(init=False)
     _callers_port: typing.Any = None
     _stopping_since: datetime.timedelta | None = None
+    # Whether requests in progress end with the next tick.
+    _is_ending: bool = False
     # Requests that were ended since they outlasted this process.
     _calls_cut: int = 0
 
@@ -171,14 +173,15 @@
     def stop(self) -> None:
         """Starts a graceful shutdown that lets requests finish.
 
-        The signal may have come at any time since this process last read; the
-        stop timeout runs from then.
+        The signal may have come at any time since this process last read. What
+        is begun must end in time if it came first; requests in progress are
+        ended as if it came last.
         """
         if self._stopping_since is not None:
             return
         now = self.clock.now()
         since = min(now, self.forwarder.read_until)
-        self._stopping_since = since
+        self._stopping_since = now
         self.state.stopping = True
         self.ingress.begin_stop(
             since + BALANCER_REMOVAL_DELAY,
@@ -197,13 +200,19 @@
         self._close_callers_port()
         remaining = self.config.stop_timeout - (now - since)
         if remaining <= STOP_MARGIN:
-            self._calls_cut += self.forwarder.end_calls()
+            self._end_calls()
         is_flushing = self.ingress.channels and remaining > FLUSH_MARGIN
         if self.forwarder.calls or is_flushing:
             return
         self._stopping_since = None
         self._close().addErrback(self.fatal)
 
+    def _end_calls(self) -> None:
+        """Ends all calls at the second tick, after all sockets were read."""
+        if self._is_ending:
+            self._calls_cut += self.forwarder.end_calls()
+        self._is_ending = True
+
     def _close_callers_port(self) -> None:
         """Closes the listening port and idle connections.
 
