A resumption takes over with its first event, also where ids don't differ

What callers could see: a stream whose events have equal ids ended without the events of its resumption, which were dropped as they did not change the position.

--- a/figford/eventstream.py
+++ b/figford/eventstream.py
@@ -33,6 +33,8 @@
     last_id: str | None = None
     # Complete events, also those that were dropped.
     completed: int = 0
+    # Events with an id that were returned.
+    identified: int = 0
     # Whether no event has followed yet since the stream was resumed.
     awaits_next: bool = False
     _buffer: bytearray = attrs.field(factory=bytearray)
@@ -87,6 +89,7 @@
                     f"event {event_id} follows event {self.last_id}"
                 )
         self.last_id = event_id
+        self.identified += 1
         self.awaits_next = False
         return True
 
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -528,7 +528,7 @@
                 self._attempt_failed(attempt, "answer too large")
             return
         splitter = attempt.splitter
-        completed = splitter.completed
+        completed, identified = splitter.completed, splitter.identified
         try:
             events = splitter.feed(data)
         except eventstream.EventOrderError as error:
@@ -538,7 +538,7 @@
             # Parts of an event alone are no progress.
             attempt.active_at = now
         attempt.events += len(events)
-        if splitter.last_id != self._last_event_id:
+        if splitter.identified > identified:
             self._last_event_id = splitter.last_id
             self._drop_other(attempt)
         if events and attempt is self._attempt:
--- a/figford/tests/test_cutanswers.py
+++ b/figford/tests/test_cutanswers.py
@@ -407,3 +407,16 @@
         for item in logged.records
         if item.kwargs.get("cause") == "answer broken"
     ] == bench.call.tried[:1]
+
+
+def test_a_resumption_whose_events_have_equal_ids_takes_over() -> None:
+    """Its events were dropped, as none changed the position."""
+    same = b"id: x\ndata: 1\n\n"
+    bench = base.Bench(routes.RetryMode.STREAM, resumable=True).begin()
+    bench.answer(200, same, streamed=True)
+    pass_time(bench, 900 * MS)
+    resumption = bench.receiver
+    bench.answer(200, same, streamed=True)
+    complete(bench, resumption)
+    assert bench.responder.body == same + same
+    assert bench.responder.ends == ["whole"] and bench.idle()
