A connection that was established while the entry was late is used

What callers could see: an entry that did not run for 0.25 s took all upstreams to which it was connecting for unreachable: it counted failures, reported a crash as confirmed, and had no other target for answers that broke off.

Cause: the reactor's own timeout ends an attempt to connect before the sockets are read. The new test fails before.

--- a/figford/exchanges.py
+++ b/figford/exchanges.py
@@ -24,6 +24,8 @@
 # A handshake within a region takes milliseconds. A lost SYN is retransmitted
 # only after a second; trying another upstream is faster.
 CONNECT_TIMEOUT_SECONDS = 0.25
+# After a timer, so that the sockets are read between the two.
+READ_SECONDS = 0.01
 # A connection that is still open after this time was accepted by the upstream
 # itself, not closed by what is in between.
 PROBE_SECONDS = 0.02
@@ -408,9 +410,7 @@
     def _connect(self, address: str) -> defer.Deferred:
         """Opens a connection; the result fires when it is established."""
         host, port = settings.split_address(address)
-        endpoint = endpoints.TCP4ClientEndpoint(
-            self.reactor, host, port, timeout=CONNECT_TIMEOUT_SECONDS
-        )
+        endpoint = endpoints.TCP4ClientEndpoint(self.reactor, host, port)
 
         def connected(opened: Connection) -> Connection:
             self.opened += 1
@@ -418,8 +418,28 @@
             return opened
 
         connecting = endpoint.connect(_Factory(self, address))
+        self._limit_time(connecting)
         return connecting.addCallback(connected)
 
+    def _limit_time(self, connecting: defer.Deferred) -> None:
+        """Cancels an attempt to connect that takes too long.
+
+        The sockets are read once more before: a process that was late finds
+        its timers due before connections that were established.
+        """
+
+        def expire() -> None:
+            nonlocal timer
+            timer = self.reactor.callLater(READ_SECONDS, connecting.cancel)
+
+        def settled(result: typing.Any) -> typing.Any:
+            if timer.active():
+                timer.cancel()
+            return result
+
+        timer = self.reactor.callLater(CONNECT_TIMEOUT_SECONDS, expire)
+        connecting.addBoth(settled)
+
     def probe(
         self, address: str, report: typing.Callable[[ProbeResult], None]
     ) -> None:
--- a/figford/tests/test_exchanges.py
+++ b/figford/tests/test_exchanges.py
@@ -477,3 +477,31 @@
             attrs.evolve(bench.exchange(), attempt=f"b{number}")
         )
     assert len(bench.connection._attempts) == exchanges.REMEMBERED_ATTEMPTS
+
+
+@pytest.mark.parametrize("is_late", [True, False])
+def test_a_connection_that_a_late_process_finds_open_is_used(
+    is_late: bool,
+) -> None:
+    """Its timer was due before it saw that the upstream had accepted."""
+    pool = exchanges.Pool(
+        MemoryReactorClock(), Clock(), dialect.PlatformDialect()
+    )
+    receiver = Receiver()
+    exchange = exchanges.Exchange(
+        b"POST", b"/x", [(b"Host", b"h")], b"", receiver, "a1"
+    )
+    pool.send("127.0.0.1:9", exchange)
+    *_, factory, timeout_seconds, _ = pool.reactor.tcpClients[0]
+    # The reactor's own timeout ends the attempt without reading.
+    assert timeout_seconds > 10 * exchanges.CONNECT_TIMEOUT_SECONDS
+    pool.reactor.advance(exchanges.CONNECT_TIMEOUT_SECONDS)
+    assert receiver.ends == []
+    if is_late:
+        factory.buildProtocol(None).makeConnection(Transport())
+        pool.reactor.advance(1)
+        assert exchange.sent and receiver.ends == []
+    else:
+        pool.reactor.advance(exchanges.READ_SECONDS)
+        assert receiver.ends == [exchanges.Failure.NOT_SENT]
+    assert pool.reactor.getDelayedCalls() == []
