A late entry reads before it closes its port and idle connections

Cause: after a time in which the process did not run, its timer closed the port and all idle connections, before the sockets were read: the kernel resets what has unread bytes, and connections that were not accepted yet.

Why this works: both are closed only after two ticks that came in time, so what had come was accepted and read, and is served or refused. Other tests of test_entrydaemon let the ticks come one by one, and assert the same.

--- a/figford/entrydaemon.py
+++ b/figford/entrydaemon.py
@@ -31,6 +31,10 @@
 STOP_MARGIN = datetime.timedelta(milliseconds=400)
 # Until this long before the stop timeout, answers are sent to slow callers.
 FLUSH_MARGIN = datetime.timedelta(milliseconds=150)
+# A tick that comes so long after the one before is late: callers' requests may
+# lie unread. After some that are not, they have been accepted and read.
+LATE_TICK = datetime.timedelta(seconds=3 * nodes.TICK_SECONDS)
+READING_TICKS = 2
 
 
 @attrs.define(eq=False)
@@ -43,6 +47,10 @@
     ingress: ingresses.Ingress = attrs.field(init=False)
     _callers_port: typing.Any = None
     _stopping_since: datetime.timedelta | None = None
+    # Whether new and idle connections are still served.
+    _takes_callers: bool = True
+    _ticked_at: datetime.timedelta = datetime.timedelta(0)
+    _ticks_in_time: int = 0
     # Whether requests in progress end with the next tick.
     _is_ending: bool = False
     # Requests that were ended since they outlasted this process.
@@ -194,19 +202,28 @@
         )
 
     def _check_stopped(self, now: datetime.timedelta) -> None:
+        self._record_tick(now)
         since = self._stopping_since
         if since is None or now - since < BALANCER_REMOVAL_DELAY:
             return
-        self._close_callers_port()
+        # What a late process has not read would get no answer.
+        if self._ticks_in_time >= READING_TICKS:
+            self._close_callers_port()
         remaining = self.config.stop_timeout - (now - since)
         if remaining <= STOP_MARGIN:
             self._end_calls()
-        is_flushing = self.ingress.channels and remaining > FLUSH_MARGIN
-        if self.forwarder.calls or is_flushing:
+        has_callers = self._takes_callers or self.ingress.channels
+        if self.forwarder.calls or has_callers and remaining > FLUSH_MARGIN:
             return
         self._stopping_since = None
         self._close().addErrback(self.fatal)
 
+    def _record_tick(self, now: datetime.timedelta) -> None:
+        """Counts the ticks since this process was late."""
+        is_late = now - self._ticked_at > LATE_TICK
+        self._ticks_in_time = 0 if is_late else self._ticks_in_time + 1
+        self._ticked_at = now
+
     def _end_calls(self) -> None:
         """Ends all calls at the second tick, after all sockets were read."""
         if self._is_ending:
@@ -218,6 +235,7 @@
 
         Requests in progress go on; each connection ends with its answer.
         """
+        self._takes_callers = False
         if self._callers_port is not None:
             self._callers_port.stopListening()
             self._callers_port = None
--- a/figford/tests/test_entrydaemon.py
+++ b/figford/tests/test_entrydaemon.py
@@ -16,6 +16,7 @@
 from figford.platform import dialect
 
 MS = datetime.timedelta(milliseconds=1)
+TICK = 25 * MS
 
 
 @attrs.define
@@ -83,6 +84,17 @@
     )
 
 
+def pass_time(
+    daemon: entrydaemon.EntryDaemon, duration: datetime.timedelta
+) -> None:
+    """Lets time pass with a tick whenever one is due."""
+    clock = daemon.clock
+    end = clock.time + duration
+    while clock.time < end:
+        clock.time = min(end, clock.time + TICK)
+        daemon.tick()
+
+
 def test_a_stopping_entry_is_not_ready_and_still_takes_requests() -> None:
     clock = Clock()
     daemon = make_daemon(clock)
@@ -90,8 +102,7 @@
     daemon.ingress.channels.add(idle)
     daemon.stop()
     assert not daemon.state.ready and daemon.ingress.stopping
-    clock.time += entrydaemon.BALANCER_REMOVAL_DELAY - MS
-    daemon.tick()
+    pass_time(daemon, entrydaemon.BALANCER_REMOVAL_DELAY - MS)
     assert not idle.closed
 
 
@@ -103,8 +114,7 @@
     daemon.ingress.channels.update((idle, busy))
     daemon.forwarder.calls.add(Call())
     daemon.stop()
-    clock.time += entrydaemon.BALANCER_REMOVAL_DELAY
-    daemon.tick()
+    pass_time(daemon, entrydaemon.BALANCER_REMOVAL_DELAY)
     assert idle.closed and not busy.closed
     busy.requests.clear()
     daemon.tick()
@@ -145,6 +155,29 @@
         )
 
 
+@pytest.mark.parametrize("is_alone", [False, True])
+def test_an_entry_that_was_late_reads_before_it_closes_what_is_idle(
+    is_alone: bool,
+) -> None:
+    """Requests on idle and new connections lay unread and were reset."""
+    clock = Clock()
+    daemon = make_daemon(clock)
+    idle = Channel()
+    if not is_alone:
+        daemon.ingress.channels.add(idle)
+    ended: list = []
+    daemon.stopped.addCallback(ended.append)
+    daemon.stop()
+    pass_time(daemon, 2 * entrydaemon.BALANCER_REMOVAL_DELAY / 3)
+    clock.time += entrydaemon.BALANCER_REMOVAL_DELAY
+    # The connection is accepted after this tick, and read after the next.
+    for _ in range(2):
+        daemon.tick()
+        assert not idle.closed and not ended
+    daemon.tick()
+    assert idle.closed is not is_alone and bool(ended) is is_alone
+
+
 def test_answers_are_sent_to_slow_callers_before_the_process_ends() -> None:
     """It ended though the end of an answer waited in its own buffer."""
     clock = Clock()
@@ -154,8 +187,7 @@
     ended: list = []
     daemon.stopped.addCallback(ended.append)
     daemon.stop()
-    clock.time += entrydaemon.BALANCER_REMOVAL_DELAY
-    daemon.tick()
+    pass_time(daemon, entrydaemon.BALANCER_REMOVAL_DELAY)
     assert slow.closed and not ended
     daemon.ingress.channels.clear()
     daemon.tick()
