A controller that was late gives up no group whose reports lie unread

What callers could see: answers cut because their group was given up, or its head ordered to leave, while its report lay in a socket of the leader. It takes a leader that got no processor time for some tenths of a second and - a head that an entry doubts, one report of which was lost, or - a group that was to open just then, at its deadline. After a second the leader already counted no one as lost, but for deadlines; and one with a quorum of several voters has stepped down by then.

Cause: after a pause the reactor runs its timers before it reads. The planning round compared the last report that was read with the present time.

Why this works: what arrived before a tick has been read two ticks later (one to accept a connection, one to read it).

Not seen in a run with real processes.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -133,6 +133,11 @@
     _planner_heard_at: datetime.timedelta | None = None
     _settled_at: datetime.timedelta = attrs.field(init=False)
     _last_event: datetime.timedelta = attrs.field(init=False)
+    _ticked_at: datetime.timedelta = attrs.field(init=False)
+    # Connections that arrived until then have been accepted.
+    _accepted_until: datetime.timedelta = attrs.field(init=False)
+    # What arrived until then has been read.
+    _read_until: datetime.timedelta = attrs.field(init=False)
     _sent_status: fleetmessages.FleetStatus | None = None
     _proposals_made: int = 0
     # The term that this controller leads, as of its last pulse.
@@ -145,7 +150,8 @@
         """Starts the timers for silent upstreams."""
         self._slots = permitslots.SlotTable(self.peers)
         self._settled_at = self.started_at + SETTLE_TIME
-        self._last_event = self.started_at
+        self._last_event = self._ticked_at = self.started_at
+        self._accepted_until = self._read_until = self.started_at
 
     # ---- Reading --------------------------------------------------------
 
@@ -184,6 +190,7 @@
     def tick(self, now: datetime.timedelta) -> list[Effect]:
         """Runs timers that are due; called several times a second."""
         self._detect_pause(now)
+        self._record_tick(now)
         result = self._with_log_results(self.control.tick(now), now)
         result += self._heartbeat(now)
         result += self._send_beats(now)
@@ -383,6 +390,16 @@
             self._settled_at = now + SETTLE_TIME
         self._last_event = now
 
+    def _record_tick(self, now: datetime.timedelta) -> None:
+        """Records until when what arrived has been read.
+
+        A process that was late finds its timers due before its data. After
+        one tick, new connections are accepted; after the next, they are read.
+        """
+        self._read_until = self._accepted_until
+        self._accepted_until = self._ticked_at
+        self._ticked_at = now
+
     def _heartbeat(self, now: datetime.timedelta) -> list[Effect]:
         role_changed = (
             self.me.hears_quorum != self.control.hears_quorum(now)
@@ -504,7 +521,7 @@
         return frozenset(
             item.upstream
             for item in self.fleet.present()
-            if self.fleet.is_silent(item.upstream, now)
+            if self.fleet.is_silent(item.upstream, self._read_until)
         )
 
     def _send_status(self, now: datetime.timedelta) -> list[Effect]:
@@ -857,6 +874,7 @@
             self._doubted(present, now),
             warming_up=not self.callers_seen,
             settled=now >= self._settled_at,
+            read_until=self._read_until,
         )
 
     def _doubted(
--- a/figford/formations.py
+++ b/figford/formations.py
@@ -193,7 +193,9 @@
     `doubted` holds the upstreams that entries recently saw failing. Before
     the first request of the deployment (`warming_up`) the weight store has
     no rate limit. After a start or a pause of this process its reports are
-    not `settled`, so that no one's silence means a loss yet.
+    not `settled`, so that no one's silence means a loss yet. Reports that
+    arrived until `read_until` have been read, all until now where None;
+    silence and deadlines count only up to it.
     """
 
     fleet: dict[str, fleetmessages.Registration]
@@ -204,6 +206,7 @@
     doubted: frozenset[str] = frozenset()
     warming_up: bool = False
     settled: bool = True
+    read_until: datetime.timedelta | None = None
 
 
 @attrs.frozen
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -346,7 +346,7 @@
             )
             return
         self._extend_deadline(formation, round_)
-        if round_.now >= formation.deadline:
+        if round_.read_until >= formation.deadline:
             self.begin_dissolving(formation, formations.Cause.DEADLINE, round_)
             return
         size = round_.size(formation)
@@ -391,7 +391,7 @@
         """
         return (
             formation.adopted
-            and round_.now - formation.since >= ADOPTION_WAIT
+            and round_.read_until - formation.since >= ADOPTION_WAIT
             and set(formation.members) != set(range(size))
         )
 
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -85,6 +85,12 @@
         """Returns the time since the last report of an upstream."""
         return self.now - self.view.heard_at.get(name, self.now)
 
+    @property
+    def read_until(self) -> datetime.timedelta:
+        """Returns until when reports that arrived have been read."""
+        read_until = self.view.read_until
+        return self.now if read_until is None else read_until
+
     def describe_seated(self, formation: formations.Formation) -> str:
         """Returns who last reported a seat in a group, and how long ago.
 
@@ -112,7 +118,8 @@
         limit = (
             DOUBTED_HEAD_SILENCE_TIMEOUT if doubted else HEAD_SILENCE_TIMEOUT
         )
-        return self.silence_duration(name) >= limit
+        heard_at = self.view.heard_at.get(name, self.read_until)
+        return self.read_until - heard_at >= limit
 
     def members_miss_head(self, formation: formations.Formation) -> bool:
         """Returns whether a member reports, and has for a while.
@@ -124,7 +131,8 @@
             rank
             and name in self.view.fleet
             and self.silence_duration(name) < MEMBER_FRESHNESS
-            and self.now - self.view.in_touch_since[name] >= HEAD_RETURN_WAIT
+            and self.read_until - self.view.in_touch_since[name]
+            >= HEAD_RETURN_WAIT
             for rank, name in formation.members.items()
         )
 
@@ -142,7 +150,7 @@
         if member.unanswered_at is None or not self.view.settled:
             return False
         return (
-            self.now - heard_at >= MISSED_REPORT
+            self.read_until - heard_at >= MISSED_REPORT
             and self._last_contact_at(head) > member.unanswered_at
         )
 
