A reply that a late controller has not read is no lost member

What callers could see: all answers of a sound group cut, as its head was closed with abort. The leader queries a member of a doubted head's group whose report is missing; if it got no processor time for the 400 ms of the query, the query timed out before the reply was read, and the head's next report made the member count as lost.

The bound is new; a process in time is not affected by it.

Evidence: both cases of the new test of test_latecontroller fail without it, with 'member lost' as the cause, whether the query or the tick comes first; a member that does not reply to a controller in time is lost still. Not seen in a run with real processes.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -41,6 +41,9 @@
 # A longer gap between two events means that the process was suspended; then
 # no upstream counts as silent for `SETTLE_TIME`.
 PAUSE_THRESHOLD = datetime.timedelta(seconds=1)
+# Between two ticks with a longer gap, a query or connection may have timed out
+# although the other side replied.
+LATE_TICK = datetime.timedelta(milliseconds=200)
 # A failed planning round is repeated after this time.
 FAILED_PLAN_INTERVAL = datetime.timedelta(seconds=2)
 # Characters of the input and of the trace that the log of one names.
@@ -134,6 +137,8 @@
     _settled_at: datetime.timedelta = attrs.field(init=False)
     _last_event: datetime.timedelta = attrs.field(init=False)
     _ticked_at: datetime.timedelta = attrs.field(init=False)
+    # When the last tick ran that was late.
+    _late_at: datetime.timedelta = datetime.timedelta(0)
     # Connections that arrived until then have been accepted.
     _accepted_until: datetime.timedelta = attrs.field(init=False)
     # What arrived until then has been read.
@@ -375,7 +380,15 @@
     def query_unanswered(
         self, query: QueryOrderCount, now: datetime.timedelta
     ) -> None:
-        """Records that an engine did not reply to a query."""
+        """Records that an engine did not reply to a query.
+
+        If this process was late meanwhile, the reply may be unread; the query
+        stays due and is repeated.
+        """
+        queried_at = self._queried_at_by_name.get(query.upstream, now)
+        is_late = now - self._ticked_at > LATE_TICK
+        if is_late or self._late_at > queried_at:
+            return
         self.planner.query_unanswered(query.upstream, query.incarnation, now)
 
     def begin_stop(self, now: datetime.timedelta) -> list[Effect]:
@@ -396,6 +409,8 @@
         A process that was late finds its timers due before its data. After
         one tick, new connections are accepted; after the next, they are read.
         """
+        if now - self._ticked_at > LATE_TICK:
+            self._late_at = now
         self._read_until = self._accepted_until
         self._accepted_until = self._ticked_at
         self._ticked_at = now
--- a/figford/tests/test_latecontroller.py
+++ b/figford/tests/test_latecontroller.py
@@ -12,6 +12,7 @@
 from figford import agreement
 from figford import control
 from figford import controller
+from figford import controllerdaemon
 from figford import effects
 from figford import fleetmessages
 from figford import formations
@@ -233,3 +234,49 @@
     end_pause(world)
     assert world.is_whole(group)
     assert group.phase is formations.Phase.SERVING
+
+
+def doubtful_member(world: World, group: formations.Formation) -> str:
+    """Runs until a member whose report was lost is queried; returns it."""
+    name = group.members[1]
+    world.run_until_due(name, BEAT)
+    world.doubt(group.head)
+    world.muted.add(name)
+    while name not in [query.upstream for query in world.queries]:
+        world.run(TICK)
+    return name
+
+
+def time_out_queries(world: World) -> None:
+    """Ends the queries without an answer."""
+    queries, world.queries = world.queries, []
+    for query in queries:
+        world.state.query_unanswered(query, world.now)
+
+
+@pytest.mark.parametrize("tick_first", [False, True])
+def test_a_late_controller_loses_no_member_whose_reply_lies_unread(
+    tick_first: bool,
+) -> None:
+    """Its query timed out before the reply was read; its next report came."""
+    world, group = serving_world()
+    name = doubtful_member(world, group)
+    world.pause(0.5 * SECOND)
+    if tick_first:
+        world.tick()
+    time_out_queries(world)
+    world.run(0.4 * SECOND)
+    world.muted.remove(name)
+    world.run(5 * SECOND)
+    assert world.is_whole(group)
+
+
+def test_a_member_that_does_not_reply_is_lost_still() -> None:
+    world, group = serving_world()
+    doubtful_member(world, group)
+    queries, world.queries = world.queries, []
+    world.run(controllerdaemon.REPORT_QUERY_TIMEOUT)
+    world.queries = queries
+    time_out_queries(world)
+    world.run(0.4 * SECOND)
+    assert not world.is_whole(group)
