A late leader reads answers before it rules on a crash

What callers could see: 502 for a request that had nothing to do with the crash of its upstream, instead of a repeat. After a crash the leader asks entries for answers that clear its suspects, and rules 60 ms later. If it got no processor time meanwhile, it ruled before it read them, and blamed all suspects.

Why this works: it rules once what arrived in the first half of the wait, at least, has been read, which holds at the first tick that is due unless the process was late. A leader later than the 250 ms for which entries wait changes nothing either way.

Evidence: the new test of test_latecontroller fails without it ('r1,r2' are blamed, not 'r1'); another one shows that a leader in time rules at the same tick as before. test_crashjudge, test_controller and test_fleetcrashes pass (one run). Not seen in a run with real processes.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -139,7 +139,8 @@
     _ticked_at: datetime.timedelta = attrs.field(init=False)
     # When the last tick ran that was late.
     _late_at: datetime.timedelta = datetime.timedelta(0)
-    # Connections that arrived until then have been accepted.
+    # Connections that arrived until then have been accepted, and messages on
+    # links have been read.
     _accepted_until: datetime.timedelta = attrs.field(init=False)
     # What arrived until then has been read.
     _read_until: datetime.timedelta = attrs.field(init=False)
@@ -691,7 +692,8 @@
         )
         verdicts = self.control.ledger.state.verdict_by_trait
         result: list[Effect] = []
-        for decision in self.judge.decide(verdicts, now):
+        decisions = self.judge.decide(verdicts, now, self._accepted_until)
+        for decision in decisions:
             match decision:
                 case crashjudge.Query(query):
                     result.append(SendAll(self._linked_entries(), query))
--- a/figford/crashjudge.py
+++ b/figford/crashjudge.py
@@ -19,6 +19,9 @@
 
 # Entries answer a query within this time; then the crash is ruled on.
 ANSWER_WAIT = datetime.timedelta(milliseconds=60)
+# Part of it in which what arrives must have been read; a process that was late
+# finds its timers due before its data.
+READ_WAIT = ANSWER_WAIT / 2
 # A crash whose suspects were all cleared counts after this time, in which
 # further answers may clear them.
 CLEARED_WAIT = datetime.timedelta(seconds=1)
@@ -86,6 +89,8 @@
 
     entries: set[str] = attrs.field(factory=set)
     due: datetime.timedelta | None = None
+    # Answers that arrived until then must have been read.
+    read_due: datetime.timedelta = datetime.timedelta(0)
 
 
 @attrs.define
@@ -198,15 +203,21 @@
         self,
         verdicts: typing.Mapping[str, fleetmessages.Verdict],
         now: datetime.timedelta,
+        read_until: datetime.timedelta | None = None,
     ) -> list[Decision]:
-        """Returns what the leader does now; `verdicts` are committed."""
-        decisions = self._rule(now)
+        """Returns what the leader does now; `verdicts` are committed.
+
+        What arrived until `read_until` has been read, all where None.
+        """
+        decisions = self._rule(now, now if read_until is None else read_until)
         if self._judge_due is not None and now >= self._judge_due:
             self._judge_due = None
             decisions += self._judge(verdicts, now)
         return decisions + self._probe(verdicts, now)
 
-    def _rule(self, now: datetime.timedelta) -> list[Decision]:
+    def _rule(
+        self, now: datetime.timedelta, read_until: datetime.timedelta
+    ) -> list[Decision]:
         """Queries about new crashes; rules on those that were answered."""
         decisions: list[Decision] = []
         asked: set[str] = set()
@@ -214,10 +225,13 @@
             if opened.due is None:
                 names, may_know = self.table.unclear_traits(*key)
                 asked.update(names)
-                opened.due = now + ANSWER_WAIT if may_know else now
-                if not may_know:
+                opened.due = now
+                if may_know:
+                    opened.due += ANSWER_WAIT
+                    opened.read_due = now + READ_WAIT
+                else:
                     self._count_from_by_key[key] = now + CLEARED_WAIT
-            if now >= opened.due:
+            if now >= opened.due and read_until >= opened.read_due:
                 del self._open_by_key[key]
                 self._judge_due = now
                 blamed = self.table.blamed_requests(*key)
--- a/figford/tests/test_latecontroller.py
+++ b/figford/tests/test_latecontroller.py
@@ -280,3 +280,34 @@
     time_out_queries(world)
     world.run(0.4 * SECOND)
     assert not world.is_whole(group)
+
+
+def test_a_late_controller_reads_answers_before_it_rules_on_a_crash() -> None:
+    """An answer that clears one of two suspects was unread."""
+    world = World()
+    world.run(2 * SECOND)
+    suspects = [
+        fleetmessages.Suspect("r1", ["a"]),
+        fleetmessages.Suspect("r2", ["b"]),
+    ]
+    crash = fleetmessages.CrashReport("e0", 1, 0 * SECOND, suspects)
+    world.carry_out(world.state.receive("p1", crash, world.now))
+    world.pause(0.2 * SECOND)
+    world.tick()
+    answered = fleetmessages.SurvivalReport(["part:b"], [SECOND])
+    world.carry_out(world.state.receive("p1", answered, world.now))
+    world.run(2 * TICK)
+    (ruled,) = [item for item in world.changes if item.event == "crash ruled"]
+    assert dict(ruled.detail)["blamed"] == "r1"
+
+
+def test_a_controller_in_time_rules_on_a_crash_after_the_wait() -> None:
+    world = World()
+    world.run(2 * SECOND)
+    suspect = fleetmessages.Suspect("r1", ["a"])
+    crash = fleetmessages.CrashReport("e0", 1, 0 * SECOND, [suspect])
+    world.carry_out(world.state.receive("p1", crash, world.now + 24 * MS))
+    world.run(3 * TICK)
+    assert "crash ruled" not in [item.event for item in world.changes]
+    world.run(TICK)
+    assert "crash ruled" in [item.event for item in world.changes]
