A late process reads its links before it drops them as silent

What callers could see: after a process got no processor time for 1.2 to 1.6 s or more, it closed its links to all others though their messages lay in its sockets, and lost those: rulings on crashes (then a request is refused after 250 ms instead of repeated) and permits of limited upstreams, until the links were up again. Sign-offs and tables are sent again with each link.

Cause: the dialling round compared when a link was last read with the present time, and after a pause it runs before the reactor reads.

Why this works: silent links are found as before, and those that are silent still are dropped by a call that the reactor makes after it has read once. The time after which a link is dropped stays the same.

Evidence: the new test of test_links fails without it; another one shows that a silent link is dropped still.

--- a/figford/links.py
+++ b/figford/links.py
@@ -432,10 +432,24 @@
         self.reactor.callLater(self.dial_interval_seconds, self._dial_round)
 
     def _drop_silent(self) -> None:
+        """Aborts silent links once what has arrived has been read.
+
+        A process that was late finds its timers due before its data.
+        """
+        if self._silent_links():
+            self.reactor.callLater(0, self._abort_silent)
+
+    def _abort_silent(self) -> None:
+        for link in self._silent_links():
+            link.abort()
+
+    def _silent_links(self) -> list[LinkProtocol]:
         now = self.clock.now()
-        for link in list(self._link_by_instance.values()):
-            if now - link.heard_at > self.silence_timeout:
-                link.abort()
+        return [
+            link
+            for link in self._link_by_instance.values()
+            if now - link.heard_at > self.silence_timeout
+        ]
 
     def _addresses_to_dial(self) -> list[str]:
         me = self.me()
--- a/figford/tests/test_links.py
+++ b/figford/tests/test_links.py
@@ -1,5 +1,7 @@
 """Links: handshake, authentication, hostile input, duplicate links."""
 
+import datetime
+
 import attrs
 from hypothesis import given
 from hypothesis import settings
@@ -13,6 +15,7 @@
 from figford import links
 from figford import messages
 
+SECOND = datetime.timedelta(seconds=1)
 SECRET = b"0123456789abcdef"
 
 
@@ -234,3 +237,29 @@
     except errors.MessageError:
         return
     raise AssertionError(attrs.asdict(messages.ConfigurationPull(1)))
+
+
+def silent_link():
+    """Returns a hub whose link has been silent for too long, and its wire."""
+    left, right = hub("a"), hub("b")
+    left.clock = clock = testing.MemoryReactorClock()
+    clock.now = lambda: clock.rightNow * SECOND
+    left.reactor = clock
+    wire = Wire(left, right)
+    clock.advance(links.SILENCE_TIMEOUT.total_seconds() + 1)
+    left._dial_round()
+    return left, right, wire
+
+
+def test_a_late_hub_reads_before_it_drops_a_link():
+    left, right, wire = silent_link()
+    right.send("a", messages.ConfigurationPull(3))
+    wire.pump()
+    left.reactor.advance(1)
+    assert left.events.messages and left.events.down == []
+
+
+def test_a_silent_link_is_dropped_still():
+    left, _, _ = silent_link()
+    left.reactor.advance(0)
+    assert left.events.down == ["b"]
