A controller that stops passes on the beats that it received

What callers could see: answers cut shortly after a planned stop of a controller, as a head that an entry doubts was given up. Suspected, not seen in a run: the head's last report was lost with the controller, so the leader had not heard it for up to 2.4 s when its next report was due, and gives it up after 2.6 s.

Cause: beats are sent every 400 ms, and a controller ends 300 ms after SIGTERM.

Why this works: one that stops sends them at each tick, so its upstreams seem silent for one interval between reports, not for two.

Evidence: the new test of test_controller fails without it: neither of the other controllers had heard of the report. test_controller, test_latecontroller and test_controllerdaemon pass (one run).

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -513,7 +513,9 @@
             self.fleet.beat(name, incarnation, sequence, now)
 
     def _send_beats(self, now: datetime.timedelta) -> list[Effect]:
-        if now < self._beats_due or not self._beats:
+        # One that stops does not run until the next batch is due.
+        is_due = self.stopping or now >= self._beats_due
+        if not is_due or not self._beats:
             return []
         self._beats_due = now + BEATS_INTERVAL
         names = sorted(self._beats)
--- a/figford/tests/test_controller.py
+++ b/figford/tests/test_controller.py
@@ -14,6 +14,7 @@
 from figford import agreement
 from figford import control
 from figford import controller
+from figford import controllerdaemon
 from figford import effects
 from figford import entry as entries
 from figford import fleetmessages
@@ -572,6 +573,27 @@
     assert stored_at(net, "e1").leaving
 
 
+def test_a_controller_that_stops_passes_on_the_beats_that_it_received() -> (
+    None
+):
+    """Its upstreams seemed silent for another interval between reports."""
+    net = Net(seed=3)
+    net.run(3)
+    stopping = net.process_by_name["c1"]
+    report_to(net, "c1", registration(1))
+    net.run(1)
+    report_to(net, "c1", registration(2))
+    net.run(2 * STEP / SECOND)
+    report_to(net, "c1", registration(3))
+    reported_at = net.now
+    net.carry_out(stopping, stopping.state.begin_stop(net.now))
+    net.run(controllerdaemon.STOP_DELAY / SECOND)
+    net.kill("c1")
+    for name in ("c2", "c3"):
+        table = net.process_by_name[name].state.fleet
+        assert table.is_heard_since("u1", 1, reported_at)
+
+
 def test_a_restarted_entry_receives_the_whole_fleet() -> None:
     net = Net(seed=7)
     net.run(3)
