A late leader convicts no part while answers that clear it lie unread

What callers could see: requests refused for minutes for a part of their prompt that crashes nothing. A crash whose suspects were all cleared counts after 1 s, in which further answers may clear them; a leader that got no processor time counted it before it read those answers. A verdict stands until it is probed, 2 minutes later.

Why this works: the crash counts once what arrived within the 1 s has been read, one tick later than before in normal operation.

Not seen in a run with real processes.

--- a/figford/crashjudge.py
+++ b/figford/crashjudge.py
@@ -209,10 +209,12 @@
 
         What arrived until `read_until` has been read, all where None.
         """
-        decisions = self._rule(now, now if read_until is None else read_until)
+        if read_until is None:
+            read_until = now
+        decisions = self._rule(now, read_until)
         if self._judge_due is not None and now >= self._judge_due:
             self._judge_due = None
-            decisions += self._judge(verdicts, now)
+            decisions += self._judge(verdicts, now, read_until)
         return decisions + self._probe(verdicts, now)
 
     def _rule(
@@ -269,10 +271,11 @@
         self,
         verdicts: typing.Mapping[str, fleetmessages.Verdict],
         now: datetime.timedelta,
+        read_until: datetime.timedelta,
     ) -> list[Decision]:
         decisions: list[Decision] = []
         for key, count_from in list(self._count_from_by_key.items()):
-            if now >= count_from:
+            if read_until >= count_from:
                 del self._count_from_by_key[key]
         if self._count_from_by_key:
             self._judge_by(min(self._count_from_by_key.values()))
--- a/figford/tests/test_crashjudge.py
+++ b/figford/tests/test_crashjudge.py
@@ -206,3 +206,37 @@
     assert judge.decide(verdicts, now) == [
         crashjudge.Propose(fleetmessages.LiftVerdict("request:r1"))
     ]
+
+
+def judge_of_cleared_crashes() -> (
+    tuple[crashjudge.CrashJudge, datetime.timedelta]
+):
+    """Returns a judge and when the last crash of a cleared part counts."""
+    judge = leading_judge()
+    answered = fleetmessages.SurvivalReport(["part:d"], [0 * SECOND])
+    judge.receive_survivals(answered, NOW)
+    now = NOW
+    for index in range(3):
+        assert judge.decide({}, now) == []
+        at = now + 10 * SECOND
+        crash = report(f"u{index}", request(f"r{index}", "d"))
+        judge.receive_crash("e1", crash, at)
+        judge.decide({}, at)
+        now = at + crashjudge.CLEARED_WAIT
+    return judge, now
+
+
+def test_a_late_leader_reads_answers_before_it_convicts_a_part() -> None:
+    """An answer that clears the part was unread when the crash counted."""
+    judge, now = judge_of_cleared_crashes()
+    assert judge.decide({}, now, now - SECOND / 2) == []
+    answered = fleetmessages.SurvivalReport(["part:d"], [0 * SECOND])
+    judge.receive_survivals(answered, now)
+    assert judge.decide({}, now + SECOND, now) == []
+
+
+def test_a_cleared_part_is_convicted_once_all_answers_were_read() -> None:
+    judge, now = judge_of_cleared_crashes()
+    assert judge.decide({}, now, now - SECOND / 2) == []
+    convicted = crashjudge.Propose(fleetmessages.Convict("part:d", 3))
+    assert judge.decide({}, now + SECOND / 40, now) == [convicted]
