--- a/figford/controller.py
+++ b/figford/controller.py
@@ -41,6 +41,9 @@
 # A longer gap between two events means that the process was suspended; then
 # no upstream counts as silent for `SETTLE_TIME`.
 PAUSE_THRESHOLD = datetime.timedelta(seconds=1)
+# Between two ticks with a longer gap, a query or connection may have timed out
+# although the other side replied.
+LATE_TICK = datetime.timedelta(milliseconds=200)
 # A failed planning round is repeated after this time.
 FAILED_PLAN_INTERVAL = datetime.timedelta(seconds=2)
 # Characters of the input and of the trace that the log of one names.
@@ -133,6 +136,14 @@
     _planner_heard_at: datetime.timedelta | None = None
     _settled_at: datetime.timedelta = attrs.field(init=False)
     _last_event: datetime.timedelta = attrs.field(init=False)
+    _ticked_at: datetime.timedelta = attrs.field(init=False)
+    # When the last tick ran that was late.
+    _late_at: datetime.timedelta = datetime.timedelta(0)
+    # Connections that arrived until then have been accepted, and messages on
+    # links have been read.
+    _accepted_until: datetime.timedelta = attrs.field(init=False)
+    # What arrived until then has been read.
+    _read_until: datetime.timedelta = attrs.field(init=False)
     _sent_status: fleetmessages.FleetStatus | None = None
     _proposals_made: int = 0
     # The term that this controller leads, as of its last pulse.
@@ -145,7 +156,8 @@
         """Starts the timers for silent upstreams."""
         self._slots = permitslots.SlotTable(self.peers)
         self._settled_at = self.started_at + SETTLE_TIME
-        self._last_event = self.started_at
+        self._last_event = self._ticked_at = self.started_at
+        self._accepted_until = self._read_until = self.started_at
 
     # ---- Reading --------------------------------------------------------
 
@@ -184,6 +196,7 @@
     def tick(self, now: datetime.timedelta) -> list[Effect]:
         """Runs timers that are due; called several times a second."""
         self._detect_pause(now)
+        self._record_tick(now)
         result = self._with_log_results(self.control.tick(now), now)
         result += self._heartbeat(now)
         result += self._send_beats(now)
@@ -368,7 +381,15 @@
     def query_unanswered(
         self, query: QueryOrderCount, now: datetime.timedelta
     ) -> None:
-        """Records that an engine did not reply to a query."""
+        """Records that an engine did not reply to a query.
+
+        If this process was late meanwhile, the reply may be unread; the query
+        stays due and is repeated.
+        """
+        queried_at = self._queried_at_by_name.get(query.upstream, now)
+        is_late = now - self._ticked_at > LATE_TICK
+        if is_late or self._late_at > queried_at:
+            return
         self.planner.query_unanswered(query.upstream, query.incarnation, now)
 
     def begin_stop(self, now: datetime.timedelta) -> list[Effect]:
@@ -383,6 +404,18 @@
             self._settled_at = now + SETTLE_TIME
         self._last_event = now
 
+    def _record_tick(self, now: datetime.timedelta) -> None:
+        """Records until when what arrived has been read.
+
+        A process that was late finds its timers due before its data. After
+        one tick, new connections are accepted; after the next, they are read.
+        """
+        if now - self._ticked_at > LATE_TICK:
+            self._late_at = now
+        self._read_until = self._accepted_until
+        self._accepted_until = self._ticked_at
+        self._ticked_at = now
+
     def _heartbeat(self, now: datetime.timedelta) -> list[Effect]:
         role_changed = (
             self.me.hears_quorum != self.control.hears_quorum(now)
@@ -480,7 +513,9 @@
             self.fleet.beat(name, incarnation, sequence, now)
 
     def _send_beats(self, now: datetime.timedelta) -> list[Effect]:
-        if now < self._beats_due or not self._beats:
+        # One that stops does not run until the next batch is due.
+        is_due = self.stopping or now >= self._beats_due
+        if not is_due or not self._beats:
             return []
         self._beats_due = now + BEATS_INTERVAL
         names = sorted(self._beats)
@@ -504,7 +539,7 @@
         return frozenset(
             item.upstream
             for item in self.fleet.present()
-            if self.fleet.is_silent(item.upstream, now)
+            if self.fleet.is_silent(item.upstream, self._read_until)
         )
 
     def _send_status(self, now: datetime.timedelta) -> list[Effect]:
@@ -659,7 +694,8 @@
         )
         verdicts = self.control.ledger.state.verdict_by_trait
         result: list[Effect] = []
-        for decision in self.judge.decide(verdicts, now):
+        decisions = self.judge.decide(verdicts, now, self._accepted_until)
+        for decision in decisions:
             match decision:
                 case crashjudge.Query(query):
                     result.append(SendAll(self._linked_entries(), query))
@@ -857,6 +893,7 @@
             self._doubted(present, now),
             warming_up=not self.callers_seen,
             settled=now >= self._settled_at,
+            read_until=self._read_until,
         )
 
     def _doubted(
