loadworld: callers that leave silent streams, and groups that pause

Callers may leave a stream, also before its first event, after a silence of 2 s, four times the objective or eight times the longest pause they accept, whichever is longest (an option, off by default); they count as `left`. Answers that end before their last byte count as `cut`, or as `expired` at their deadline, no longer as `failed`. The events of the entries' metrics are added up.

overload_with_pauses is overload_and_back with two of the groups standing still for 1 to 2 s every 3 s.

--- a/figford/tests/test_loadworld.py
+++ b/figford/tests/test_loadworld.py
@@ -35,6 +35,36 @@
     assert world.share("in aim", since=26) > 0.95
 
 
+def test_entries_recover_from_overload_if_callers_leave() -> None:
+    shares = [
+        loadworld.overload_and_back(seed, callers_leave=True).share(
+            "in aim", since=26
+        )
+        for seed in SEEDS
+    ]
+    assert sum(shares) / len(shares) > 0.95
+
+
+@pytest.mark.parametrize("callers_leave", [False, True])
+def test_silence_cuts_no_answer(callers_leave: bool) -> None:
+    """In this world no upstream breaks off an answer."""
+    world = loadworld.overload_with_pauses(1, callers_leave)
+    assert world.count("cut") == 0
+    assert world.events()["resumption-took-over"] > 0
+
+
+def test_callers_leave_a_stream_that_stays_silent() -> None:
+    world = loadworld.LoadWorld(
+        1, entry_count=1, group_count=1, rate=4.0, callers_leave=True
+    )
+    world.stall_group("u0")
+    world.run(1.9)
+    assert world.share("left") == 0
+    world.run(2.1)
+    assert world.count("left") > 0
+    assert world.share("left") == 1
+
+
 def test_the_same_seed_gives_the_same_table() -> None:
     tables = [loadworld.moderate_load(4).table() for _ in range(2)]
     assert tables[0] == tables[1]
