serve: a silent answer is kept unless another group can go on with it

What callers saw: with the own interface, a stream that had begun ended with an error event when its upstream paused for 10 s (between_token_timeout) and no retry was left; when no other group was there, or all were full, it lost its upstream and waited in the queue for a place, as a new request does.

Cause: the attempt was dropped first, and then it was asked whether a retry and another group were there.

Why this works: an attempt that has sent a part of the answer is dropped for its silence only if the dispatcher has a retry and another group with a free place, which it then takes within the same call. An answer that has not begun is still refused after first_token_timeout. Left: a second group that refuses the resumption. A begun answer has no time limit of its own here; it ends with its caller, its group or its process.

--- a/figford/dispatch.py
+++ b/figford/dispatch.py
@@ -199,6 +199,22 @@
             return started
         return self._enqueue(active, self._queue(serving_group_name), now)
 
+    def can_move(self, request: str, now: datetime.timedelta) -> bool:
+        """Returns whether `retry` would start a request elsewhere now."""
+        active = self._active_by_request[request]
+        spec = active.request.serving_group
+        capacity = routing.Capacity(spec.concurrency, self.limits.entries)
+        return (
+            active.attempts < ATTEMPTS_LIMIT
+            and self.budget.has_retry(now)
+            and any(
+                self.router.has_capacity(
+                    view, self.table.load_of(view), capacity, now
+                )
+                for view in self._candidates(spec.name, active.tried, now)
+            )
+        )
+
     def tick(self, now: datetime.timedelta) -> list[Effect]:
         """Refuses expired requests; interrupts those on broken groups."""
         effects: list[Effect] = []
--- a/figford/modelcalls.py
+++ b/figford/modelcalls.py
@@ -162,7 +162,11 @@
     # ---- Time -----------------------------------------------------------
 
     def check_timeouts(self, now: datetime.timedelta) -> None:
-        """Ends a stalled attempt, or a call whose caller stopped reading."""
+        """Ends a stalled attempt, or a call whose caller stopped reading.
+
+        An attempt that has sent a part of the answer ends only if the rest can
+        be requested from another group.
+        """
         limits = self.gateway.limits
         if self._finished or self._attempt is None:
             return
@@ -172,12 +176,17 @@
                 self._finish("slow-caller")
                 self.gateway.abort_caller(self.responder)
             return
-        limit = limits.between_token_timeout
-        if self._stream.next_position == 0:
-            limit = limits.first_token_timeout
-        if now - self.last_data_at > limit:
-            self._stop_attempt()
-            self._retry(sent=True, failed=True)
+        has_begun = self._stream.next_position > 0
+        limit = limits.first_token_timeout
+        if has_begun:
+            limit = limits.between_token_timeout
+        if now - self.last_data_at <= limit:
+            return
+        dispatcher = self.gateway.dispatcher
+        if has_begun and not dispatcher.can_move(self.request.request, now):
+            return
+        self._stop_attempt()
+        self._retry(sent=True, failed=True)
 
     # ---- Parts ----------------------------------------------------------
 
--- /dev/null
+++ b/figford/tests/test_cutmodelanswers.py
@@ -0,0 +1,271 @@
+"""Model answers that have begun end early only if no group goes on."""
+
+import datetime
+import random
+
+import attrs
+import pytest
+
+from figford import answers
+from figford import dispatch
+from figford import errors
+from figford import gateway as gateways
+from figford import membership
+from figford import messages
+from figford import metrics
+from figford import modelcalls
+from figford import node as nodes
+from figford import operators
+from figford import routing
+from figford import settings
+from figford import upstreams
+
+SECOND = datetime.timedelta(seconds=1)
+TICK = SECOND / 10
+NOW = 100 * SECOND
+LIMITS = settings.Limits()
+SILENCE = LIMITS.between_token_timeout + SECOND
+SERVING_GROUP = operators.ServingGroup(
+    name="chat",
+    model="m",
+    replicas={"north": 2},
+    shape=operators.Replica(instances=1),
+    concurrency=2,
+)
+
+
+@attrs.define
+class Clock:
+    """A clock whose time tests set."""
+
+    time: datetime.timedelta = NOW
+
+    def now(self) -> datetime.timedelta:
+        """Returns the time that was set."""
+        return self.time
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One stream of an upstream."""
+
+    address: str
+    receiver: upstreams.StreamReceiver
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        """Records that the entry cancelled the attempt."""
+        self.cancelled = True
+
+    def pause(self) -> None:
+        """Does nothing."""
+
+    def resume(self) -> None:
+        """Does nothing."""
+
+    def send(self, request: str, *positions: int, last: bool = False) -> None:
+        """Sends pieces of the answer, the last one of them as its end."""
+        assert not self.cancelled
+        for position in positions:
+            is_end = last and position == positions[-1]
+            self.receiver.stream_data(piece(request, position, is_end))
+
+    def fail(self, error: errors.FigfordError | None = None) -> None:
+        """Breaks the stream off."""
+        self.receiver.stream_ended(error or upstreams.BrokenAnswerError("x"))
+
+
+def piece(request: str, position: int, is_end: bool = False) -> bytes:
+    data = "[DONE]" if is_end else f"{position}"
+    event = f"id: {request}:{position}\ndata: {data}".encode()
+    return event + answers.SEPARATOR
+
+
+@attrs.define(eq=False)
+class Responder:
+    """Records what a caller received."""
+
+    request: str
+    body: bytes = b""
+    end: str = ""
+
+    def begin(self, status: int, headers: dict[bytes, bytes]) -> None:
+        """Does nothing."""
+
+    def write(self, data: bytes) -> None:
+        """Appends a part of the body."""
+        self.body += data
+
+    def finish(self) -> None:
+        """Records the end of the answer, whole or with an error."""
+        self.end = "error" if b"event: error" in self.body else "whole"
+
+    def refuse(self, refusal: errors.Refusal) -> None:
+        """Records a refusal."""
+        self.end = "refused"
+
+    def abort(self) -> None:
+        """Records that the connection was aborted."""
+        self.end = "aborted"
+
+
+class Bench:
+    """A gateway with groups of one member each and a fake client."""
+
+    def __init__(self, *names: str) -> None:
+        self.clock = Clock()
+        self.attempts: list[Attempt] = []
+        self.names = names
+        self.count = 0
+        self.load = messages.Load()
+        me = messages.Peer("e1", 1, 0, "north", "127.0.0.1:1")
+        rng = random.Random(1)
+        self.node = nodes.Node(membership.PeerTable(me), rng, NOW)
+        self.dispatcher = dispatch.Dispatcher(
+            self.node.group_table,
+            routing.Router(rng),
+            started_at=NOW - 60 * SECOND,
+        )
+        self.gateway = gateways.Gateway(
+            self.node,
+            self.dispatcher,
+            self,
+            metrics.Metrics(),
+            self.clock,
+            LIMITS,
+            None,
+            rng,
+            lambda failure: failure.raiseException(),
+        )
+        self.announce()
+
+    def announce(self, **changes: object) -> None:
+        """Announces the members of all groups."""
+        self.count += 1
+        changes.setdefault("state", messages.UpstreamState.SERVING)
+        changes.setdefault("incarnation", 1)
+        for name in self.names:
+            self.node.announce(
+                messages.Announcement(
+                    upstream=f"engine-{name}",
+                    sequence=self.count,
+                    data_centre="north",
+                    fabric_domain="f",
+                    address=name,
+                    kind=messages.UpstreamKind.ENGINE,
+                    seat=messages.Seat(name, "chat", 1, 0, 1),
+                    load=self.load,
+                    **changes,
+                ),
+                self.clock.time,
+            )
+
+    def stream(self, address, headers, body, receiver) -> Attempt:
+        """Records an attempt."""
+        self.attempts.append(Attempt(address, receiver))
+        return self.attempts[-1]
+
+    def ask(self, account: str = "a", seconds: float = 30.0) -> Responder:
+        """Submits a request for a stream."""
+        responder = Responder(self.gateway.new_request_id())
+        request = dispatch.ModelRequest(
+            responder.request,
+            operators.ClientAccount(name=account, key_digest=account),
+            operators.RequestClass.CHAT,
+            SERVING_GROUP,
+            7,
+            self.clock.time + datetime.timedelta(seconds=seconds),
+        )
+        call = modelcalls.ModelCall(
+            self.gateway, request, b"{}", True, responder, self.clock.time
+        )
+        self.gateway.begin_model_call(call)
+        return responder
+
+    def pass_time(self, duration: datetime.timedelta) -> None:
+        """Lets time pass; members announce themselves each second."""
+        end = self.clock.time + duration
+        while self.clock.time < end:
+            before = self.clock.time
+            self.clock.time = min(end, before + TICK)
+            if before // SECOND != self.clock.time // SECOND:
+                self.announce()
+            self.tick()
+
+    def tick(self) -> None:
+        """Runs the periodic tasks, that of the gateway first."""
+        self.gateway.tick()
+        self.node.tick(self.clock.time)
+
+    def spend_retries(self) -> None:
+        """Leaves no retry, also in the near future."""
+        self.dispatcher.budget.set_entries(None, self.clock.time)
+        while self.dispatcher.budget.try_withdraw(self.clock.time):
+            pass
+
+
+def begun(*names: str) -> tuple[Bench, Responder, Attempt]:
+    """Returns a bench, and a call that has received two pieces."""
+    bench = Bench(*names)
+    responder = bench.ask()
+    (source,) = bench.attempts
+    source.send(responder.request, 0, 1)
+    return bench, responder, source
+
+
+def whole(request: str, count: int) -> bytes:
+    return b"".join(
+        piece(request, position, position == count - 1)
+        for position in range(count)
+    )
+
+
+def no_retry(bench: Bench) -> None:
+    """Leaves no retry."""
+    bench.spend_retries()
+
+
+def other_group_full(bench: Bench) -> None:
+    """Occupies the places of all other groups."""
+    for _ in range(3):
+        bench.ask()
+    bench.load = messages.Load(running=SERVING_GROUP.concurrency)
+    bench.announce()
+
+
+def no_other_group(bench: Bench) -> None:
+    """Removes the other groups."""
+    address = bench.attempts[0].address
+    bench.names = (address,)
+    bench.pass_time(5 * SECOND)
+
+
+@pytest.mark.parametrize(
+    "prevent", [no_retry, other_group_full, no_other_group]
+)
+def test_a_silent_answer_is_kept_while_it_can_t_be_resumed(prevent) -> None:
+    """It ended with an error when its upstream paused for 10 s."""
+    bench, responder, source = begun("g1", "g2")
+    prevent(bench)
+    bench.pass_time(2 * SILENCE)
+    assert responder.end == "" and not source.cancelled
+    source.send(responder.request, 2, 3, last=True)
+    assert responder.end == "whole"
+    assert responder.body == whole(responder.request, 4)
+
+
+def test_a_silent_answer_is_resumed_at_another_group() -> None:
+    bench, responder, source = begun("g1", "g2")
+    bench.pass_time(SILENCE)
+    assert len(bench.attempts) == 2
+    assert bench.attempts[1].address != source.address
+    bench.attempts[1].send(responder.request, 2, last=True)
+    assert responder.body == whole(responder.request, 3)
+
+
+def test_an_answer_that_has_not_begun_is_refused_after_its_time() -> None:
+    bench = Bench("g1")
+    responder = bench.ask()
+    bench.spend_retries()
+    bench.pass_time(LIMITS.first_token_timeout + SECOND)
+    assert responder.end == "refused" and bench.attempts[0].cancelled
