serve: an entry that was late concludes nothing from silence

What callers saw: with the own interface, at an entry that got no processor time for 2 s or more, all streams that had begun were interrupted as if a member of their group was gone, and ended with an error event, since no group was fresh either; after 10 s, each was taken for silent, and after 30 s a caller that could not be written to for taking nothing.

Cause: the timers run before the sockets are read. Then, for a second after a pause, announcements count as buffered and do not refresh their upstream (process_resumed), so that a pause of 2 s made a silence of 3 s.

Evidence: test_cutmodelanswers with pauses of 2.5, 4, 12 and 40 s, the caller that is written to again, and the member that is silent after a pause fail before (6 cases; a pause of 1.5 s does no harm before).

Why this works: silence is counted up to the tick before, as in the forwarder, and a member's only from when the process ran again. So a member that was lost during a pause is noticed 3 s after its end at the latest, by silence; a restart or a seat elsewhere is known at once, as before. New requests still go only to groups whose members were heard within 3 s.

test_dispatch passes both times to tick, and so does tools/traffic.

--- a/figford/dispatch.py
+++ b/figford/dispatch.py
@@ -215,8 +215,14 @@
             )
         )
 
-    def tick(self, now: datetime.timedelta) -> list[Effect]:
-        """Refuses expired requests; interrupts those on broken groups."""
+    def tick(
+        self, now: datetime.timedelta, read_until: datetime.timedelta
+    ) -> list[Effect]:
+        """Refuses expired requests; interrupts those on broken groups.
+
+        The silence of a member counts only until `read_until`: what arrived
+        later may not have been read.
+        """
         effects: list[Effect] = []
         for queue in self._queue_by_serving_group.values():
             # A request expires once its first token can't arrive in time.
@@ -226,7 +232,7 @@
             view = active.view
             if view is None or active.interrupted:
                 continue
-            if not self.table.is_intact(view, now):
+            if not self.table.is_intact(view, read_until):
                 active.interrupted = True
                 effects.append(Interrupt(name))
         for serving_group_name in list(self._queue_by_serving_group):
--- a/figford/gateway.py
+++ b/figford/gateway.py
@@ -71,6 +71,10 @@
     access: access_tables.AccessTable = attrs.field(
         factory=lambda: access_tables.AccessTable(operators.Configuration())
     )
+    # What arrived until then has been read: all sockets are read between two
+    # ticks, but a process that was late finds its timers due before its data.
+    read_until: datetime.timedelta = datetime.timedelta(0)
+    _ticked_at: datetime.timedelta = datetime.timedelta(0)
     _model_call_by_request: dict[str, modelcalls.ModelCall] = attrs.field(
         factory=dict
     )
@@ -83,6 +87,10 @@
         factory=lambda: itertools.count(1)
     )
 
+    def __attrs_post_init__(self) -> None:
+        """Starts with nothing unread."""
+        self.read_until = self._ticked_at = self.clock.now()
+
     # ---- Reading --------------------------------------------------------
 
     @property
@@ -157,10 +165,11 @@
     def tick(self) -> None:
         """Applies deadlines and timeouts to calls in progress."""
         now = self.clock.now()
+        self.read_until, self._ticked_at = self._ticked_at, now
         self.dispatcher.limits.entries = self.node.live_entries(now)
-        self._execute(self.dispatcher.tick(now))
+        self._execute(self.dispatcher.tick(now, self.read_until))
         for call in list(self._model_call_by_request.values()):
-            call.check_timeouts(now)
+            call.check_timeouts(now, self.read_until)
 
     def _execute(self, effects: list[dispatch.Effect]) -> None:
         for effect in effects:
--- a/figford/groups.py
+++ b/figford/groups.py
@@ -135,7 +135,7 @@
         another group; members that finish and leave do not affect it.
         """
         for member in view.members:
-            if not self.upstreams.is_fresh(member.upstream, now):
+            if self.upstreams.is_silent(member.upstream, now):
                 return False
             current = self.upstreams.by_name[member.upstream].announcement
             if current.incarnation != member.incarnation:
--- a/figford/membership.py
+++ b/figford/membership.py
@@ -187,6 +187,7 @@
     stale_messages: int = 0
     revision: int = 0
     ended_silences: list[datetime.timedelta] = attrs.field(factory=list)
+    _resumed_at: datetime.timedelta = datetime.timedelta(0)
     _settled_at: datetime.timedelta = datetime.timedelta(0)
     _outgoing_by_name: dict[str, messages.Announcement] = attrs.field(
         factory=dict
@@ -335,6 +336,7 @@
 
         Messages that arrive right after a pause may have been buffered.
         """
+        self._resumed_at = now
         self._settled_at = now + SETTLE_AFTER_PAUSE
 
     def is_fresh(self, name: str, now: datetime.timedelta) -> bool:
@@ -344,6 +346,17 @@
             now - known.heard_at <= UPSTREAM_SILENCE_TIMEOUT
         )
 
+    def is_silent(self, name: str, now: datetime.timedelta) -> bool:
+        """Returns whether an upstream was silent for its silence timeout.
+
+        The time for which this process was suspended does not count.
+        """
+        known = self.by_name.get(name)
+        if known is None:
+            return True
+        since = max(known.heard_at, self._resumed_at)
+        return now - since > UPSTREAM_SILENCE_TIMEOUT
+
     def fresh(self, now: datetime.timedelta) -> list[messages.Announcement]:
         """Returns the announcements of all fresh upstreams."""
         return [
--- a/figford/modelcalls.py
+++ b/figford/modelcalls.py
@@ -161,9 +161,14 @@
 
     # ---- Time -----------------------------------------------------------
 
-    def check_timeouts(self, now: datetime.timedelta) -> None:
+    def check_timeouts(
+        self, now: datetime.timedelta, read_until: datetime.timedelta
+    ) -> None:
         """Ends a stalled attempt, or a call whose caller stopped reading.
 
+        What arrived until `read_until` has been read, and what callers could
+        take until then was sent; silence counts only up to then.
+
         An attempt that has sent a part of the answer ends only if the rest can
         be requested from another group.
         """
@@ -171,7 +176,7 @@
         if self._finished or self._attempt is None:
             return
         if self._paused_at is not None:
-            if now - self._paused_at > limits.stalled_caller_timeout:
+            if read_until - self._paused_at > limits.stalled_caller_timeout:
                 self._stop_attempt()
                 self._finish("slow-caller")
                 self.gateway.abort_caller(self.responder)
@@ -180,7 +185,7 @@
         limit = limits.first_token_timeout
         if has_begun:
             limit = limits.between_token_timeout
-        if now - self.last_data_at <= limit:
+        if read_until - self.last_data_at <= limit:
             return
         dispatcher = self.gateway.dispatcher
         if has_begun and not dispatcher.can_move(self.request.request, now):
--- a/figford/tests/test_cutmodelanswers.py
+++ b/figford/tests/test_cutmodelanswers.py
@@ -269,3 +269,63 @@
     bench.spend_retries()
     bench.pass_time(LIMITS.first_token_timeout + SECOND)
     assert responder.end == "refused" and bench.attempts[0].cancelled
+
+
+@pytest.mark.parametrize("pause", [1.5, 2.5, 4.0, 12.0, 40.0])
+def test_an_entry_that_was_late_takes_no_upstream_for_silent(pause) -> None:
+    """Pieces and announcements lay unread when its timers ran."""
+    bench, responder, source = begun("g1", "g2")
+    bench.pass_time(2 * SECOND)
+    bench.clock.time += pause * SECOND
+    bench.tick()
+    assert not source.cancelled
+    bench.announce()
+    source.send(responder.request, 2)
+    bench.pass_time(5 * SECOND)
+    assert len(bench.attempts) == 1 and not source.cancelled
+    source.send(responder.request, 3, last=True)
+    assert responder.body == whole(responder.request, 4)
+
+
+def test_an_entry_that_was_late_takes_no_caller_for_stalled() -> None:
+    """Its caller had read all, but it had not written again."""
+    bench, responder, source = begun("g1")
+    source.receiver.call.pause()
+    bench.pass_time(SECOND)
+    bench.clock.time += LIMITS.stalled_caller_timeout
+    bench.tick()
+    assert responder.end == ""
+    source.receiver.call.resume()
+    bench.pass_time(SECOND)
+    source.send(responder.request, 2, last=True)
+    assert responder.end == "whole"
+
+
+def test_a_caller_that_reads_nothing_is_aborted() -> None:
+    bench, responder, source = begun("g1")
+    source.receiver.call.pause()
+    bench.pass_time(LIMITS.stalled_caller_timeout + SECOND)
+    assert responder.end == "aborted" and source.cancelled
+
+
+@pytest.mark.parametrize("pause", [0.0, 4.0])
+def test_a_member_that_is_silent_while_the_entry_runs_ends_its_attempt(
+    pause,
+) -> None:
+    bench, responder, source = begun("g1", "g2")
+    bench.clock.time += pause * SECOND
+    bench.tick()
+    bench.names = tuple(set(bench.names) - {source.address})
+    bench.pass_time(membership.UPSTREAM_SILENCE_TIMEOUT + 4 * TICK)
+    assert source.cancelled and len(bench.attempts) == 2
+    bench.attempts[1].send(responder.request, 2, last=True)
+    assert responder.body == whole(responder.request, 3)
+
+
+def test_a_member_that_restarted_while_the_entry_was_late_is_lost() -> None:
+    bench, responder, source = begun("g1", "g2")
+    bench.clock.time += 2 * SECOND
+    bench.tick()
+    bench.announce(incarnation=2)
+    bench.gateway.tick()
+    assert source.cancelled
--- a/figford/tests/test_dispatch.py
+++ b/figford/tests/test_dispatch.py
@@ -112,7 +112,8 @@
     for name in ("g1", "g2"):
         later = NOW + datetime.timedelta(seconds=2)
         bench.upstreams.announce(member(name, sequence=2), later, False)
-    effects = bench.dispatcher.tick(NOW + datetime.timedelta(seconds=2.1))
+    now = NOW + datetime.timedelta(seconds=2.1)
+    effects = bench.dispatcher.tick(now, now)
     (refused,) = [e for e in effects if isinstance(e, dispatch.Refuse)]
     assert isinstance(refused.refusal, errors.DeadlineMissed)
 
@@ -124,8 +125,8 @@
     bench.upstreams.announce(
         member(started.view.group, fence=2, sequence=2), NOW, False
     )
-    assert bench.dispatcher.tick(NOW) == [dispatch.Interrupt("r1")]
-    assert bench.dispatcher.tick(NOW) == []
+    assert bench.dispatcher.tick(NOW, NOW) == [dispatch.Interrupt("r1")]
+    assert bench.dispatcher.tick(NOW, NOW) == []
     (again,) = bench.dispatcher.retry("r1", True, False, NOW)
     assert again.view.group in (other, started.view.group)
     assert again.view.fence != started.view.fence or (
--- a/figford/tools/traffic.py
+++ b/figford/tools/traffic.py
@@ -252,8 +252,9 @@
         self.clock.after(schedule.seconds(REPORT_INTERVAL), self._report)
 
     def _tick(self) -> None:
+        now = self.clock.now()
         for dispatcher in self.dispatchers:
-            self._carry_out(dispatcher, dispatcher.tick(self.clock.now()))
+            self._carry_out(dispatcher, dispatcher.tick(now, now))
         self.clock.after(schedule.seconds(TICK_INTERVAL), self._tick)
 
     def run(self, seconds: float) -> Tally:
