serve: the queue's rules do not end an answer that has begun

What callers saw: with the own interface, a stream whose upstream broke off ended with an error event while the other groups were full or not yet heard after a pause of the entry: by the deadline for its first token, which had come (at once if that was over), by the limit of queued requests of its account, or as no group was fresh.

Cause: an answer to be resumed was queued as a new request.

Evidence: in test_cutmodelanswers two cases for the deadline, one for the limit and one for a late entry fail before, and so does one for a request behind an answer that had tried the only group (the sixth that fails names the new constant). 40 tests there, in test_dispatch and of admission pass now, one run.

Why this works: an answer that has begun goes to the head of its flow, beyond the limit, and waits 10 s for another group, or until its first deadline if that is later; then it ends with an error event as before. As it may wait for a group that it has not tried, requests that were tried elsewhere no longer keep those behind them from free places.

--- a/figford/admission.py
+++ b/figford/admission.py
@@ -218,12 +218,20 @@
             raise _limit_exceeded(
                 "queued requests", datetime.timedelta(seconds=1)
             )
+        self._flow_for(queued).queued.append(queued)
+
+    def push_first(self, queued: QueuedRequest) -> None:
+        """Prepends a request to its flow, also beyond the account limit."""
+        self._flow_for(queued).queued.appendleft(queued)
+
+    def _flow_for(self, queued: QueuedRequest) -> _Flow:
+        """Returns the flow of a request that is about to be added to it."""
         key = (queued.account, queued.request_class)
         flow = self._flows.setdefault(key, _Flow())
         if not flow.queued:
             start = max(self._virtual_time, flow.finish_time)
             flow.finish_time = start + 1.0 / _fair_share(queued)
-        flow.queued.append(queued)
+        return flow
 
     def pop(self) -> QueuedRequest | None:
         """Removes and returns the next request; None if none is queued."""
--- a/figford/dispatch.py
+++ b/figford/dispatch.py
@@ -23,6 +23,8 @@
 FIRST_TOKEN_DEVIATIONS = 2.0
 MIN_RETRY_AFTER = datetime.timedelta(seconds=1)
 ATTEMPTS_LIMIT = 4
+# An answer that has begun waits at least this long for another group.
+RESUMPTION_TIMEOUT = datetime.timedelta(seconds=10)
 # Retries of model requests at this entry.
 BUDGET = sharedbudget.BudgetSettings(
     ratio=0.2, reserve=10.0, window=datetime.timedelta(seconds=10)
@@ -79,6 +81,7 @@
     tried: set[tuple[str, int]] = attrs.field(factory=set)
     interrupted: bool = False
     sent: bool = False
+    has_begun: bool = False
 
 
 @attrs.define
@@ -135,7 +138,10 @@
     def first_token(self, request: str, now: datetime.timedelta) -> None:
         """Updates the expected time to first token when one arrives."""
         active = self._active_by_request.get(request)
-        if active is None or active.attempts > 1:
+        if active is None:
+            return
+        active.has_begun = True
+        if active.attempts > 1:
             return
         elapsed = (now - active.started_at).total_seconds()
         change = elapsed - self._first_token_seconds
@@ -331,6 +337,11 @@
         queue: admission.FairQueue,
         now: datetime.timedelta,
     ) -> list[Effect]:
+        if active.has_begun:
+            until = now + RESUMPTION_TIMEOUT + self._first_token_time
+            deadline = max(active.request.deadline, until)
+            queue.push_first(_queued_request(active, deadline))
+            return []
         request = active.request
         serving_group_name = request.serving_group.name
         if not self._candidates(serving_group_name, set(), now):
@@ -348,15 +359,7 @@
         if now + wait + self._first_token_time > request.deadline:
             return [self._refuse_late(active, wait, now)]
         try:
-            queue.push(
-                admission.QueuedRequest(
-                    request.request,
-                    request.account.name,
-                    request.request_class,
-                    request.account.weight,
-                    request.deadline,
-                )
-            )
+            queue.push(_queued_request(active, request.deadline))
         except errors.Refusal as refusal:
             return [self._refuse(active, refusal, now)]
         return []
@@ -388,18 +391,23 @@
     def _start_queued(
         self, serving_group_name: str, now: datetime.timedelta
     ) -> list[Effect]:
+        """Starts queued requests while groups have capacity for them.
+
+        Groups that a request has tried may have capacity for the next one.
+        """
         effects: list[Effect] = []
         queue = self._queue(serving_group_name)
-        while len(queue):
-            queued = queue.pop()
-            if queued is None:
-                break
+        waiting: list[admission.QueuedRequest] = []
+        while queued := queue.pop():
             active = self._active_by_request[queued.request]
             started = self._start(active, now)
-            if not started:
-                queue.requeue(queued)
-                break
             effects.extend(started)
+            if not started:
+                waiting.append(queued)
+                if not active.tried:
+                    break
+        for queued in reversed(waiting):
+            queue.requeue(queued)
         return effects
 
     def _update_service_time(self, elapsed: datetime.timedelta) -> None:
@@ -441,6 +449,15 @@
         self, queued: admission.QueuedRequest, now: datetime.timedelta
     ) -> Refuse:
         active = self._active_by_request[queued.request]
+        if active.has_begun:
+            return self._refuse(
+                active,
+                errors.NoCapacity(
+                    "no other group could go on with the answer",
+                    retry_after=MIN_RETRY_AFTER,
+                ),
+                now,
+            )
         queue = self._queue(active.request.serving_group.name)
         wait = self._expected_wait(queue, active.request, now)
         return self._refuse_late(active, wait, now)
@@ -453,3 +470,16 @@
             retry_after=MIN_RETRY_AFTER,
         )
         return self._refuse(active, refusal, now)
+
+
+def _queued_request(
+    active: _ActiveRequest, deadline: datetime.timedelta
+) -> admission.QueuedRequest:
+    request = active.request
+    return admission.QueuedRequest(
+        request.request,
+        request.account.name,
+        request.request_class,
+        request.account.weight,
+        deadline,
+    )
--- a/figford/tests/test_cutmodelanswers.py
+++ b/figford/tests/test_cutmodelanswers.py
@@ -329,3 +329,83 @@
     bench.announce(incarnation=2)
     bench.gateway.tick()
     assert source.cancelled
+
+
+def queued_to_be_resumed(seconds: float) -> tuple[Bench, Responder, Responder]:
+    """Returns an answer that broke off, and one that has the last place.
+
+    The first one's deadline for its first token is in so many seconds.
+    """
+    bench = Bench("g1", "g2")
+    other = bench.ask("b")
+    bench.attempts[0].send(other.request, 0)
+    bench.names = (bench.attempts[0].address,)
+    bench.load = messages.Load(running=SERVING_GROUP.concurrency)
+    bench.ask("b")
+    bench.names = ("g1", "g2")
+    bench.announce()
+    responder = bench.ask(seconds=seconds)
+    bench.attempts[2].send(responder.request, 0, 1)
+    assert bench.attempts[2].address != bench.attempts[0].address
+    return bench, responder, other
+
+
+def assert_resumed(bench: Bench, responder: Responder) -> None:
+    """Ends the answer at the group that was asked last, and checks it."""
+    assert responder.end == ""
+    bench.attempts[-1].send(responder.request, 2, last=True)
+    assert responder.body == whole(responder.request, 3)
+
+
+@pytest.mark.parametrize("seconds", [1.0, 4.0])
+def test_a_begun_answer_waits_for_another_group(seconds) -> None:
+    """It was refused by the deadline for its first token, which had come."""
+    bench, responder, other = queued_to_be_resumed(seconds)
+    bench.pass_time(2 * SECOND)
+    bench.attempts[2].fail()
+    bench.pass_time(6 * SECOND)
+    assert responder.end == "" and len(bench.attempts) == 3
+    bench.attempts[0].send(other.request, 1, last=True)
+    assert_resumed(bench, responder)
+
+
+def test_a_begun_answer_is_not_refused_by_the_limit_of_the_queue() -> None:
+    bench, responder, other = queued_to_be_resumed(30.0)
+    queue = bench.dispatcher._queue(SERVING_GROUP.name)
+    queue.limit_per_account = 0
+    bench.attempts[2].fail()
+    bench.attempts[0].send(other.request, 1, last=True)
+    assert_resumed(bench, responder)
+
+
+def test_a_begun_answer_waits_until_an_entry_that_was_late_hears_groups():
+    """No group counted as complete; the answer ended with an error."""
+    bench, responder, source = begun("g1", "g2")
+    bench.clock.time += 4 * SECOND
+    bench.tick()
+    bench.announce()
+    source.fail()
+    bench.pass_time(3 * SECOND)
+    assert len(bench.attempts) == 2
+    assert_resumed(bench, responder)
+
+
+def test_a_begun_answer_ends_with_an_error_if_no_group_goes_on() -> None:
+    bench, responder, _ = queued_to_be_resumed(1.0)
+    bench.attempts[2].fail()
+    bench.pass_time(dispatch.RESUMPTION_TIMEOUT - SECOND)
+    assert responder.end == ""
+    bench.pass_time(2 * SECOND)
+    assert responder.end == "error" and bench.dispatcher.queued == 0
+
+
+def test_an_answer_that_waits_for_another_group_delays_no_request() -> None:
+    """It had tried the only group, where there is a place."""
+    bench, responder, source = begun("g1")
+    source.fail()
+    assert bench.dispatcher.queued == 1
+    other = bench.ask()
+    bench.pass_time(SECOND)
+    assert len(bench.attempts) == 2
+    bench.attempts[1].send(other.request, 0, last=True)
+    assert other.end == "whole" and responder.end == ""
