serve: an entry ends after slow callers have the rest of their answers

What callers saw: with the own interface, an answer that was complete at the entry but not yet taken by its caller was cut by a reset as the entry ended, and so was a request whose body was still arriving.

Cause: a stopping entry ended when no call was left. The reactor drops what waits in its buffers when it stops.

Evidence: of the 4 cases of test_entrystops, three fail before: one of a slow caller, one of a body that is arriving, and the bound for callers that read nothing.

Why this works: after the last call the callers' port and idle connections are closed, which sends what is left of their answers, and the entry waits for the other ones until the stop timeout. A TLS connection is closed below TLS as well: otherwise a caller that does not read would hold the entry for 60 s (the new case of test_processes fails without that line).

--- a/figford/callers.py
+++ b/figford/callers.py
@@ -145,32 +145,47 @@
         self.limits = limits
         self.count_refusal = count_refusal
         self.displayTracebacks = False
-        self.open_connections = 0
+        self.channels: set[typing.Any] = set()
 
     def buildProtocol(self, addr: object) -> typing.Any:
         """Returns the protocol of a connection; None over the limit."""
-        if self.open_connections >= self.limits.connections:
+        if len(self.channels) >= self.limits.connections:
             self.count_refusal(
                 errors.TooManyRequests("too many open connections")
             )
             return None
-        self.open_connections += 1
         channel = super().buildProtocol(addr)
+        self.channels.add(channel)
         channel._channel.totalHeadersSize = self.limits.header_bytes
         channel._channel.maxHeaders = HEADER_COUNT_LIMIT
         lost = channel.connectionLost
 
         def connection_lost(reason: typing.Any) -> None:
-            self.open_connections -= 1
+            self.channels.discard(channel)
             lost(reason)
 
         channel.connectionLost = connection_lost
         return channel
 
+    def close_idle(self) -> None:
+        """Closes connections without requests once their answers are sent."""
+        for channel in [item._channel for item in self.channels]:
+            if not channel.requests and not channel.transport.disconnecting:
+                _close_when_sent(channel)
+
     def log(self, request: typing.Any) -> None:
         """Writes no access log; requests are counted in metrics."""
 
 
+def _close_when_sent(channel: typing.Any) -> None:
+    """Closes a connection after all of its data was sent."""
+    channel.loseConnection()
+    below_tls = getattr(channel.transport, "transport", None)
+    if below_tls is not None:
+        # TLS alone would wait until the caller confirms the end.
+        below_tls.loseConnection()
+
+
 @interface.implementer(interfaces.IPushProducer)
 class HttpResponder:
     """Sends the answer of a call to its caller."""
--- a/figford/daemon.py
+++ b/figford/daemon.py
@@ -107,12 +107,14 @@
     node: nodes.Node = attrs.field(init=False)
     gateway: gateways.Gateway = attrs.field(init=False)
     hub: links.LinkHub = attrs.field(init=False)
+    caller_site: callers.CallerSite = attrs.field(init=False)
     stopped: defer.Deferred = attrs.field(factory=defer.Deferred)
     _writer: durable.DurableWriter | None = None
     _records: list[messages.Record] = attrs.field(factory=list)
     _on_outcome_by_proposal: dict[str, gateways.OnOutcome] = attrs.field(
         factory=dict
     )
+    _callers_port: typing.Any = None
     _ports: list[typing.Any] = attrs.field(factory=list)
     _loops: list[task.LoopingCall] = attrs.field(factory=list)
     _stopping_since: datetime.timedelta | None = None
@@ -144,6 +146,7 @@
                 self.reactor, journal, self._synced, self._disk_failed
             )
         self._make_gateway()
+        self.caller_site = self._make_caller_site()
         self.hub = links.LinkHub(
             self.reactor,
             self.clock,
@@ -213,8 +216,9 @@
             administration.UnloggedSite(self._operators_port().root()),
         )
         yield self._listen(
-            self.config.callers_address, self._caller_site(), self.config.tls
+            self.config.callers_address, self.caller_site, self.config.tls
         )
+        self._callers_port = self._ports.pop()
         self._loop(self._tick, TICK_SECONDS)
         self._loop(self.gateway.tick, GATEWAY_TICK_SECONDS)
         # Excludes objects that live as long as the process from garbage
@@ -228,7 +232,7 @@
             self.node.me.voter,
         )
 
-    def _caller_site(self) -> callers.CallerSite:
+    def _make_caller_site(self) -> callers.CallerSite:
         return callers.CallerSite(
             callers.CallerResource(self.gateway),
             self.config.limits,
@@ -289,15 +293,30 @@
         if since is None or now - since < BALANCER_REMOVAL_DELAY:
             return
         deadline_passed = now - since >= self.config.stop_timeout
-        if self.gateway.in_progress and not deadline_passed:
+        if self._is_answering() and not deadline_passed:
             return
         self._stopping_since = None
         self._close(deadline_passed).addErrback(self._fatal)
 
+    def _is_answering(self) -> bool:
+        """Returns whether answers are in progress or still to be sent.
+
+        Closes the callers' port and idle connections after the last request.
+        """
+        if self.gateway.in_progress:
+            return True
+        if self._callers_port is not None:
+            self._callers_port.stopListening()
+            self._callers_port = None
+        self.caller_site.close_idle()
+        return bool(self.caller_site.channels)
+
     @defer.inlineCallbacks
     def _close(self, deadline_passed: bool) -> typing.Iterator[typing.Any]:
         for loop in self._loops:
             loop.stop()
+        if self._callers_port is not None:
+            yield self._callers_port.stopListening()
         for port in self._ports:
             yield port.stopListening()
         yield self.hub.stop()
--- a/figford/tests/test_processes.py
+++ b/figford/tests/test_processes.py
@@ -417,6 +417,30 @@
         running.kill_all()
 
 
+def test_idle_tls_connections_do_not_delay_the_end_of_an_entry(tmp_path):
+    key = tmp_path / "key.pem"
+    certificate = tmp_path / "certificate.pem"
+    _write_certificate(key, certificate)
+    running = deployment.Deployment(
+        tmp_path / "d",
+        ENTRIES[:1],
+        {"tls": {"key": str(key), "certificate": str(certificate)}},
+    )
+    try:
+        running.start_entries()
+        running.wait("the entry answers", lambda: running.status("entry-1"))
+        context = ssl.create_default_context(cafile=str(certificate))
+        host, port = running.callers_address("entry-1").split(":")
+        idle = http.client.HTTPSConnection(host, int(port), context=context)
+        idle.request("GET", "/health")
+        assert idle.getresponse().read()
+        assert idle.sock is not None
+        assert running.stop("entry-1") == 0
+        idle.close()
+    finally:
+        running.kill_all()
+
+
 def _write_certificate(key_path, certificate_path):
     key = ec.generate_private_key(ec.SECP256R1())
     name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "test")])
