serve: the stop timeout runs from when the signal may have come

What callers saw: an entry with the own interface that was late when SIGTERM came counted its stop timeout from when it ran again. Whoever kills it after that time would have cut the answers in progress, as in the entries of the platform. Found by reading; the time limit of a supervisor is not in this repository.

Cause: the time of the stop was taken when its handler ran.

Evidence: the first new case of test_entrystops fails before (an entry that was late by 4 s still waited 60 s); its 6 cases pass now, one run.

Why this works: the signal came after the process last read, so the stop counts from then. The time for the balancer still counts from now, since the health check failed only from now on. The log line 'entry stopping' says how late it was.

--- a/figford/daemon.py
+++ b/figford/daemon.py
@@ -29,6 +29,7 @@
 from figford import errors
 from figford import gateway as gateways
 from figford import links
+from figford import logs
 from figford import membership
 from figford import messages
 from figford import metrics as metric_sets
@@ -118,6 +119,7 @@
     _ports: list[typing.Any] = attrs.field(factory=list)
     _loops: list[task.LoopingCall] = attrs.field(factory=list)
     _stopping_since: datetime.timedelta | None = None
+    _removed_at: datetime.timedelta = datetime.timedelta(0)
 
     # ---- Construction ---------------------------------------------------
 
@@ -280,17 +282,26 @@
         loop.start(seconds).addErrback(self._fatal)
 
     def stop(self) -> None:
-        """Starts a graceful shutdown: drains requests, accepts no new work."""
+        """Starts a graceful shutdown: drains requests, accepts no new work.
+
+        The signal may have come at any time since this process last read; the
+        stop timeout runs from then.
+        """
         if self._stopping_since is not None:
             return
         now = self.clock.now()
-        self._stopping_since = now
-        _log.info("entry stopping: in_progress={}", self.gateway.in_progress)
+        self._stopping_since = min(now, self.gateway.read_until)
+        self._removed_at = now + BALANCER_REMOVAL_DELAY
+        _log.info(
+            "entry stopping: in_progress={} late_ms={}",
+            self.gateway.in_progress,
+            logs.milliseconds(now - self._stopping_since),
+        )
         self._carry_out(self.node.begin_stop(now))
 
     def _check_stopped(self, now: datetime.timedelta) -> None:
         since = self._stopping_since
-        if since is None or now - since < BALANCER_REMOVAL_DELAY:
+        if since is None or now < self._removed_at:
             return
         deadline_passed = now - since >= self.config.stop_timeout
         if self._is_answering() and not deadline_passed:
--- a/figford/tests/test_entrystops.py
+++ b/figford/tests/test_entrystops.py
@@ -144,3 +144,27 @@
     assert bench.ended == []
     bench.tick(MS)
     assert bench.ended == [True]
+
+
+def test_an_entry_that_was_late_ends_in_time_after_the_signal(bench) -> None:
+    """It counted from when it ran again, and would have been killed."""
+    bench.connect().unsent = True
+    for _ in range(2):
+        bench.tick(100 * MS)
+    signalled_at = bench.clock.time
+    bench.clock.time += 4000 * MS
+    bench.entry.stop()
+    bench.entry._tick()
+    stop_timeout = bench.entry.config.stop_timeout
+    bench.tick(signalled_at + stop_timeout - bench.clock.time)
+    assert bench.ended == [False]
+
+
+def test_the_balancer_has_its_time_also_after_a_late_signal(bench) -> None:
+    bench.tick(100 * MS)
+    bench.clock.time += 4000 * MS
+    bench.entry.stop()
+    bench.tick(daemons.BALANCER_REMOVAL_DELAY - MS)
+    assert bench.ended == []
+    bench.tick(MS)
+    assert bench.ended == [True]
