serve: what a stopping entry can't complete is refused before it ends

What callers saw: with the own interface, whatever was in progress or queued at the stop timeout ended with a reset: requests that had no answer yet were not refused, and streams ended without their error event.

Cause: at the stop timeout the process closed, and left its calls alone.

Why this works: 0.3 s before the stop timeout all calls are refused, those that may have run as unknown, and begun streams end with an error event; the rest of the time is for sending that. The exit code stays 1 then. A booking that was sent goes on, and its claim stays held, so a resend does not run it again.

--- a/figford/daemon.py
+++ b/figford/daemon.py
@@ -47,6 +47,8 @@
 # How long the health check reports failure before a stopping entry closes
 # its port, so that the load balancer stops sending requests first.
 BALANCER_REMOVAL_DELAY = datetime.timedelta(milliseconds=500)
+# Calls still in progress are ended this long before the stop timeout.
+STOP_MARGIN = datetime.timedelta(milliseconds=300)
 SUBMIT_DEADLINE = datetime.timedelta(seconds=10)
 
 
@@ -120,6 +122,7 @@
     _loops: list[task.LoopingCall] = attrs.field(factory=list)
     _stopping_since: datetime.timedelta | None = None
     _removed_at: datetime.timedelta = datetime.timedelta(0)
+    _calls_ended: int = 0
 
     # ---- Construction ---------------------------------------------------
 
@@ -303,11 +306,15 @@
         since = self._stopping_since
         if since is None or now < self._removed_at:
             return
-        deadline_passed = now - since >= self.config.stop_timeout
+        remaining = self.config.stop_timeout - (now - since)
+        if remaining <= STOP_MARGIN:
+            self._calls_ended += self.gateway.end_calls()
+        deadline_passed = remaining <= datetime.timedelta(0)
         if self._is_answering() and not deadline_passed:
             return
         self._stopping_since = None
-        self._close(deadline_passed).addErrback(self._fatal)
+        is_late = deadline_passed or self._calls_ended > 0
+        self._close(is_late).addErrback(self._fatal)
 
     def _is_answering(self) -> bool:
         """Returns whether answers are in progress or still to be sent.
@@ -323,7 +330,7 @@
         return bool(self.caller_site.channels)
 
     @defer.inlineCallbacks
-    def _close(self, deadline_passed: bool) -> typing.Iterator[typing.Any]:
+    def _close(self, is_late: bool) -> typing.Iterator[typing.Any]:
         for loop in self._loops:
             loop.stop()
         if self._callers_port is not None:
@@ -333,8 +340,8 @@
         yield self.hub.stop()
         yield self.gateway.client.close()
         self.stop_writing()
-        _log.info("entry stopped: late={}", deadline_passed)
-        self.stopped.callback(not deadline_passed)
+        _log.info("entry stopped: late={}", is_late)
+        self.stopped.callback(not is_late)
 
     def stop_writing(self) -> None:
         """Ends the thread that writes to the disk; the process can exit."""
--- a/figford/dispatch.py
+++ b/figford/dispatch.py
@@ -483,3 +483,13 @@
         request.account.weight,
         deadline,
     )
+
+
+def stopped_refusal(was_sent: bool) -> errors.Refusal:
+    """Returns the refusal of a request that this entry can't complete."""
+    unknown, not_run = errors.RunState.UNKNOWN, errors.RunState.NOT_RUN
+    return errors.Draining(
+        "this entry stopped before the answer came",
+        retry_after=MIN_RETRY_AFTER,
+        run_state=unknown if was_sent else not_run,
+    )
--- a/figford/gateway.py
+++ b/figford/gateway.py
@@ -171,6 +171,20 @@
         for call in list(self._model_call_by_request.values()):
             call.check_timeouts(now, self.read_until)
 
+    def end_calls(self) -> int:
+        """Ends all calls, as this process ends; returns their number.
+
+        Queued ones end first, so that they don't take the places of others.
+        """
+        count = self.in_progress
+        model_calls = sorted(
+            self._model_call_by_request.values(),
+            key=lambda call: not call.is_queued,
+        )
+        for call in [*model_calls, *self._service_calls]:
+            call.end_unanswered()
+        return count
+
     def _execute(self, effects: list[dispatch.Effect]) -> None:
         for effect in effects:
             call = self._model_call_by_request.get(effect.request)
--- a/figford/modelcalls.py
+++ b/figford/modelcalls.py
@@ -97,6 +97,19 @@
         self.responder.write(problems.error_event(refusal))
         self.responder.finish()
 
+    def end_unanswered(self) -> None:
+        """Refuses the request, or ends its answer, as this process ends."""
+        if self._finished:
+            return
+        was_sent = self.sent or self._attempt is not None
+        self._stop_attempt()
+        self.refuse(dispatch.stopped_refusal(was_sent))
+
+    @property
+    def is_queued(self) -> bool:
+        """Returns whether the request waits for a group."""
+        return self._attempt is None
+
     def interrupt(self) -> None:
         """Stops the attempt at a broken group and retries at another."""
         self._stop_attempt()
--- a/figford/servicecalls.py
+++ b/figford/servicecalls.py
@@ -10,6 +10,7 @@
 
 from figford import access
 from figford import claims
+from figford import dispatch
 from figford import errors
 from figford import messages
 from figford import modelcalls
@@ -41,6 +42,13 @@
         """Suppresses the response; the call continues without its caller."""
         self._responded = True
 
+    def end_unanswered(self) -> None:
+        """Tells the caller that this process ends before the answer came."""
+        if self._responded:
+            return
+        self._responded = True
+        self.responder.refuse(dispatch.stopped_refusal(was_sent=True))
+
     def _next_address(self) -> str | None:
         address = self.gateway.choose_service(
             self.service.name, self._tried_addresses
--- a/figford/tests/test_cutmodelanswers.py
+++ b/figford/tests/test_cutmodelanswers.py
@@ -88,6 +88,7 @@
     request: str
     body: bytes = b""
     end: str = ""
+    refusal: errors.Refusal | None = None
 
     def begin(self, status: int, headers: dict[bytes, bytes]) -> None:
         """Does nothing."""
@@ -103,6 +104,7 @@
     def refuse(self, refusal: errors.Refusal) -> None:
         """Records a refusal."""
         self.end = "refused"
+        self.refusal = refusal
 
     def abort(self) -> None:
         """Records that the connection was aborted."""
@@ -409,3 +411,20 @@
     assert len(bench.attempts) == 2
     bench.attempts[1].send(other.request, 0, last=True)
     assert other.end == "whole" and responder.end == ""
+
+
+def test_calls_are_refused_or_end_with_an_error_as_the_process_ends() -> None:
+    """They were reset."""
+    bench, begun_answer, _ = begun("g1")
+    sent = bench.ask()
+    bench.load = messages.Load(running=SERVING_GROUP.concurrency)
+    bench.announce()
+    queued = bench.ask()
+    assert bench.dispatcher.queued == 1
+    assert bench.gateway.end_calls() == 3
+    assert begun_answer.end == "error"
+    assert sent.refusal.run_state is errors.RunState.UNKNOWN
+    assert queued.refusal.run_state is errors.RunState.NOT_RUN
+    assert len(bench.attempts) == 2
+    assert all(attempt.cancelled for attempt in bench.attempts)
+    assert bench.gateway.in_progress == bench.dispatcher.in_progress == 0
--- a/figford/tests/test_entrystops.py
+++ b/figford/tests/test_entrystops.py
@@ -55,6 +55,21 @@
             )
 
 
+@attrs.define(eq=False)
+class Call:
+    """A request in progress."""
+
+    calls: dict
+    is_queued: bool = False
+
+    def check_timeouts(self, now: object, read_until: object) -> None:
+        """Does nothing: the request stays in progress."""
+
+    def end_unanswered(self) -> None:
+        """Ends the request."""
+        self.calls.clear()
+
+
 @attrs.define
 class Bench:
     """An entry whose ports are not open, and how its shutdown ended."""
@@ -168,3 +183,19 @@
     assert bench.ended == []
     bench.tick(MS)
     assert bench.ended == [True]
+
+
+def test_unfinished_requests_end_before_the_stop_timeout(bench) -> None:
+    """They were reset at the stop timeout, without a refusal."""
+    calls = bench.entry.gateway._model_call_by_request
+    calls["r"] = Call(calls)
+    caller = bench.connect()
+    caller.unsent = True
+    bench.entry.stop()
+    bench.tick(bench.entry.config.stop_timeout - daemons.STOP_MARGIN - MS)
+    assert calls
+    bench.tick(MS)
+    assert not calls and bench.ended == []
+    caller.leave()
+    bench.tick(100 * MS)
+    assert bench.ended == [False]
--- a/figford/tests/test_processes.py
+++ b/figford/tests/test_processes.py
@@ -329,6 +329,39 @@
     assert runs(service)["k1"] == 1
 
 
+def test_an_entry_refuses_what_it_cannot_complete_before_it_ends(tmp_path):
+    """The connection of the caller was reset at the stop timeout."""
+    running = deployment.Deployment(
+        tmp_path, ENTRIES[:1], {"stop_timeout": 2.0}
+    )
+    try:
+        running.start_entries()
+        running.wait("a leader", lambda: leader_of_one(running))
+        alone = operators.DataCentre(name="medellin", entries=["entry-1"])
+        submitted = attrs.evolve(configuration(), data_centres=[alone])
+        accepted = running.submit("entry-1", submitted, 0, "first")
+        assert accepted.status == 200
+        running.wait_ready("entry-1")
+        service = running.start_service(
+            "shelters-1", "medellin", "shelters", delay=30.0
+        )
+        running.wait("the service", lambda: knows_service(running, "entry-1"))
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            answer = pool.submit(book, running, "entry-1", "k1")
+            running.wait(
+                "the booking at the service", lambda: runs(service).get("k1")
+            )
+            assert running.stop("entry-1") == 1
+            assert answer.result().status == 503
+            assert answer.result().json()["run"] == "unknown"
+    finally:
+        running.kill_all()
+
+
+def leader_of_one(running):
+    return running.status("entry-1").get("leader")
+
+
 def test_booking_answer_survives_the_restart_of_all_entries(serving):
     service = serving.start_service("shelters-1", "medellin", "shelters")
     for name in ENTRY_NAMES:
--- a/figford/tests/test_servicecalls.py
+++ b/figford/tests/test_servicecalls.py
@@ -108,3 +108,21 @@
     assert gateway.outcomes["attempt"] == attempts
     assert responder.status == status
     assert (responder.refusal is None) is (status == 200)
+
+
+def test_a_call_is_refused_as_its_process_ends() -> None:
+    """Its caller's connection was reset; an answer may still come."""
+    gateway = Gateway(0, Clock().time)
+    answer: defer.Deferred = defer.Deferred()
+    gateway.call = lambda request, timeout: answer
+    responder = Responder()
+    call = servicecalls.RepeatableCall(
+        gateway, SERVICE, None, operators.RequestClass.STATUS, REQUEST,
+        responder, gateway.clock.now(),
+    )  # fmt: skip
+    call.begin()
+    call.end_unanswered()
+    call.end_unanswered()
+    assert responder.refusal.run_state is errors.RunState.UNKNOWN
+    answer.callback(upstreams.PlainAnswer(200, [], b"ok"))
+    assert responder.status == 0 and gateway.internal_errors == []
