serve: an answer of a service that a late entry has not read still counts

What callers saw: with the own interface, a call of a plain service whose answer lay unread as its timeout came due was refused as not answered; for a booking, the unknown outcome was recorded, so that a resend got no answer either.

Cause: an entry that was late runs its timers before it reads.

Evidence: the new case of test_servicecalls, a reactor that is late by 3 s before the answer is read, fails before.

Why this works: the timeout cancels the call 50 ms later, and the reactor reads its sockets between the two.

--- a/figford/tests/test_servicecalls.py
+++ b/figford/tests/test_servicecalls.py
@@ -3,10 +3,15 @@
 import collections
 import datetime
 import random
+import typing
 
 import attrs
 import pytest
 from twisted.internet import defer
+from twisted.internet import task
+from twisted.python import failure as failures
+from twisted.web import client
+from twisted.web import http_headers
 
 from figford import dispatch
 from figford import errors
@@ -15,6 +20,7 @@
 from figford import operators
 from figford import routing
 from figford import servicecalls
+from figford import settings
 from figford import upstreams
 
 SERVICE = operators.PlainService(name="shelters", prefix="/shelters")
@@ -126,3 +132,62 @@
     assert responder.refusal.run_state is errors.RunState.UNKNOWN
     answer.callback(upstreams.PlainAnswer(200, [], b"ok"))
     assert responder.status == 0 and gateway.internal_errors == []
+
+
+class Agent:
+    """Returns a response that tests complete."""
+
+    def __init__(self) -> None:
+        self.pending: defer.Deferred = defer.Deferred()
+
+    def request(self, *_: object) -> defer.Deferred:
+        """Returns the response."""
+        return self.pending
+
+
+@attrs.define
+class Response:
+    """A response whose body arrives at once."""
+
+    code: int = 200
+    headers: http_headers.Headers = attrs.field(factory=http_headers.Headers)
+
+    def deliverBody(self, collector: typing.Any) -> None:
+        """Delivers the body and its end."""
+        collector.dataReceived(b"ok")
+        collector.connectionLost(failures.Failure(client.ResponseDone()))
+
+
+def pending_call() -> tuple[task.Clock, Agent, defer.Deferred]:
+    """Returns the reactor, the agent and the result of a call of 5 s."""
+    reactor = task.Clock()
+    upstream_client = upstreams.UpstreamClient(
+        reactor, Clock(), settings.Limits()
+    )
+    agent = upstream_client._agent = Agent()
+    return (
+        reactor,
+        agent,
+        upstream_client.call(REQUEST, datetime.timedelta(seconds=5)),
+    )
+
+
+def test_an_answer_that_a_late_entry_has_not_read_is_not_timed_out() -> None:
+    """Timers run before sockets are read: a booking's answer was lost."""
+    reactor, agent, result = pending_call()
+    reactor.advance(8)
+    agent.pending.callback(Response())
+    answers: list[upstreams.PlainAnswer] = []
+    result.addCallback(answers.append)
+    assert [answer.body for answer in answers] == [b"ok"]
+    assert reactor.getDelayedCalls() == []
+
+
+def test_a_call_is_cancelled_after_its_timeout() -> None:
+    reactor, _, result = pending_call()
+    reactor.advance(5)
+    reactor.advance(upstreams.LAST_READ_SECONDS)
+    errors_seen: list = []
+    result.addErrback(lambda item: errors_seen.append(item.type))
+    assert errors_seen == [upstreams.BrokenAnswerError]
+    assert reactor.getDelayedCalls() == []
--- a/figford/upstreams.py
+++ b/figford/upstreams.py
@@ -27,6 +27,8 @@
 
 POOLED_CONNECTIONS_PER_UPSTREAM = 64
 POOLED_IDLE_SECONDS = 50
+# An answer may lie unread when its timeout is due, if this process was late.
+LAST_READ_SECONDS = 0.05
 # Hop-by-hop headers, which are never forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -382,10 +384,29 @@
             producer,
         )
         pending_response.addCallback(self._collect)
-        pending_response.addTimeout(timeout.total_seconds(), self.reactor)
+        self._add_timeout(pending_response, timeout)
         pending_response.addErrback(_translate_failure)
         return pending_response
 
+    def _add_timeout(
+        self, pending_response: defer.Deferred, timeout: datetime.timedelta
+    ) -> None:
+        """Cancels a call after its timeout, unless its answer can be read."""
+
+        def read_first() -> None:
+            nonlocal delayed
+            delayed = self.reactor.callLater(
+                LAST_READ_SECONDS, pending_response.cancel
+            )
+
+        def ended(result: typing.Any) -> typing.Any:
+            if delayed.active():
+                delayed.cancel()
+            return result
+
+        delayed = self.reactor.callLater(timeout.total_seconds(), read_first)
+        pending_response.addBoth(ended)
+
     def _collect(self, response: typing.Any) -> defer.Deferred:
         headers = [
             (name, value)
