serve: a SIGHUP does not end an entry

What callers saw: a SIGHUP to an entry with the own interface ended it at once and reset all answers in progress.

Cause: the signal had no handler, and its default ends a process.

Evidence: the new case of test_processes fails before (the entry exited with code -1) and passes now, one run each.

Why this works: the entry logs that its settings are read at the start and goes on.

--- a/figford/daemon.py
+++ b/figford/daemon.py
@@ -302,6 +302,10 @@
         )
         self._carry_out(self.node.begin_stop(now))
 
+    def reload(self) -> None:
+        """Keeps the settings, which are read at the start only."""
+        _log.info("settings kept: they are read at the start only")
+
     def _check_stopped(self, now: datetime.timedelta) -> None:
         since = self._stopping_since
         if since is None or now < self._removed_at:
@@ -593,5 +597,8 @@
             number,
             lambda *_: reactor.callFromThread(entry.stop),
         )
+    signal.signal(
+        signal.SIGHUP, lambda *_: reactor.callFromThread(entry.reload)
+    )
     reactor.run(installSignalHandlers=False)
     return exit_codes[0] if exit_codes else 1
--- a/figford/tests/test_processes.py
+++ b/figford/tests/test_processes.py
@@ -409,6 +409,24 @@
     assert runs(service)["k3"] == 1
 
 
+def test_a_request_to_reload_does_not_end_an_entry(tmp_path):
+    """A SIGHUP ended the process in the midst of its answers."""
+    running = deployment.Deployment(tmp_path, ENTRIES[:1])
+    log = tmp_path / "entry-1.log"
+    try:
+        running.start_entries()
+        running.wait("the entry answers", lambda: running.status("entry-1"))
+        running.send_signal("entry-1", signal.SIGHUP)
+        running.wait(
+            "the entry to note it",
+            lambda: "settings kept" in log.read_text(),
+        )
+        assert running.status("entry-1")
+        assert running.stop("entry-1") == 0
+    finally:
+        running.kill_all()
+
+
 def test_an_entry_that_cannot_start_exits(tmp_path):
     """The thread that writes to the disk kept the process for good."""
     running = deployment.Deployment(tmp_path / "d", ENTRIES[:1])
