serve: a piece before an invalid one is not lost

What callers saw: with the own interface, an answer could lack a piece and end as whole, after its upstream reported an error, sent a malformed piece or left a gap, if the valid pieces before it came in the same data.

Cause: their positions were counted, then the error discarded them; the next group was asked for what follows them.

Why this works: after an error the position is that of the last piece that was returned, so the next group sends the others again.

--- a/figford/answers.py
+++ b/figford/answers.py
@@ -49,7 +49,8 @@
     def feed(self, data: bytes) -> list[bytes]:
         """Returns the pieces that are next in order, each in full.
 
-        Raises PieceError or GapError; pieces returned earlier stay valid.
+        Raises PieceError or GapError; pieces returned earlier stay valid, and
+        those before the error in the same data are to be requested again.
         """
         if self.ended:
             self.dropped += 1
@@ -61,10 +62,14 @@
         if len(self._incomplete) > PIECE_SIZE_LIMIT_BYTES:
             raise PieceError("a piece of the answer is too long")
         ready: list[bytes] = []
-        for piece in pieces:
-            self._accept_piece(piece, ready)
-            if self.ended:
-                break
+        try:
+            for piece in pieces:
+                self._accept_piece(piece, ready)
+                if self.ended:
+                    break
+        except errors.FigfordError:
+            self.next_position -= len(ready)
+            raise
         return ready
 
     def _accept_piece(self, piece: bytes, ready: list[bytes]) -> None:
--- a/figford/tests/test_cutmodelanswers.py
+++ b/figford/tests/test_cutmodelanswers.py
@@ -51,6 +51,7 @@
 
     address: str
     receiver: upstreams.StreamReceiver
+    resume_from: int
     cancelled: bool = False
 
     def cancel(self) -> None:
@@ -164,7 +165,8 @@
 
     def stream(self, address, headers, body, receiver) -> Attempt:
         """Records an attempt."""
-        self.attempts.append(Attempt(address, receiver))
+        position = int(headers[b"figford-resume-from"])
+        self.attempts.append(Attempt(address, receiver, position))
         return self.attempts[-1]
 
     def ask(self, account: str = "a", seconds: float = 30.0) -> Responder:
@@ -428,3 +430,16 @@
     assert len(bench.attempts) == 2
     assert all(attempt.cancelled for attempt in bench.attempts)
     assert bench.gateway.in_progress == bench.dispatcher.in_progress == 0
+
+
+@pytest.mark.parametrize(
+    "invalid", [b"event: error\ndata: {}", b"id: e1-1-1:x\ndata: x"]
+)
+def test_a_piece_before_an_invalid_one_reaches_the_caller(invalid) -> None:
+    """The next group was asked for the piece after it."""
+    bench, responder, source = begun("g1", "g2")
+    data = piece(responder.request, 2) + invalid + answers.SEPARATOR
+    source.receiver.stream_data(data)
+    assert bench.attempts[1].resume_from == 2
+    bench.attempts[1].send(responder.request, 2, 3, last=True)
+    assert responder.body == whole(responder.request, 4)
