--- a/figford/daemon.py
+++ b/figford/daemon.py
@@ -29,6 +29,7 @@
 from figford import errors
 from figford import gateway as gateways
 from figford import links
+from figford import logs
 from figford import membership
 from figford import messages
 from figford import metrics as metric_sets
@@ -46,6 +47,8 @@
 # How long the health check reports failure before a stopping entry closes
 # its port, so that the load balancer stops sending requests first.
 BALANCER_REMOVAL_DELAY = datetime.timedelta(milliseconds=500)
+# Calls still in progress are ended this long before the stop timeout.
+STOP_MARGIN = datetime.timedelta(milliseconds=300)
 SUBMIT_DEADLINE = datetime.timedelta(seconds=10)
 
 
@@ -107,15 +110,19 @@
     node: nodes.Node = attrs.field(init=False)
     gateway: gateways.Gateway = attrs.field(init=False)
     hub: links.LinkHub = attrs.field(init=False)
+    caller_site: callers.CallerSite = attrs.field(init=False)
     stopped: defer.Deferred = attrs.field(factory=defer.Deferred)
     _writer: durable.DurableWriter | None = None
     _records: list[messages.Record] = attrs.field(factory=list)
     _on_outcome_by_proposal: dict[str, gateways.OnOutcome] = attrs.field(
         factory=dict
     )
+    _callers_port: typing.Any = None
     _ports: list[typing.Any] = attrs.field(factory=list)
     _loops: list[task.LoopingCall] = attrs.field(factory=list)
     _stopping_since: datetime.timedelta | None = None
+    _removed_at: datetime.timedelta = datetime.timedelta(0)
+    _calls_ended: int = 0
 
     # ---- Construction ---------------------------------------------------
 
@@ -144,6 +151,7 @@
                 self.reactor, journal, self._synced, self._disk_failed
             )
         self._make_gateway()
+        self.caller_site = self._make_caller_site()
         self.hub = links.LinkHub(
             self.reactor,
             self.clock,
@@ -213,8 +221,9 @@
             administration.UnloggedSite(self._operators_port().root()),
         )
         yield self._listen(
-            self.config.callers_address, self._caller_site(), self.config.tls
+            self.config.callers_address, self.caller_site, self.config.tls
         )
+        self._callers_port = self._ports.pop()
         self._loop(self._tick, TICK_SECONDS)
         self._loop(self.gateway.tick, GATEWAY_TICK_SECONDS)
         # Excludes objects that live as long as the process from garbage
@@ -228,7 +237,7 @@
             self.node.me.voter,
         )
 
-    def _caller_site(self) -> callers.CallerSite:
+    def _make_caller_site(self) -> callers.CallerSite:
         return callers.CallerSite(
             callers.CallerResource(self.gateway),
             self.config.limits,
@@ -276,35 +285,67 @@
         loop.start(seconds).addErrback(self._fatal)
 
     def stop(self) -> None:
-        """Starts a graceful shutdown: drains requests, accepts no new work."""
+        """Starts a graceful shutdown: drains requests, accepts no new work.
+
+        The signal may have come at any time since this process last read; the
+        stop timeout runs from then.
+        """
         if self._stopping_since is not None:
             return
         now = self.clock.now()
-        self._stopping_since = now
-        _log.info("entry stopping: in_progress={}", self.gateway.in_progress)
+        self._stopping_since = min(now, self.gateway.read_until)
+        self._removed_at = now + BALANCER_REMOVAL_DELAY
+        _log.info(
+            "entry stopping: in_progress={} late_ms={}",
+            self.gateway.in_progress,
+            logs.milliseconds(now - self._stopping_since),
+        )
         self._carry_out(self.node.begin_stop(now))
 
+    def reload(self) -> None:
+        """Keeps the settings, which are read at the start only."""
+        _log.info("settings kept: they are read at the start only")
+
     def _check_stopped(self, now: datetime.timedelta) -> None:
         since = self._stopping_since
-        if since is None or now - since < BALANCER_REMOVAL_DELAY:
+        if since is None or now < self._removed_at:
             return
-        deadline_passed = now - since >= self.config.stop_timeout
-        if self.gateway.in_progress and not deadline_passed:
+        remaining = self.config.stop_timeout - (now - since)
+        if remaining <= STOP_MARGIN:
+            self._calls_ended += self.gateway.end_calls()
+        deadline_passed = remaining <= datetime.timedelta(0)
+        if self._is_answering() and not deadline_passed:
             return
         self._stopping_since = None
-        self._close(deadline_passed).addErrback(self._fatal)
+        is_late = deadline_passed or self._calls_ended > 0
+        self._close(is_late).addErrback(self._fatal)
+
+    def _is_answering(self) -> bool:
+        """Returns whether answers are in progress or still to be sent.
+
+        Closes the callers' port and idle connections after the last request.
+        """
+        if self.gateway.in_progress:
+            return True
+        if self._callers_port is not None:
+            self._callers_port.stopListening()
+            self._callers_port = None
+        self.caller_site.close_idle()
+        return bool(self.caller_site.channels)
 
     @defer.inlineCallbacks
-    def _close(self, deadline_passed: bool) -> typing.Iterator[typing.Any]:
+    def _close(self, is_late: bool) -> typing.Iterator[typing.Any]:
         for loop in self._loops:
             loop.stop()
+        if self._callers_port is not None:
+            yield self._callers_port.stopListening()
         for port in self._ports:
             yield port.stopListening()
         yield self.hub.stop()
         yield self.gateway.client.close()
         self.stop_writing()
-        _log.info("entry stopped: late={}", deadline_passed)
-        self.stopped.callback(not deadline_passed)
+        _log.info("entry stopped: late={}", is_late)
+        self.stopped.callback(not is_late)
 
     def stop_writing(self) -> None:
         """Ends the thread that writes to the disk; the process can exit."""
@@ -556,5 +597,8 @@
             number,
             lambda *_: reactor.callFromThread(entry.stop),
         )
+    signal.signal(
+        signal.SIGHUP, lambda *_: reactor.callFromThread(entry.reload)
+    )
     reactor.run(installSignalHandlers=False)
     return exit_codes[0] if exit_codes else 1
--- a/figford/dispatch.py
+++ b/figford/dispatch.py
@@ -23,6 +23,8 @@
 FIRST_TOKEN_DEVIATIONS = 2.0
 MIN_RETRY_AFTER = datetime.timedelta(seconds=1)
 ATTEMPTS_LIMIT = 4
+# An answer that has begun waits at least this long for another group.
+RESUMPTION_TIMEOUT = datetime.timedelta(seconds=10)
 # Retries of model requests at this entry.
 BUDGET = sharedbudget.BudgetSettings(
     ratio=0.2, reserve=10.0, window=datetime.timedelta(seconds=10)
@@ -79,6 +81,7 @@
     tried: set[tuple[str, int]] = attrs.field(factory=set)
     interrupted: bool = False
     sent: bool = False
+    has_begun: bool = False
 
 
 @attrs.define
@@ -135,7 +138,10 @@
     def first_token(self, request: str, now: datetime.timedelta) -> None:
         """Updates the expected time to first token when one arrives."""
         active = self._active_by_request.get(request)
-        if active is None or active.attempts > 1:
+        if active is None:
+            return
+        active.has_begun = True
+        if active.attempts > 1:
             return
         elapsed = (now - active.started_at).total_seconds()
         change = elapsed - self._first_token_seconds
@@ -199,8 +205,30 @@
             return started
         return self._enqueue(active, self._queue(serving_group_name), now)
 
-    def tick(self, now: datetime.timedelta) -> list[Effect]:
-        """Refuses expired requests; interrupts those on broken groups."""
+    def can_move(self, request: str, now: datetime.timedelta) -> bool:
+        """Returns whether `retry` would start a request elsewhere now."""
+        active = self._active_by_request[request]
+        spec = active.request.serving_group
+        capacity = routing.Capacity(spec.concurrency, self.limits.entries)
+        return (
+            active.attempts < ATTEMPTS_LIMIT
+            and self.budget.has_retry(now)
+            and any(
+                self.router.has_capacity(
+                    view, self.table.load_of(view), capacity, now
+                )
+                for view in self._candidates(spec.name, active.tried, now)
+            )
+        )
+
+    def tick(
+        self, now: datetime.timedelta, read_until: datetime.timedelta
+    ) -> list[Effect]:
+        """Refuses expired requests; interrupts those on broken groups.
+
+        The silence of a member counts only until `read_until`: what arrived
+        later may not have been read.
+        """
         effects: list[Effect] = []
         for queue in self._queue_by_serving_group.values():
             # A request expires once its first token can't arrive in time.
@@ -210,7 +238,7 @@
             view = active.view
             if view is None or active.interrupted:
                 continue
-            if not self.table.is_intact(view, now):
+            if not self.table.is_intact(view, read_until):
                 active.interrupted = True
                 effects.append(Interrupt(name))
         for serving_group_name in list(self._queue_by_serving_group):
@@ -309,6 +337,11 @@
         queue: admission.FairQueue,
         now: datetime.timedelta,
     ) -> list[Effect]:
+        if active.has_begun:
+            until = now + RESUMPTION_TIMEOUT + self._first_token_time
+            deadline = max(active.request.deadline, until)
+            queue.push_first(_queued_request(active, deadline))
+            return []
         request = active.request
         serving_group_name = request.serving_group.name
         if not self._candidates(serving_group_name, set(), now):
@@ -326,15 +359,7 @@
         if now + wait + self._first_token_time > request.deadline:
             return [self._refuse_late(active, wait, now)]
         try:
-            queue.push(
-                admission.QueuedRequest(
-                    request.request,
-                    request.account.name,
-                    request.request_class,
-                    request.account.weight,
-                    request.deadline,
-                )
-            )
+            queue.push(_queued_request(active, request.deadline))
         except errors.Refusal as refusal:
             return [self._refuse(active, refusal, now)]
         return []
@@ -366,18 +391,23 @@
     def _start_queued(
         self, serving_group_name: str, now: datetime.timedelta
     ) -> list[Effect]:
+        """Starts queued requests while groups have capacity for them.
+
+        Groups that a request has tried may have capacity for the next one.
+        """
         effects: list[Effect] = []
         queue = self._queue(serving_group_name)
-        while len(queue):
-            queued = queue.pop()
-            if queued is None:
-                break
+        waiting: list[admission.QueuedRequest] = []
+        while queued := queue.pop():
             active = self._active_by_request[queued.request]
             started = self._start(active, now)
-            if not started:
-                queue.requeue(queued)
-                break
             effects.extend(started)
+            if not started:
+                waiting.append(queued)
+                if not active.tried:
+                    break
+        for queued in reversed(waiting):
+            queue.requeue(queued)
         return effects
 
     def _update_service_time(self, elapsed: datetime.timedelta) -> None:
@@ -419,6 +449,15 @@
         self, queued: admission.QueuedRequest, now: datetime.timedelta
     ) -> Refuse:
         active = self._active_by_request[queued.request]
+        if active.has_begun:
+            return self._refuse(
+                active,
+                errors.NoCapacity(
+                    "no other group could go on with the answer",
+                    retry_after=MIN_RETRY_AFTER,
+                ),
+                now,
+            )
         queue = self._queue(active.request.serving_group.name)
         wait = self._expected_wait(queue, active.request, now)
         return self._refuse_late(active, wait, now)
@@ -431,3 +470,26 @@
             retry_after=MIN_RETRY_AFTER,
         )
         return self._refuse(active, refusal, now)
+
+
+def _queued_request(
+    active: _ActiveRequest, deadline: datetime.timedelta
+) -> admission.QueuedRequest:
+    request = active.request
+    return admission.QueuedRequest(
+        request.request,
+        request.account.name,
+        request.request_class,
+        request.account.weight,
+        deadline,
+    )
+
+
+def stopped_refusal(was_sent: bool) -> errors.Refusal:
+    """Returns the refusal of a request that this entry can't complete."""
+    unknown, not_run = errors.RunState.UNKNOWN, errors.RunState.NOT_RUN
+    return errors.Draining(
+        "this entry stopped before the answer came",
+        retry_after=MIN_RETRY_AFTER,
+        run_state=unknown if was_sent else not_run,
+    )
--- a/figford/modelcalls.py
+++ b/figford/modelcalls.py
@@ -97,6 +97,19 @@
         self.responder.write(problems.error_event(refusal))
         self.responder.finish()
 
+    def end_unanswered(self) -> None:
+        """Refuses the request, or ends its answer, as this process ends."""
+        if self._finished:
+            return
+        was_sent = self.sent or self._attempt is not None
+        self._stop_attempt()
+        self.refuse(dispatch.stopped_refusal(was_sent))
+
+    @property
+    def is_queued(self) -> bool:
+        """Returns whether the request waits for a group."""
+        return self._attempt is None
+
     def interrupt(self) -> None:
         """Stops the attempt at a broken group and retries at another."""
         self._stop_attempt()
@@ -161,23 +174,37 @@
 
     # ---- Time -----------------------------------------------------------
 
-    def check_timeouts(self, now: datetime.timedelta) -> None:
-        """Ends a stalled attempt, or a call whose caller stopped reading."""
+    def check_timeouts(
+        self, now: datetime.timedelta, read_until: datetime.timedelta
+    ) -> None:
+        """Ends a stalled attempt, or a call whose caller stopped reading.
+
+        What arrived until `read_until` has been read, and what callers could
+        take until then was sent; silence counts only up to then.
+
+        An attempt that has sent a part of the answer ends only if the rest can
+        be requested from another group.
+        """
         limits = self.gateway.limits
         if self._finished or self._attempt is None:
             return
         if self._paused_at is not None:
-            if now - self._paused_at > limits.stalled_caller_timeout:
+            if read_until - self._paused_at > limits.stalled_caller_timeout:
                 self._stop_attempt()
                 self._finish("slow-caller")
                 self.gateway.abort_caller(self.responder)
             return
-        limit = limits.between_token_timeout
-        if self._stream.next_position == 0:
-            limit = limits.first_token_timeout
-        if now - self.last_data_at > limit:
-            self._stop_attempt()
-            self._retry(sent=True, failed=True)
+        has_begun = self._stream.next_position > 0
+        limit = limits.first_token_timeout
+        if has_begun:
+            limit = limits.between_token_timeout
+        if read_until - self.last_data_at <= limit:
+            return
+        dispatcher = self.gateway.dispatcher
+        if has_begun and not dispatcher.can_move(self.request.request, now):
+            return
+        self._stop_attempt()
+        self._retry(sent=True, failed=True)
 
     # ---- Parts ----------------------------------------------------------
 
--- a/figford/tests/test_processes.py
+++ b/figford/tests/test_processes.py
@@ -329,6 +329,39 @@
     assert runs(service)["k1"] == 1
 
 
+def test_an_entry_refuses_what_it_cannot_complete_before_it_ends(tmp_path):
+    """The connection of the caller was reset at the stop timeout."""
+    running = deployment.Deployment(
+        tmp_path, ENTRIES[:1], {"stop_timeout": 2.0}
+    )
+    try:
+        running.start_entries()
+        running.wait("a leader", lambda: leader_of_one(running))
+        alone = operators.DataCentre(name="medellin", entries=["entry-1"])
+        submitted = attrs.evolve(configuration(), data_centres=[alone])
+        accepted = running.submit("entry-1", submitted, 0, "first")
+        assert accepted.status == 200
+        running.wait_ready("entry-1")
+        service = running.start_service(
+            "shelters-1", "medellin", "shelters", delay=30.0
+        )
+        running.wait("the service", lambda: knows_service(running, "entry-1"))
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            answer = pool.submit(book, running, "entry-1", "k1")
+            running.wait(
+                "the booking at the service", lambda: runs(service).get("k1")
+            )
+            assert running.stop("entry-1") == 1
+            assert answer.result().status == 503
+            assert answer.result().json()["run"] == "unknown"
+    finally:
+        running.kill_all()
+
+
+def leader_of_one(running):
+    return running.status("entry-1").get("leader")
+
+
 def test_booking_answer_survives_the_restart_of_all_entries(serving):
     service = serving.start_service("shelters-1", "medellin", "shelters")
     for name in ENTRY_NAMES:
@@ -376,6 +409,24 @@
     assert runs(service)["k3"] == 1
 
 
+def test_a_request_to_reload_does_not_end_an_entry(tmp_path):
+    """A SIGHUP ended the process in the midst of its answers."""
+    running = deployment.Deployment(tmp_path, ENTRIES[:1])
+    log = tmp_path / "entry-1.log"
+    try:
+        running.start_entries()
+        running.wait("the entry answers", lambda: running.status("entry-1"))
+        running.send_signal("entry-1", signal.SIGHUP)
+        running.wait(
+            "the entry to note it",
+            lambda: "settings kept" in log.read_text(),
+        )
+        assert running.status("entry-1")
+        assert running.stop("entry-1") == 0
+    finally:
+        running.kill_all()
+
+
 def test_an_entry_that_cannot_start_exits(tmp_path):
     """The thread that writes to the disk kept the process for good."""
     running = deployment.Deployment(tmp_path / "d", ENTRIES[:1])
@@ -417,6 +468,30 @@
         running.kill_all()
 
 
+def test_idle_tls_connections_do_not_delay_the_end_of_an_entry(tmp_path):
+    key = tmp_path / "key.pem"
+    certificate = tmp_path / "certificate.pem"
+    _write_certificate(key, certificate)
+    running = deployment.Deployment(
+        tmp_path / "d",
+        ENTRIES[:1],
+        {"tls": {"key": str(key), "certificate": str(certificate)}},
+    )
+    try:
+        running.start_entries()
+        running.wait("the entry answers", lambda: running.status("entry-1"))
+        context = ssl.create_default_context(cafile=str(certificate))
+        host, port = running.callers_address("entry-1").split(":")
+        idle = http.client.HTTPSConnection(host, int(port), context=context)
+        idle.request("GET", "/health")
+        assert idle.getresponse().read()
+        assert idle.sock is not None
+        assert running.stop("entry-1") == 0
+        idle.close()
+    finally:
+        running.kill_all()
+
+
 def _write_certificate(key_path, certificate_path):
     key = ec.generate_private_key(ec.SECP256R1())
     name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "test")])
