serve: a silent attempt is kept until another one sends the next piece

What callers saw: with the own interface, a stream that had begun ended with an error event when its upstream paused for 10 s and the second group refused the resumption, broke off or was lost, if no retry was left then.

Evidence: of 36 cases of test_cutmodelanswers, the 12 new ones fail before, all as the silent attempt is cancelled. With the change they, test_dispatch (55 tests together), test_answers, test_callers, test_entrystops, test_servicecalls and test_soak (21 tests, on a copy) pass, one run each. Of 7 cases of test_processes 6 passed; test_engine_dies_mid_answer failed once at a load of 37 on 8 cores ('timed out after 60 s: requests in progress': four streams of 0.8 s were not seen at one time) and passed in three further runs at a load of 20.

Why this works: the dispatcher starts a second attempt at another group; each attempt puts its own pieces in order, and the first to have the next one stays. A resumption that fails or is silent itself ends alone. An answer that is silent may hold two places, and uses one retry for each resumption.

--- a/figford/dispatch.py
+++ b/figford/dispatch.py
@@ -64,9 +64,10 @@
 
 @attrs.frozen
 class Interrupt:
-    """Effect: stop the current attempt, since its group is broken."""
+    """Effect: stop an attempt, since its group is broken."""
 
     request: str
+    is_resumption: bool = False
 
 
 Effect = Start | Refuse | Interrupt
@@ -76,6 +77,8 @@
 class _ActiveRequest:
     request: ModelRequest
     view: groups.GroupView | None = None
+    # The group that is asked for the rest while `view` is silent.
+    resumption: groups.GroupView | None = None
     started_at: datetime.timedelta = datetime.timedelta(0)
     attempts: int = 0
     tried: set[tuple[str, int]] = attrs.field(factory=set)
@@ -166,6 +169,8 @@
         if active.view is None:
             self._queue(serving_group_name).remove(request)
             return []
+        if active.resumption is not None:
+            self.router.finished(active.resumption)
         if whole:
             self.breakers.succeeded(active.view.address)
             self._update_service_time(now - active.started_at)
@@ -205,21 +210,53 @@
             return started
         return self._enqueue(active, self._queue(serving_group_name), now)
 
-    def can_move(self, request: str, now: datetime.timedelta) -> bool:
-        """Returns whether `retry` would start a request elsewhere now."""
+    def resume(self, request: str, now: datetime.timedelta) -> list[Effect]:
+        """Asks another group for the rest of an answer, if one can take it.
+
+        The attempt in progress goes on.
+        """
         active = self._active_by_request[request]
-        spec = active.request.serving_group
-        capacity = routing.Capacity(spec.concurrency, self.limits.entries)
-        return (
-            active.attempts < ATTEMPTS_LIMIT
-            and self.budget.has_retry(now)
-            and any(
-                self.router.has_capacity(
-                    view, self.table.load_of(view), capacity, now
-                )
-                for view in self._candidates(spec.name, active.tried, now)
-            )
-        )
+        if active.attempts >= ATTEMPTS_LIMIT or not self.budget.has_retry(now):
+            return []
+        view = self._choose(active, now)
+        if view is None:
+            return []
+        self.budget.try_withdraw(now)
+        active.sent = True
+        active.resumption = view
+        return self._begin_attempt(active, view, now)
+
+    def resumption_took_over(
+        self, request: str, failed: bool, now: datetime.timedelta
+    ) -> list[Effect]:
+        """Handles the end of an attempt that another one goes on for."""
+        active = self._active_by_request[request]
+        before, active.view = active.view, active.resumption
+        active.resumption = None
+        active.interrupted = False
+        return self._attempt_over(active, before, failed, now)
+
+    def resumption_ended(
+        self, request: str, failed: bool, now: datetime.timedelta
+    ) -> list[Effect]:
+        """Handles the end of a resumption while its attempt goes on."""
+        active = self._active_by_request[request]
+        view, active.resumption = active.resumption, None
+        return self._attempt_over(active, view, failed, now)
+
+    def _attempt_over(
+        self,
+        active: _ActiveRequest,
+        view: groups.GroupView | None,
+        failed: bool,
+        now: datetime.timedelta,
+    ) -> list[Effect]:
+        if view is None:
+            raise AssertionError("an attempt ended that was not started")
+        if failed:
+            self.breakers.failed(view.address, now)
+        self.router.finished(view)
+        return self._start_queued(active.request.serving_group.name, now)
 
     def tick(
         self, now: datetime.timedelta, read_until: datetime.timedelta
@@ -235,6 +272,11 @@
             for queued in queue.remove_expired(now + self._first_token_time):
                 effects.append(self._refuse_queued(queued, now))
         for name, active in self._active_by_request.items():
+            resumption = active.resumption
+            if resumption is not None and (
+                not self.table.is_intact(resumption, read_until)
+            ):
+                effects.append(Interrupt(name, is_resumption=True))
             view = active.view
             if view is None or active.interrupted:
                 continue
@@ -309,23 +351,37 @@
         self, active: _ActiveRequest, now: datetime.timedelta
     ) -> list[Effect]:
         """Starts a request if a group has capacity; else returns nothing."""
+        view = self._choose(active, now)
+        if view is None:
+            return []
+        active.view = view
+        active.started_at = now
+        active.interrupted = False
+        return self._begin_attempt(active, view, now)
+
+    def _choose(
+        self, active: _ActiveRequest, now: datetime.timedelta
+    ) -> groups.GroupView | None:
+        """Returns a group with capacity that the request has not tried."""
         spec = active.request.serving_group
         candidates = [
             (view, self.table.load_of(view))
             for view in self._candidates(spec.name, active.tried, now)
         ]
         capacity = routing.Capacity(spec.concurrency, self.limits.entries)
-        view = self.router.choose(
+        return self.router.choose(
             candidates, capacity, active.request.prefix, now
         )
-        if view is None:
-            return []
+
+    def _begin_attempt(
+        self,
+        active: _ActiveRequest,
+        view: groups.GroupView,
+        now: datetime.timedelta,
+    ) -> list[Effect]:
         if not self.table.is_intact(view, now):
             raise AssertionError("a request was routed to an incomplete group")
-        active.view = view
-        active.started_at = now
         active.attempts += 1
-        active.interrupted = False
         active.tried.add((view.group, view.fence))
         self.router.started(view, now)
         self.breakers.started(view.address, now)
--- a/figford/gateway.py
+++ b/figford/gateway.py
@@ -141,6 +141,23 @@
         self.metrics.event("attempt-broken")
         self._execute(self.dispatcher.retry(request, sent, failed, now))
 
+    def resume(self, request: str) -> None:
+        """Asks another group for the rest of a silent answer."""
+        self._execute(self.dispatcher.resume(request, self.clock.now()))
+
+    def resumption_took_over(self, request: str, failed: bool) -> None:
+        """Records that the resumption goes on for the attempt before it."""
+        self.metrics.event("resumption-took-over")
+        now = self.clock.now()
+        self._execute(
+            self.dispatcher.resumption_took_over(request, failed, now)
+        )
+
+    def resumption_ended(self, request: str, failed: bool) -> None:
+        """Records that a resumption ended, and the attempt before it not."""
+        now = self.clock.now()
+        self._execute(self.dispatcher.resumption_ended(request, failed, now))
+
     def model_call_ended(
         self, call: modelcalls.ModelCall, outcome: str, tokens: int
     ) -> None:
@@ -195,8 +212,8 @@
                     call.start(view)
                 case dispatch.Refuse(_, refusal):
                     call.refuse(refusal)
-                case dispatch.Interrupt():
-                    call.interrupt()
+                case dispatch.Interrupt(_, is_resumption):
+                    call.interrupt(is_resumption)
 
     @staticmethod
     def abort_caller(responder: typing.Any) -> None:
--- a/figford/modelcalls.py
+++ b/figford/modelcalls.py
@@ -1,7 +1,9 @@
 """One request for a model: streams its answer from a group to the caller.
 
 After a broken attempt, another group resumes the answer at the position
-reached. The answer ends with its end marker or with an explicit error.
+reached. An attempt that is silent goes on beside its resumption; the one of
+the two that sends the next piece is kept. The answer ends with its end marker
+or with an explicit error.
 """
 
 from __future__ import annotations
@@ -54,25 +56,32 @@
     started_at: datetime.timedelta
     sent: bool = False
     last_data_at: datetime.timedelta = datetime.timedelta(0)
-    _stream: answers.AnswerStream = attrs.field(init=False)
-    _attempt: upstreams.StreamAttempt | None = None
-    _attempt_started_at: datetime.timedelta = datetime.timedelta(0)
+    _next_position: int = 0
+    _attempt: _Attempt | None = None
+    # Asks another group for the rest while `_attempt` is silent.
+    _resumption: _Attempt | None = None
     _response_started: bool = False
     _finished: bool = False
     _paused_at: datetime.timedelta | None = None
     _pieces: list[bytes] = attrs.field(factory=list)
 
-    def __attrs_post_init__(self) -> None:
-        """Creates the stream that puts the answer's pieces in order."""
-        self._stream = answers.AnswerStream(self.request.request)
-
     # ---- From the dispatcher --------------------------------------------
 
     def start(self, view: groups.GroupView) -> None:
-        """Sends the request, or the rest of it, to a group."""
-        self._stream.begin_attempt()
-        self._attempt_started_at = self.gateway.clock.now()
-        self.last_data_at = self._attempt_started_at
+        """Sends the request, or the rest of it, to a group.
+
+        An attempt in progress goes on.
+        """
+        now = self.gateway.clock.now()
+        stream = answers.AnswerStream(
+            self.request.request, self._next_position
+        )
+        attempt = _Attempt(self, stream, now)
+        if self._attempt is None:
+            self._attempt = attempt
+            self.last_data_at = now
+        else:
+            self._resumption = attempt
         headers = {
             b"content-type": b"application/json",
             b"accept": EVENT_STREAM,
@@ -80,13 +89,11 @@
             b"figford-group": view.group.encode(),
             b"figford-fence": str(view.fence).encode(),
             b"figford-priority": self.request.request_class.value.encode(),
-            b"figford-resume-from": str(self._stream.next_position).encode(),
+            b"figford-resume-from": str(self._next_position).encode(),
         }
-        receiver = _Receiver(self)
-        self._attempt = self.gateway.client.stream(
-            view.address, headers, self.body, receiver
+        attempt.exchange = self.gateway.client.stream(
+            view.address, headers, self.body, attempt
         )
-        receiver.attempt = self._attempt
 
     def refuse(self, refusal: errors.Refusal) -> None:
         """Ends the request with a refusal, or a begun stream with an error."""
@@ -102,7 +109,7 @@
         if self._finished:
             return
         was_sent = self.sent or self._attempt is not None
-        self._stop_attempt()
+        self._stop_attempts()
         self.refuse(dispatch.stopped_refusal(was_sent))
 
     @property
@@ -110,25 +117,29 @@
         """Returns whether the request waits for a group."""
         return self._attempt is None
 
-    def interrupt(self) -> None:
-        """Stops the attempt at a broken group and retries at another."""
-        self._stop_attempt()
-        self._retry(sent=True, failed=False)
+    def interrupt(self, is_resumption: bool) -> None:
+        """Stops the attempt at a broken group; another one goes on."""
+        attempt = self._resumption if is_resumption else self._attempt
+        if attempt is not None:
+            self._attempt_over(attempt, sent=True, failed=False)
 
     # ---- From the upstream ----------------------------------------------
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, attempt: _Attempt, data: bytes) -> None:
         """Forwards or collects the pieces that are next in order."""
+        if not self._is_current(attempt):
+            return
         now = self.gateway.clock.now()
         try:
-            pieces = self._stream.feed(data)
+            pieces = attempt.stream.feed(data)
         except errors.FigfordError as error:
-            self._stop_attempt()
             self.gateway.metrics.event(type(error).__name__)
-            self._retry(sent=True, failed=True)
+            self._attempt_over(attempt, sent=True, failed=True)
             return
         if not pieces:
             return
+        self._drop_other(attempt)
+        self._next_position = attempt.stream.next_position
         self._record_latency(len(pieces), now)
         if self.streaming:
             self._begin_stream()
@@ -139,16 +150,17 @@
                 self.responder.write(_SEPARATOR.join(pieces))
         else:
             self._pieces.extend(pieces)
-        if self._stream.ended:
+        if attempt.stream.ended:
             self._complete()
 
-    def attempt_ended(self, error: errors.FigfordError | None) -> None:
+    def attempt_ended(
+        self, attempt: _Attempt, error: errors.FigfordError | None
+    ) -> None:
         """Handles the end of an attempt before the end of the answer."""
-        self._attempt = None
-        if self._finished or self._stream.ended:
+        if self._finished or not self._is_current(attempt):
             return
         nothing_sent = isinstance(error, upstreams.NothingSentError)
-        self._retry(sent=not nothing_sent, failed=True)
+        self._attempt_over(attempt, sent=not nothing_sent, failed=True)
 
     # ---- From the caller ------------------------------------------------
 
@@ -156,66 +168,102 @@
         """Cancels the request after its caller disconnected."""
         if self._finished:
             return
-        self._stop_attempt()
+        self._stop_attempts()
         self._finish("caller-left")
 
     def pause(self) -> None:
         """Stops reading from the upstream while the caller is slow."""
         self._paused_at = self.gateway.clock.now()
-        if self._attempt is not None:
-            self._attempt.pause()
+        for attempt in self._attempts:
+            attempt.pause()
 
     def resume(self) -> None:
         """Resumes reading from the upstream."""
         self._paused_at = None
         self.last_data_at = self.gateway.clock.now()
-        if self._attempt is not None:
-            self._attempt.resume()
+        for attempt in self._attempts:
+            attempt.resume()
 
     # ---- Time -----------------------------------------------------------
 
     def check_timeouts(
         self, now: datetime.timedelta, read_until: datetime.timedelta
     ) -> None:
-        """Ends a stalled attempt, or a call whose caller stopped reading.
+        """Resumes a silent answer; ends a call whose caller stopped reading.
 
         What arrived until `read_until` has been read, and what callers could
         take until then was sent; silence counts only up to then.
-
-        An attempt that has sent a part of the answer ends only if the rest can
-        be requested from another group.
         """
         limits = self.gateway.limits
         if self._finished or self._attempt is None:
             return
         if self._paused_at is not None:
             if read_until - self._paused_at > limits.stalled_caller_timeout:
-                self._stop_attempt()
+                self._stop_attempts()
                 self._finish("slow-caller")
                 self.gateway.abort_caller(self.responder)
             return
-        has_begun = self._stream.next_position > 0
-        limit = limits.first_token_timeout
-        if has_begun:
-            limit = limits.between_token_timeout
-        if read_until - self.last_data_at <= limit:
+        if not self._next_position:
+            if read_until - self.last_data_at > limits.first_token_timeout:
+                self._attempt_over(self._attempt, sent=True, failed=True)
             return
-        dispatcher = self.gateway.dispatcher
-        if has_begun and not dispatcher.can_move(self.request.request, now):
-            return
-        self._stop_attempt()
-        self._retry(sent=True, failed=True)
+        if read_until - self.last_data_at > limits.between_token_timeout:
+            self._resume_elsewhere(read_until)
+
+    def _resume_elsewhere(self, read_until: datetime.timedelta) -> None:
+        """Asks another group for the rest of the answer, if one can take it.
+
+        The attempt that is silent goes on.
+        """
+        resumption = self._resumption
+        if resumption is not None:
+            limit = self.gateway.limits.between_token_timeout
+            if read_until - resumption.started_at <= limit:
+                return
+            self._attempt_over(resumption, sent=True, failed=True)
+        self.gateway.resume(self.request.request)
 
     # ---- Parts ----------------------------------------------------------
 
-    def _retry(self, sent: bool, failed: bool) -> None:
+    @property
+    def _attempts(self) -> list[_Attempt]:
+        both = (self._attempt, self._resumption)
+        return [attempt for attempt in both if attempt is not None]
+
+    def _is_current(self, attempt: _Attempt) -> bool:
+        return attempt in self._attempts
+
+    def _attempt_over(
+        self, attempt: _Attempt, sent: bool, failed: bool
+    ) -> None:
+        """Stops an attempt; the other one goes on, or the call is retried."""
+        attempt.cancel()
         self.sent = self.sent or sent
-        self.gateway.retry(self.request.request, sent, failed)
+        request = self.request.request
+        if attempt is self._resumption:
+            self._resumption = None
+            self.gateway.resumption_ended(request, failed)
+            return
+        self._attempt, self._resumption = self._resumption, None
+        if self._attempt is None:
+            self.gateway.retry(request, sent, failed)
+            return
+        self.last_data_at = self._attempt.started_at
+        self.gateway.resumption_took_over(request, failed)
 
-    def _stop_attempt(self) -> None:
-        attempt, self._attempt = self._attempt, None
-        if attempt is not None:
+    def _drop_other(self, attempt: _Attempt) -> None:
+        """Stops the other attempt once one has sent the next piece."""
+        if self._resumption is None or self._attempt is None:
+            return
+        if attempt is self._resumption:
+            self._attempt_over(self._attempt, sent=True, failed=True)
+        else:
+            self._attempt_over(self._resumption, sent=True, failed=False)
+
+    def _stop_attempts(self) -> None:
+        for attempt in self._attempts:
             attempt.cancel()
+        self._attempt = self._resumption = None
 
     def _begin_stream(self) -> None:
         if self._response_started:
@@ -232,7 +280,7 @@
 
     def _record_latency(self, pieces: int, now: datetime.timedelta) -> None:
         latency_buffers = self.gateway.latency_buffers(self.request)
-        first = self._stream.next_position == pieces
+        first = self._next_position == pieces
         if first:
             seconds = (now - self.started_at).total_seconds()
             latency_buffers.first_token.add(seconds)
@@ -275,24 +323,41 @@
             raise AssertionError("a request ended twice")
         self._finished = True
         self.gateway.model_call_ended(
-            self, outcome, max(0, self._stream.next_position - 1)
+            self, outcome, max(0, self._next_position - 1)
         )
 
 
 @attrs.define(eq=False)
-class _Receiver:
-    """Forwards the events of one attempt to its call."""
+class _Attempt:
+    """One attempt of a call, and the order of the pieces that it sends."""
 
     call: ModelCall
-    attempt: upstreams.StreamAttempt | None = None
+    stream: answers.AnswerStream
+    started_at: datetime.timedelta
+    exchange: upstreams.StreamAttempt | None = None
+
+    def cancel(self) -> None:
+        """Cancels the request at the upstream."""
+        if self.exchange is not None:
+            self.exchange.cancel()
+
+    def pause(self) -> None:
+        """Stops reading its answer."""
+        if self.exchange is not None:
+            self.exchange.pause()
+
+    def resume(self) -> None:
+        """Reads its answer again."""
+        if self.exchange is not None:
+            self.exchange.resume()
 
     def stream_data(self, data: bytes) -> None:
         """Forwards received data."""
-        self.call.data_received(data)
+        self.call.data_received(self, data)
 
     def stream_ended(self, error: errors.FigfordError | None) -> None:
         """Forwards the end of the attempt."""
-        self.call.attempt_ended(error)
+        self.call.attempt_ended(self, error)
 
 
 def assemble_answer(request: str, pieces: list[bytes]) -> bytes:
--- a/figford/tests/test_cutmodelanswers.py
+++ b/figford/tests/test_cutmodelanswers.py
@@ -443,3 +443,107 @@
     assert bench.attempts[1].resume_from == 2
     bench.attempts[1].send(responder.request, 2, 3, last=True)
     assert responder.body == whole(responder.request, 4)
+
+
+def silent_and_resumed() -> tuple[Bench, Responder, Attempt, Attempt]:
+    """Returns an answer whose attempt is silent, and its resumption."""
+    bench, responder, source = begun("g1", "g2")
+    bench.pass_time(SILENCE)
+    _, resumption = bench.attempts
+    assert not source.cancelled and resumption.resume_from == 2
+    return bench, responder, source, resumption
+
+
+def assert_idle(bench: Bench) -> None:
+    """Checks that no place at a group is held."""
+    assert bench.gateway.in_progress == bench.dispatcher.in_progress == 0
+    for name in bench.names:
+        assert bench.dispatcher.router.in_progress(name, 1) == 0
+
+
+def break_off(bench: Bench, resumption: Attempt) -> None:
+    """Breaks the resumption off."""
+    resumption.fail()
+
+
+def refuse(bench: Bench, resumption: Attempt) -> None:
+    """Refuses the resumption as not run."""
+    resumption.fail(upstreams.NothingSentError("not in the group"))
+
+
+def report_error(bench: Bench, resumption: Attempt) -> None:
+    """Reports an error in place of a piece."""
+    resumption.receiver.stream_data(b"event: error\ndata: {}\n\n")
+
+
+def stay_silent(bench: Bench, resumption: Attempt) -> None:
+    """Sends nothing for longer than an attempt may."""
+    bench.pass_time(SILENCE)
+
+
+def lose_member(bench: Bench, resumption: Attempt) -> None:
+    """Loses the member of the resumption's group."""
+    bench.names = tuple(set(bench.names) - {resumption.address})
+    bench.pass_time(4 * SECOND)
+
+
+@pytest.mark.parametrize(
+    "fail", [break_off, refuse, report_error, stay_silent, lose_member]
+)
+def test_a_failed_resumption_does_not_end_a_silent_answer(fail) -> None:
+    """The silent attempt was dropped before another one had a piece."""
+    bench, responder, source, resumption = silent_and_resumed()
+    bench.spend_retries()
+    fail(bench, resumption)
+    bench.pass_time(SECOND)
+    assert responder.end == "" and resumption.cancelled
+    source.send(responder.request, 2, last=True)
+    assert responder.body == whole(responder.request, 3)
+    assert_idle(bench)
+
+
+def test_an_attempt_that_sends_again_ends_its_resumption() -> None:
+    bench, responder, source, resumption = silent_and_resumed()
+    source.send(responder.request, 2)
+    assert resumption.cancelled
+    bench.pass_time(SECOND)
+    source.send(responder.request, 3, last=True)
+    assert responder.body == whole(responder.request, 4)
+    assert_idle(bench)
+
+
+def test_a_resumption_takes_over_with_its_first_piece() -> None:
+    bench, responder, source, resumption = silent_and_resumed()
+    resumption.receiver.stream_data(piece(responder.request, 2)[:-1])
+    assert not source.cancelled
+    resumption.receiver.stream_data(piece(responder.request, 2)[-1:])
+    assert source.cancelled
+    resumption.send(responder.request, 3, last=True)
+    assert responder.body == whole(responder.request, 4)
+    assert_idle(bench)
+
+
+@pytest.mark.parametrize("fail", [break_off, report_error, lose_member])
+def test_a_resumption_goes_on_for_an_attempt_that_fails(fail) -> None:
+    bench, responder, source, resumption = silent_and_resumed()
+    bench.spend_retries()
+    fail(bench, source)
+    assert source.cancelled and responder.end == ""
+    resumption.send(responder.request, 2, last=True)
+    assert responder.body == whole(responder.request, 3)
+    assert_idle(bench)
+
+
+def test_both_attempts_end_with_their_caller() -> None:
+    bench, _, source, resumption = silent_and_resumed()
+    source.receiver.call.caller_left()
+    assert source.cancelled and resumption.cancelled
+    assert_idle(bench)
+
+
+def test_both_attempts_end_with_the_process() -> None:
+    bench, responder, source, resumption = silent_and_resumed()
+    assert bench.gateway.end_calls() == 1
+    assert source.cancelled and resumption.cancelled
+    assert responder.end == "error"
+    assert_idle(bench)
