--- a/figford/tests/test_processes.py
+++ b/figford/tests/test_processes.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import ssl
+import time
 import urllib.error
 import urllib.request
 
@@ -329,6 +330,48 @@
     assert runs(service)["k1"] == 1
 
 
+def test_an_entry_that_did_not_run_for_a_time_completes_its_answers(tmp_path):
+    """It took its groups for lost; their announcements lay in its sockets."""
+    running = deployment.Deployment(tmp_path, ENTRIES[:1])
+    tokens = 80
+    try:
+        running.start_entries()
+        running.wait("a leader", lambda: leader_of_one(running))
+        for name in ("north", "south"):
+            running.start_engines(
+                name,
+                "medellin",
+                f"fabric-{name}",
+                2,
+                {"tokens": tokens, "token_seconds": 0.1},
+            )
+        alone = operators.DataCentre(name="medellin", entries=["entry-1"])
+        submitted = attrs.evolve(configuration(), data_centres=[alone])
+        accepted = running.submit("entry-1", submitted, 0, "first")
+        assert accepted.status == 200
+        running.wait_ready("entry-1")
+        running.wait_groups("entry-1", 2)
+        with concurrent.futures.ThreadPoolExecutor(4) as pool:
+            answers = [
+                pool.submit(stream, running, "entry-1") for _ in range(4)
+            ]
+            running.wait(
+                "the requests in progress",
+                lambda: running.status("entry-1").get("in_progress") == 4,
+            )
+            running.send_signal("entry-1", signal.SIGSTOP)
+            time.sleep(2.7)
+            running.send_signal("entry-1", signal.SIGCONT)
+            expected = "".join(
+                engine.token_text(PROMPT, i) for i in range(tokens)
+            )
+            for answer in answers:
+                text = deployment.stream_text(answer.result().body)
+                assert text == expected
+    finally:
+        running.kill_all()
+
+
 def test_an_entry_refuses_what_it_cannot_complete_before_it_ends(tmp_path):
     """The connection of the caller was reset at the stop timeout."""
     running = deployment.Deployment(
