--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -76,6 +76,8 @@
 # A caller's header with other intervals in seconds, separated by commas: after
 # each event in turn, also after the last one, before the end.
 INTERVAL_HEADER = "x-event-interval"
+# A caller's header with the bytes that are added to each event.
+PADDING_HEADER = "x-event-padding"
 # A request that crashes its upstream does so this long after it arrived, and
 # the upstream is back after some more.
 CRASH_SECONDS = 0.05
@@ -397,7 +399,9 @@
         if number > EVENTS_PER_STREAM:
             self.finish()
             return
-        self.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+        padding = "x" * int(self.getHeader(PADDING_HEADER) or 0)
+        event = f"id: {number}\ndata: piece {number}{padding}\n\n"
+        self.write(event.encode())
         interval = intervals_seconds[(number - 1) % len(intervals_seconds)]
         reactor.callLater(
             interval, self._stream, number + 1, intervals_seconds
--- a/figford/tests/platform/test_silentstreams.py
+++ b/figford/tests/platform/test_silentstreams.py
@@ -5,11 +5,13 @@
 groups serve the model, so that there is another target for each stream.
 """
 
+import http.client
 import random
 import signal
 import subprocess
 import threading
 import time
+import typing
 
 import attrs
 import pytest
@@ -25,6 +27,9 @@
 # interval comes before the end alone.
 INTERVALS_SECONDS = (0.1, 0.7, 0.85, 1.0, 1.3, 1.8)
 PAUSED_SECONDS = 1.0
+# So long that a stop that counts from its beginning ends streams too early.
+LONG_PAUSE_SECONDS = 1.2
+LONG_STREAM_SECONDS = 7.2
 SMALL = "small"
 SCARCE = {"retry_budget_ratio": 0.05, "retry_budget_slack": 2}
 PLENTIFUL = {"retry_budget_ratio": 0.2, "retry_budget_slack": 132}
@@ -42,6 +47,23 @@
         return [round(scale * item, 3) for item in intervals]
 
 
+class OneStreamCaller(test_stops.Caller):
+    """Asks for one stream that lasts nearly as long as a stop may take."""
+
+    def intervals(self) -> list[float]:
+        """Returns the seconds after each event of a stream."""
+        return [LONG_STREAM_SECONDS / standin.EVENTS_PER_STREAM]
+
+    def _body(self) -> typing.Iterator[bytes]:
+        """Yields a short body at once."""
+        yield b"x"
+
+    def _request(self, connection: http.client.HTTPConnection) -> None:
+        """Sends one request."""
+        super()._request(connection)
+        self.ended.set()
+
+
 def manifest() -> dict:
     """Returns a manifest with one small model, which all engines serve."""
     base = test_processes.manifest(3)
@@ -217,3 +239,51 @@
         cluster.kill_all()
     assert lost == []
     assert served(play) > 0
+
+
+def test_a_stop_after_a_pause_ends_no_stream_too_early(tmp_path) -> None:
+    """The SIGTERM came at the end of the pause, not at its beginning.
+
+    The streams are sent shortly before it, and their upstream is still at work
+    in the last sixth of the time that a stop may take.
+    """
+    cluster = make_cluster(tmp_path, PLENTIFUL)
+    ended = threading.Event()
+    callers = [
+        OneStreamCaller(
+            number,
+            cluster.ports[1],
+            random.Random(number),
+            ended,
+            stream_share=1.0,
+            models=(SMALL,),
+        )
+        for number in range(3)
+    ]
+    threads = [threading.Thread(target=each.run) for each in callers]
+    try:
+        process = cluster.process_by_name[ENTRY]
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(LONG_PAUSE_SECONDS)
+        for thread in threads:
+            thread.start()
+        time.sleep(test_processes.POLL_SECONDS)
+        stopped_at = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGCONT)
+        for thread in threads:
+            thread.join()
+        process.wait(timeout=test_processes.WAIT_TIMEOUT_SECONDS)
+        elapsed = time.monotonic() - stopped_at
+        passed_on = set(cluster.runs())
+    finally:
+        ended.set()
+        cluster.kill_all()
+    lost = [
+        test_stops.describe(item, stopped_at)
+        for caller in callers
+        for item in caller.sent
+        if item.is_lost(stopped_at, passed_on)
+    ]
+    assert lost == []
+    assert elapsed <= test_stops.GRACE_SECONDS
--- a/figford/tests/platform/test_unreadrequests.py
+++ b/figford/tests/platform/test_unreadrequests.py
@@ -1,18 +1,23 @@
-"""Requests lie unread in an entry's sockets as it closes what is idle.
+"""Requests lie unread in an entry's sockets as it closes them.
 
 After the delay in which new connections may still come, a stopping entry
 closes its port and its idle connections. If it did not run for a while, what
 callers have sent meanwhile lies in its sockets. From the callers' side, such a
 request was taken and got no answer.
+
+A request that comes once an entry has closed the connection resets it, so that
+the caller loses what it has not received of the answer before.
 """
 
 import contextlib
 import http.client
 import signal
+import socket
 import time
 
 import pytest
 
+from figford.tests.platform import standin
 from figford.tests.platform import test_processes
 from figford.tests.platform import test_stops
 
@@ -24,6 +29,9 @@
 CONNECTIONS = 8
 # The paths of requests that last longer than the entry, and that don't.
 PATHS = ("/ask/x", "/book/x")
+# Of a caller that reads slowly, and of each event that it receives.
+RECEIVE_BUFFER_BYTES = 4096
+PADDING_BYTES = 50_000
 
 
 def wait_until(time_seconds: float) -> None:
@@ -98,3 +106,54 @@
     # What can't be finished in time is refused, and may be sent elsewhere.
     assert set(endings) <= {200, 503}, endings
     assert elapsed <= test_stops.GRACE_SECONDS
+
+
+def test_a_next_request_does_not_reset_an_answer(tmp_path) -> None:
+    """The entry had sent the whole answer, and its caller read slowly."""
+    cluster = test_processes.ProcessCluster(tmp_path)
+    caller = socket.socket()
+    with contextlib.closing(caller), contextlib.ExitStack() as stack:
+        stack.callback(cluster.kill_all)
+        for ip in (*test_processes.CONTROLLERS, ENTRY):
+            cluster.start(ip)
+        cluster.start_upstreams()
+        assert cluster.submit(test_processes.manifest(3)).status == 200
+        cluster.wait_until_served("/ask/x", Figford_Model="small")
+        caller.settimeout(test_processes.WAIT_TIMEOUT_SECONDS)
+        caller.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        caller.connect((ENTRY, cluster.ports[1]))
+        lines = (
+            "POST /ask/x HTTP/1.1",
+            "Host: h.example",
+            "Figford-Attempt-Id: slow",
+            "Figford-Deadline-Remaining: 7000",
+            "Figford-Model: small",
+            f"X-Api-Key: {test_processes.KEY}",
+            f"{standin.PADDING_HEADER}: {PADDING_BYTES}",
+            "Content-Length: 2",
+        )
+        request = ("\r\n".join(lines) + "\r\n\r\n{}").encode()
+        caller.sendall(request)
+        received = caller.recv(RECEIVE_BUFFER_BYTES)
+        assert received.startswith(b"HTTP/1.1 200")
+        cluster.process_by_name[ENTRY].send_signal(signal.SIGTERM)
+        # The stream ends, and the entry closes the connection.
+        cluster.wait(
+            "the end of the answer",
+            lambda: any(
+                '"request ended"' in line and '"slow"' in line
+                for line in cluster.log_lines(ENTRY)
+            ),
+        )
+        time.sleep(test_processes.POLL_SECONDS)
+        caller.sendall(request)
+        with contextlib.suppress(ConnectionResetError):
+            while not received.endswith(b"0\r\n\r\n"):
+                data = caller.recv(RECEIVE_BUFFER_BYTES)
+                if not data:
+                    break
+                received += data
+                time.sleep(0.001)
+    assert received.endswith(b"0\r\n\r\n"), len(received)
