--- a/figford/tests/platform/test_processes.py
+++ b/figford/tests/platform/test_processes.py
@@ -337,12 +337,16 @@
         answer = self.call(self._upstream_address(index), "GET", "/endless")
         return json.loads(answer.body)["open"]
 
-    def memory_bytes(self, ip: str) -> int:
-        """Returns the resident memory of a process."""
+    def process_status(self, ip: str, field: str) -> str:
+        """Returns the first word of a field that the kernel tells."""
         pid = self.process_by_name[ip].pid
         status = pathlib.Path(f"/proc/{pid}/status").read_text()
-        line = next(x for x in status.splitlines() if x.startswith("VmRSS"))
-        return int(line.split()[1]) * 1024
+        line = next(x for x in status.splitlines() if x.startswith(field))
+        return line.split()[1]
+
+    def memory_bytes(self, ip: str) -> int:
+        """Returns the resident memory of a process."""
+        return int(self.process_status(ip, "VmRSS")) * 1024
 
     def _upstream_address(self, index: int) -> str:
         return f"{standin.HOST}:{self.ports[4] + index}"
@@ -373,14 +377,19 @@
 
         return self.wait(f"{path} served", served)
 
-    def wait(self, description: str, condition: typing.Callable) -> typing.Any:
+    def wait(
+        self,
+        description: str,
+        condition: typing.Callable,
+        poll_seconds: float = POLL_SECONDS,
+    ) -> typing.Any:
         """Waits until a condition is true and returns its value."""
         deadline = time.monotonic() + WAIT_TIMEOUT_SECONDS
         while time.monotonic() < deadline:
             found = condition()
             if found:
                 return found
-            time.sleep(POLL_SECONDS)
+            time.sleep(poll_seconds)
         logs = "\n".join(
             file.read_text()[-3000:] for file in self.folder.glob("*.log")
         )
@@ -518,3 +527,33 @@
     ready = cluster.call(f"{ENTRY}:{cluster.ports[2]}", "GET", "/")
     assert ready.status == 503
     assert process.wait(timeout=WAIT_TIMEOUT_SECONDS) == 0
+
+
+@pytest.mark.parametrize("ip", [CONTROLLERS[0], ENTRY])
+def test_a_reload_while_a_process_starts_does_not_end_it(tmp_path, ip) -> None:
+    """The handler came after the imports; until then, SIGHUP killed it."""
+    cluster = ProcessCluster(tmp_path)
+
+    def has_started() -> bool:
+        return any('"process started"' in x for x in cluster.log_lines(ip))
+
+    def ignores_reloads() -> bool:
+        mask = cluster.process_status(ip, "SigIgn")
+        return bool(int(mask, 16) & 1 << signal.SIGHUP - 1)
+
+    try:
+        cluster.start(ip)
+        process = cluster.process_by_name[ip]
+        cluster.wait(
+            "a time in which SIGHUP is ignored",
+            lambda: ignores_reloads() or has_started(),
+            poll_seconds=0.002,
+        )
+        assert not has_started()
+        process.send_signal(signal.SIGHUP)
+        cluster.wait(
+            "the start", lambda: has_started() or process.poll() is not None
+        )
+        assert process.poll() is None
+    finally:
+        cluster.kill_all()
