--- a/figford/tests/platform/unsafe.py
+++ b/figford/tests/platform/unsafe.py
@@ -13,8 +13,8 @@
 from figford import crashes
 from figford import crashguard
 from figford import permits
-from figford.platform import program
 from figford.platform import controlpages
+from figford.platform import program
 from figford import routes
 from figford import sharedbudget
 
