A controller that stops gives up its vote before it ends

Cause: the successor makes four voters of three. The one that it replaces stayed a voter for half of `catch_up_s` after its end, though it says that it stops, as only silence and lost disks counted. In between the quorum was 3 of 4 with a dead one, so a second loss stopped the log, and only a leader can change voters.

Now a voter whose process stops is removed while more than 2 * fault_tolerance + 1 are left, and the process waits for that, for a quarter of its time to stop at most. A stopping leader first asks a voter that has the whole log to take over, as the others can't remove it before they have a leader; the second without a leader after each stop of one goes away with it. Before the successor has its vote, the stopping one waits for it. A replica that stops gets no vote; a restart without a spare voter keeps it.

With an even number and a spare, a dead voter is removed before a learner is added: both leave as many losses to bear, and this one needs fewer voters.

The vote of a restarted controller comes back.

Entries with a disk (`figford serve`) use the same rules and wait too.

The link protocol has a new message, so its version is 3.

--- a/figford/agreement.py
+++ b/figford/agreement.py
@@ -9,6 +9,7 @@
 import datetime
 import enum
 import random
+import typing
 
 import attrs
 
@@ -247,22 +248,40 @@
         recently: a dead replica that becomes a voter counts against the
         quorum.
         """
-        if not self._replies(learner, now):
+        if not self.replies(learner, now):
             return False
         match_index = self._progress_by_voter[learner].match_index
         return self.log.last_index - match_index <= PROMOTION_LAG_ENTRIES
 
     def all_reply(self, now: datetime.timedelta) -> bool:
         """Returns whether all other voters have replied recently."""
-        return all(self._replies(voter, now) for voter in self._other_voters())
+        return all(self.replies(voter, now) for voter in self._other_voters())
 
-    def _replies(self, voter: str, now: datetime.timedelta) -> bool:
+    def replies(self, voter: str, now: datetime.timedelta) -> bool:
         """Returns whether a voter or learner confirmed entries recently."""
         progress = self._progress_by_voter.get(voter)
         if progress is None or not progress.match_index:
             return False
         return now - progress.last_reply_at <= PROMOTION_SILENCE
 
+    def transfer_leadership(
+        self, candidates: typing.Iterable[str], now: datetime.timedelta
+    ) -> tuple[str, Output] | None:
+        """Asks one of the candidates to take over as leader at once.
+
+        Returns the voter that was asked; None if no candidate has replied
+        recently and has the whole log, without which it can't be elected.
+        """
+        for voter in sorted(candidates):
+            progress = self._progress_by_voter.get(voter)
+            if progress is None or not self.replies(voter, now):
+                continue
+            if progress.match_index < self.log.last_index:
+                continue
+            request = messages.TransferLeadership(self.term)
+            return voter, Output(sends=[messages.Addressed(voter, request)])
+        return None
+
     def compact(self, index: int, state: bytes) -> Output:
         """Replaces the log up to a committed index by a snapshot."""
         if index > self.commit_index:
@@ -298,6 +317,8 @@
                 self._on_snapshot(message, now, output)
             case messages.AppendReply():
                 self._on_append_reply(message, now, output)
+            case messages.TransferLeadership():
+                self._on_transfer(message, now, output)
         return output
 
     # ---- Elections ------------------------------------------------------
@@ -362,6 +383,17 @@
         self._request_votes(self.term, False, output)
         self._count_votes(now, output)
 
+    def _on_transfer(
+        self,
+        request: messages.TransferLeadership,
+        now: datetime.timedelta,
+        output: Output,
+    ) -> None:
+        """Starts an election without a pre-vote; the leader asked for it."""
+        is_current = request.term == self.term and not self.leading
+        if is_current and self.voter in self.voters:
+            self._start_election(now, output)
+
     def _request_votes(
         self, term: int, preliminary: bool, output: Output
     ) -> None:
--- a/figford/control.py
+++ b/figford/control.py
@@ -21,6 +21,9 @@
 # A longer gap between two ticks means that this process was suspended; what
 # others sent meanwhile was not received.
 PAUSE_THRESHOLD = datetime.timedelta(seconds=1)
+# The part of the time for a graceful shutdown within which a replica waits
+# until others have taken over its vote.
+VOTE_RELEASE_PART = 0.25
 # Proposals beyond this number are answered as undecided; their origin retries
 # them until their deadline.
 MAX_PENDING_PROPOSALS = 10_000
@@ -136,6 +139,22 @@
         """Returns whether this replica leads or heard its leader recently."""
         return self.agreement.hears_leader(now)
 
+    def may_end(self, now: datetime.timedelta) -> bool:
+        """Returns whether a stopping replica need not wait any longer.
+
+        It waits until another voter leads. Its vote is given up if enough
+        voters remain, or a live replica may take its place. If all voters
+        stop, nobody takes over.
+        """
+        voters = self.agreement.voters
+        others = [voter for voter in voters if voter != self.agreement.voter]
+        has_vote = len(others) < len(voters)
+        if not has_vote or all(self._is_stopping(voter) for voter in others):
+            return True
+        if self.agreement.leading:
+            return not self._may_take_over(others, now)
+        return not self._has_spare() and not self._promotable(now)
+
     def leader_instance(self) -> str | None:
         """Returns the instance of the leader, None if it is unknown."""
         leader = self.agreement.leader
@@ -263,12 +282,17 @@
         of live voters that may fail before the quorum is lost, and none lets
         a quorum be smaller than `fault_tolerance + 1`:
 
+        - An even number loses a dead voter if enough voters remain.
         - An even number of voters takes a learner: the quorum stays the same.
         - An odd number loses a dead voter: the quorum stays the same.
-        - An even number loses a dead voter if enough voters remain.
         - An odd number takes a learner, which raises the quorum, only while
           all voters reply.
+
+        A voter whose process stops counts as dead, so that its end is not a
+        loss. If this replica stops, it only lets another one take over.
         """
+        if self.peers.me.draining:
+            return self._transfer_leadership(now)
         voters = self.agreement.voters
         dead = self._dead_voters(now)
         learners = self._waiting_learners(now)
@@ -279,9 +303,10 @@
             learner
             for learner in learners
             if self.agreement.caught_up(learner, now)
+            and not self._is_stopping(learner)
         ]
         has_even_count = len(voters) % 2 == 0
-        if has_even_count and caught_up:
+        if has_even_count and caught_up and not (dead and self._has_spare()):
             return self._change_voters([*voters, caught_up[0]], now)
         for voter in dead:
             if self._may_remove(voter, bool(caught_up), now):
@@ -293,7 +318,10 @@
         return []
 
     def _dead_voters(self, now: datetime.timedelta) -> list[str]:
-        """Returns the voters that won't reply, those with lost disks first."""
+        """Returns the voters that won't reply for long.
+
+        Those with lost disks come first, those that still reply last.
+        """
         voters = self.agreement.voters
         replaced = [
             voter for voter in voters if self._disk_was_replaced(voter, now)
@@ -301,23 +329,30 @@
         silent = [
             voter for voter in voters if self._is_unreachable(voter, now)
         ]
-        return [*replaced, *silent]
+        stopping = [voter for voter in voters if self._is_stopping(voter)]
+        return [*replaced, *silent, *stopping]
 
     def _may_remove(
         self, voter: str, has_successor: bool, now: datetime.timedelta
     ) -> bool:
         """Returns whether a dead voter can be removed now.
 
-        A silent voter may return, so without a successor it is removed only
-        while more voters remain than tolerate the loss of `fault_tolerance`.
+        A silent or stopping voter may return, so without a successor it is
+        removed only while more voters remain than tolerate the loss of
+        `fault_tolerance`. One that still replies stays until the successor
+        has its vote.
         """
-        voters = self.agreement.voters
-        has_spare = len(voters) > 2 * self.fault_tolerance + 1
-        if len(voters) % 2 == 0:
-            return has_spare
-        return (
-            has_spare or has_successor or self._disk_was_replaced(voter, now)
-        )
+        if self._has_spare():
+            return True
+        if len(self.agreement.voters) % 2 == 0:
+            return False
+        if self._is_stopping(voter) and self.agreement.replies(voter, now):
+            return False
+        return has_successor or self._disk_was_replaced(voter, now)
+
+    def _has_spare(self) -> bool:
+        """Returns whether one voter less still bears `fault_tolerance`."""
+        return len(self.agreement.voters) > 2 * self.fault_tolerance + 1
 
     def _change_voters(
         self, voters: list[str], now: datetime.timedelta
@@ -330,6 +365,49 @@
         )
         return [*self._process_output(output), changed]
 
+    def _transfer_leadership(
+        self, now: datetime.timedelta
+    ) -> list[effects.Effect]:
+        """Asks another voter to lead, if one can."""
+        candidates = self._may_take_over(self.agreement.voters, now)
+        asked = self.agreement.transfer_leadership(candidates, now)
+        if asked is None:
+            return []
+        voter, output = asked
+        changed = effects.StateChanged(
+            "leadership transferred", (("voter", voter),)
+        )
+        return [*self._process_output(output), changed]
+
+    def _may_take_over(
+        self, voters: list[str], now: datetime.timedelta
+    ) -> list[str]:
+        """Returns the voters that can lead in place of this replica."""
+        return [
+            voter
+            for voter in voters
+            if voter != self.agreement.voter
+            and self.agreement.replies(voter, now)
+            and not self._is_stopping(voter)
+        ]
+
+    def _promotable(self, now: datetime.timedelta) -> list[str]:
+        """Returns the live replicas without a vote that go on running."""
+        return [
+            learner
+            for learner in self._waiting_learners(now)
+            if not self._is_stopping(learner)
+        ]
+
+    def _is_stopping(self, voter: str) -> bool:
+        """Returns whether the process of a voter or learner stops."""
+        if voter == self.agreement.voter:
+            return self.peers.me.draining
+        known = self.peers.by_instance.get(
+            self.peers.instance_of_voter(voter) or ""
+        )
+        return known is not None and known.peer.draining
+
     def _disk_was_replaced(self, voter: str, now: datetime.timedelta) -> bool:
         """Returns whether the voter's instance is live with another disk."""
         instance = voter.rpartition(".")[0]
--- a/figford/controller.py
+++ b/figford/controller.py
@@ -393,10 +393,14 @@
         self.planner.query_unanswered(query.upstream, query.incarnation, now)
 
     def begin_stop(self, now: datetime.timedelta) -> list[Effect]:
-        """Starts a graceful shutdown; the disk keeps voting until the end."""
+        """Starts a graceful shutdown; the disk votes while it has a vote."""
         self.stopping = True
         return self._heartbeat_now(now)
 
+    def may_end(self, now: datetime.timedelta) -> bool:
+        """Returns whether a stopping process need not wait for the voters."""
+        return self.control.may_end(now)
+
     # ---- Peers ----------------------------------------------------------
 
     def _detect_pause(self, now: datetime.timedelta) -> None:
--- a/figford/controllerdaemon.py
+++ b/figford/controllerdaemon.py
@@ -230,7 +230,7 @@
         self.apply_or_exit(self.state.tick, now)
         self._reply_to_reads(now)
         since = self._stopping_since
-        if since is not None and now - since >= STOP_DELAY:
+        if since is not None and self._may_end(now - since, now):
             self._stopping_since = None
             self._close().addErrback(self.fatal)
 
@@ -350,6 +350,15 @@
         _log.info("process stopping", leads=self.state.is_settled_leader)
         self.carry_out(self.state.begin_stop(self.clock.now()))
 
+    def _may_end(
+        self, stopping_for: datetime.timedelta, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether others have taken over, or the wait is too long."""
+        if stopping_for < STOP_DELAY:
+            return False
+        longest = self.config.stop_timeout * control.VOTE_RELEASE_PART
+        return stopping_for >= longest or self.state.may_end(now)
+
     @defer.inlineCallbacks
     def _close(self) -> typing.Iterator[typing.Any]:
         yield self.close_ports()
--- a/figford/daemon.py
+++ b/figford/daemon.py
@@ -316,6 +316,9 @@
         deadline_passed = remaining <= datetime.timedelta(0)
         if self._is_answering() and not deadline_passed:
             return
+        longest = self.config.stop_timeout * control.VOTE_RELEASE_PART
+        if now - since < longest and not self.node.may_end(now):
+            return
         self._stopping_since = None
         is_late = deadline_passed or self._calls_ended > 0
         self._close(is_late).addErrback(self._fatal)
--- a/figford/links.py
+++ b/figford/links.py
@@ -31,7 +31,7 @@
 
 _log = logbook.Logger(__name__)
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 MESSAGE_LIMIT_BYTES = 16 << 20
 # Limit of the data that is buffered for a peer that does not read.
 UNSENT_LIMIT_BYTES = 32 << 20
--- a/figford/messages.py
+++ b/figford/messages.py
@@ -317,8 +317,20 @@
     round: int
 
 
+@attrs.frozen
+class TransferLeadership:
+    """A leader's request that a voter with its whole log take over now."""
+
+    term: int
+
+
 AgreementMessage = (
-    VoteRequest | VoteReply | Append | AppendReply | InstallSnapshot
+    VoteRequest
+    | VoteReply
+    | Append
+    | AppendReply
+    | InstallSnapshot
+    | TransferLeadership
 )
 
 
--- a/figford/node.py
+++ b/figford/node.py
@@ -288,6 +288,10 @@
         self.planning.stop()
         return self._heartbeat_now(now)
 
+    def may_end(self, now: datetime.timedelta) -> bool:
+        """Returns whether a stopping process need not wait for the voters."""
+        return self.control is None or self.control.may_end(now)
+
     # ---- Peers and upstreams --------------------------------------------
 
     def _detect_pause(self, now: datetime.timedelta) -> None:
--- a/figford/tests/test_soak.py
+++ b/figford/tests/test_soak.py
@@ -193,7 +193,7 @@
 
 
 # A disabled mechanism must be detected with one of these seeds.
-SEARCHED_SEEDS = (1, 2, 58, 62, *range(3, 13))
+SEARCHED_SEEDS = (1, 2, 14, 15, 58, 62, *range(3, 13))
 
 MUTATIONS = [
     no_freshness,
