An upstream's own status does not say that a call was not run

What callers saw: a worker ran a booking, failed afterwards and answered 503 without `Figford-Not-Executed`.

Cause: only refusals of the entry's own were kept from saying "not run" of what may have run. An upstream's answer was delivered with any status. Of routes that may not be repeated 429 and 408 were passed on as well; 421 was not, as it is a rejection by the protocol.

`ForwardedCall._deliver`, through which each whole answer leaves, replaces an answer with one of these statuses by a failure of the entry's own (502, run unknown), without the worker's signature, body and Retry-After, where the request may not be repeated: non-idempotent routes and streams that may not be resumed. The header that states that a request was not run is believed as before, and a Retry-After of a 503 still pauses its worker. What may be repeated keeps the worker's answer: the rule is on requests that are not idempotent, and callers repeat the others after any failure.

The own interface (`figford serve`) passed such answers on for calls that may not be repeated, and stored them for those with a key. They count as lost now, `outcome-unknown`; so do the ones that an earlier version stored.

--- a/figford/claims.py
+++ b/figford/claims.py
@@ -267,12 +267,14 @@
         )
 
     def _end_with_stored(self, answer: messages.StoredAnswer) -> list[Effect]:
-        if not answer.whole:
+        if not answer.whole or _is_unproven(answer):
             return self._end(_unknown_outcome())
         self.state = CallState.ENDED
         return [Respond(answer)]
 
     def _on_answer(self, answer: messages.StoredAnswer) -> list[Effect]:
+        if _is_unproven(answer):
+            return self._on_lost()
         self._answer = answer
         if self.key is None:
             return self._on_recorded()
@@ -311,9 +313,17 @@
         )
 
 
+def _is_unproven(answer: messages.StoredAnswer) -> bool:
+    """Returns whether a status says "not run" of a call that was sent.
+
+    Upstreams of plain services have no other way to state that.
+    """
+    return answer.status in errors.NOT_RUN_STATUSES
+
+
 def _unknown_outcome() -> errors.Refusal:
     return errors.OutcomeUnknown(
-        "the upstream failed before its answer was complete",
+        "the upstream failed, or gave no complete answer",
         run_state=errors.RunState.UNKNOWN,
     )
 
--- a/figford/errors.py
+++ b/figford/errors.py
@@ -9,6 +9,9 @@
 
 import attrs
 
+# These tell a caller that its request did not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class RunState(enum.Enum):
     """Whether a refused request was run, as far as that is known."""
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -268,7 +268,7 @@
             self._end("broken", 0, refusal.kind)
             self.responder.abort()
             return
-        if self.may_have_run and refusal.status in (503, 429):
+        if self.may_have_run and refusal.status in errors.NOT_RUN_STATUSES:
             refusal = errors.UpstreamFailed(
                 refusal.detail, run_state=errors.RunState.UNKNOWN
             )
@@ -598,12 +598,24 @@
                 attempt, f"resumption answered with status {head.status}"
             )
             return
-        if head.status >= 500:
+        if head.status >= 500 or self._is_unproven(head):
             self._upstream_failed(attempt, head, now)
             return
         self._record_survival(attempt)
         self._deliver(attempt, head)
 
+    def _is_unproven(self, head: wire.AnswerHead) -> bool:
+        """Returns whether a status says "not run" of what may have run.
+
+        An upstream states that it did not run a request by a header, which
+        `answer_began` handles; its status alone does not say so. Callers
+        repeat what may be repeated in any case.
+        """
+        return (
+            not self.route.repeatable
+            and head.status in errors.NOT_RUN_STATUSES
+        )
+
     def _record_survival(self, attempt: attempts.Attempt) -> None:
         """Records that the upstream outlived the beginning of the answer."""
         if not attempt.survived:
@@ -632,7 +644,22 @@
     def _deliver(
         self, attempt: attempts.Attempt, head: wire.AnswerHead
     ) -> None:
-        """Forwards a complete answer, successful or not."""
+        """Forwards a complete answer, successful or not.
+
+        One whose status would tell the caller that the request did not run is
+        replaced unless that is known, or another run does no harm.
+        """
+        if self._is_unproven(head):
+            self._drop(attempt)
+            self.cause = f"upstream status {head.status}"
+            self.forwarder.metrics.event("unproven-status-replaced")
+            self.end_early(
+                endings.Cause.UPSTREAM_FAILED,
+                errors.UpstreamFailed(
+                    self.cause, run_state=errors.RunState.UNKNOWN
+                ),
+            )
+            return
         self._release(attempt)
         if head.status < 500:
             self.forwarder.placement.succeeded(attempt.target)
--- a/figford/tests/test_claims.py
+++ b/figford/tests/test_claims.py
@@ -13,6 +13,7 @@
 LARGE = messages.StoredAnswer(
     200, "text/plain", b"x" * (claims.STORED_ANSWER_LIMIT_BYTES + 1)
 )
+UNPROVEN = messages.StoredAnswer(503, "text/plain", b"not run")
 
 
 def call(key="k"):
@@ -83,6 +84,35 @@
     assert isinstance(refusal(effects), errors.OutcomeUnknown)
 
 
+@pytest.mark.parametrize("status", sorted(errors.NOT_RUN_STATUSES))
+@pytest.mark.parametrize("key", ["k", None])
+def test_an_upstreams_own_status_does_not_say_that_a_call_was_not_run(
+    status, key
+):
+    """A booking that ran and was answered with 503 was made twice."""
+    made = granted(key)
+    made.about_to_send()
+    answer = messages.StoredAnswer(status, "text/plain", b"not run")
+    effects = made.handle(claims.Answered(answer))
+    if key is not None:
+        (effect,) = effects
+        assert not effect.command.answer.whole
+        effects = made.handle(claims.Recorded(True))
+    found = refusal(effects)
+    assert isinstance(found, errors.OutcomeUnknown)
+    assert found.run_state is errors.RunState.UNKNOWN
+
+
+@pytest.mark.parametrize("status", sorted(errors.NOT_RUN_STATUSES))
+def test_a_stored_status_does_not_say_that_a_call_was_not_run(status):
+    """An earlier version stored it as the answer."""
+    made = call()
+    made.start()
+    stored = messages.StoredAnswer(status, "text/plain", b"not run")
+    answered = claims.ClaimDecided(messages.ClaimAnswered(stored))
+    assert isinstance(refusal(made.handle(answered)), errors.OutcomeUnknown)
+
+
 def test_attempt_that_sent_nothing_is_retried_then_releases_the_claim():
     made = granted()
     assert made.handle(claims.NothingSent()) == [claims.StartAttempt()]
@@ -108,6 +138,8 @@
         claims.ClaimDecided(messages.ClaimAnswered(ANSWER)),
         claims.NothingSent(),
         claims.Answered(ANSWER),
+        claims.Answered(UNPROVEN),
+        claims.ClaimDecided(messages.ClaimAnswered(UNPROVEN)),
         claims.AttemptLost(),
         claims.NoUpstream(),
         claims.Recorded(True),
@@ -150,6 +182,8 @@
     ]
     assert len(ends) <= 1
     for end in ends:
+        if isinstance(end, claims.Respond):
+            assert end.answer.status not in errors.NOT_RUN_STATUSES
         if isinstance(end, claims.Refuse):
             not_run = end.refusal.run_state is errors.RunState.NOT_RUN
             assert not (not_run and sendings)
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -284,6 +284,77 @@
     assert bench.responder.status == 500 and bench.idle()
 
 
+@pytest.mark.parametrize("status", sorted(errors.NOT_RUN_STATUSES))
+@pytest.mark.parametrize(
+    "mode, resumable",
+    [(routes.RetryMode.ONCE, False), (routes.RetryMode.STREAM, False)],
+)
+@pytest.mark.parametrize("first", [None, exchanges.Failure.NOT_SENT])
+def test_an_upstreams_own_status_does_not_say_that_a_call_was_not_run(
+    status: int,
+    mode: routes.RetryMode,
+    resumable: bool,
+    first: exchanges.Failure | None,
+) -> None:
+    """A booking that ran and was answered with 503 was made twice."""
+    bench = Bench(mode, resumable=resumable).begin()
+    if first is not None:
+        bench.receiver.answer_failed(first)
+    sent = len(bench.pool.sent)
+    receiver = bench.receiver
+    bench.answer(status, b"not run", pause=SECOND)
+    receiver.answer_ended()
+    assert len(bench.pool.sent) == sent
+    refusal = bench.responder.refusal
+    assert (refusal.status, refusal.run_state) == (
+        502,
+        errors.RunState.UNKNOWN,
+    )
+    assert "not run" not in refusal.detail and refusal.retry_after is None
+    # Nothing of the upstream's answer, and so not its signature either.
+    assert (bench.responder.status, bench.responder.body) == (0, b"")
+    assert bench.responder.ends == ["refused"] and bench.idle()
+
+
+@pytest.mark.parametrize("status", sorted(errors.NOT_RUN_STATUSES))
+def test_a_rejection_that_breaks_off_does_not_say_not_run(
+    status: int,
+) -> None:
+    bench = Bench(routes.RetryMode.ONCE).begin()
+    receiver = bench.receiver
+    bench.answer(status, b"not")
+    receiver.answer_failed(exchanges.Failure.BROKEN)
+    assert bench.responder.refusal.status == 502 and bench.idle()
+
+
+def test_an_upstreams_own_503_still_pauses_it() -> None:
+    """Its Retry-After holds though the caller does not get its answer."""
+    bench = Bench(routes.RetryMode.ONCE).begin()
+    paused, receiver = bench.pool.sent[-1][0], bench.receiver
+    bench.answer(503, b"full", pause=60 * SECOND)
+    receiver.answer_ended()
+    for number in range(8):
+        call = attrs.evolve(
+            bench.call,
+            head=attrs.evolve(bench.call.head, attempt=f"b{number}"),
+            responder=Responder(),
+        )
+        bench.forwarder.begin(call)
+    assert paused not in [address for address, _ in bench.pool.sent[1:]]
+    assert len(bench.pool.sent) > 1
+
+
+@pytest.mark.parametrize("status", sorted(errors.NOT_RUN_STATUSES - {421}))
+def test_an_upstreams_own_status_is_kept_where_a_repeat_does_no_harm(
+    status: int,
+) -> None:
+    bench = Bench(routes.RetryMode.IDEMPOTENT, attempts=1).begin()
+    receiver = bench.receiver
+    bench.answer(status, b"busy")
+    receiver.answer_ended()
+    assert (bench.responder.status, bench.responder.body) == (status, b"busy")
+
+
 def test_attempts_end_at_the_limit_of_the_route() -> None:
     bench = Bench(routes.RetryMode.IDEMPOTENT, attempts=1).begin()
     bench.receiver.answer_failed(exchanges.Failure.BROKEN)
