A status that is none is no answer

What callers saw on other systems (MIXED): a worker in trouble answered with the status 000, and the client got that as its answer. Here the own interface did the same with 0, 99, -1 and 999 for calls of plain services; entries on the platform refused 000, 099, -1, 0200 and 101, as `h11` does, but passed 600 and 999 on.

RFC 9110, section 15: a final status is 200 to 599. Each HTTP client now checks that where an answer is parsed, before it is delivered, stored as a claim's answer, counted as served, or taken as proof that a call ran or did not. What else comes is an invalid answer: its connection is closed, the call fails with 502 or is retried as after any broken answer. Orders and streams use the same check.

--- a/figford/exchanges.py
+++ b/figford/exchanges.py
@@ -243,6 +243,9 @@
         exchange = self._exchange
         if exchange is None:
             return
+        if event.status_code not in wire.FINAL_STATUSES:
+            self._fail(Failure.INVALID)
+            return
         headers = list(event.headers.raw_items())
         head = self._pool.dialect.read_answer(event.status_code, headers)
         self._head = head
--- a/figford/tests/test_exchanges.py
+++ b/figford/tests/test_exchanges.py
@@ -225,6 +225,17 @@
     assert bench.receiver.ends == [exchanges.Failure.INVALID]
 
 
+@pytest.mark.parametrize(
+    "status", [b"000", b"099", b"-1", b"0200", b"101", b"600", b"999"]
+)
+def test_a_status_that_is_none_is_no_answer(status: bytes) -> None:
+    """A worker in trouble answered 000, and its caller got that."""
+    bench = Bench()
+    bench.connection.dataReceived(OK.replace(b"200 OK", status + b" -"))
+    assert bench.receiver == Receiver(ends=[exchanges.Failure.INVALID])
+    assert bench.kept() == 0
+
+
 def test_connection_close_is_obeyed() -> None:
     bench = Bench()
     bench.connection.dataReceived(
--- a/figford/upstreams.py
+++ b/figford/upstreams.py
@@ -24,6 +24,7 @@
 from figford import errors
 from figford import messages
 from figford import settings
+from figford import wire
 
 POOLED_CONNECTIONS_PER_UPSTREAM = 64
 POOLED_IDLE_SECONDS = 50
@@ -343,7 +344,8 @@
             {name: [value] for name, value in headers.items()}
         )
         attempt.begin(
-            self._agent.request(
+            _request(
+                self._agent,
                 b"POST",
                 f"http://{address}/v1/chat/completions".encode(),
                 fields,
@@ -377,7 +379,8 @@
         for name, value in request.headers:
             fields.addRawHeader(name, value)
         producer = BytesProducer(request.body) if request.body else None
-        pending_response = agent.request(
+        pending_response = _request(
+            agent,
             request.method,
             b"http://" + request.address.encode() + request.uri,
             fields,
@@ -441,7 +444,8 @@
             client.HTTPConnectionPool(self.reactor, persistent=False),
         )
         body = json.dumps(codec.to_plain(order, messages.Order)).encode()
-        pending_response = agent.request(
+        pending_response = _request(
+            agent,
             b"POST",
             f"http://{address}/orders".encode(),
             http_headers.Headers({b"content-type": [b"application/json"]}),
@@ -454,6 +458,26 @@
         return pending_response
 
 
+def _request(
+    agent: client.Agent,
+    method: bytes,
+    uri: bytes,
+    fields: http_headers.Headers,
+    producer: BytesProducer | None,
+) -> defer.Deferred:
+    """Sends a request; the result is a response with a valid status."""
+    pending_response = agent.request(method, uri, fields, producer)
+    return pending_response.addCallback(_check_status)
+
+
+def _check_status(response: typing.Any) -> typing.Any:
+    """Returns a response; closes its connection if its status is none."""
+    if response.code in wire.FINAL_STATUSES:
+        return response
+    response.deliverBody(_BodyDiscarder())
+    raise BrokenAnswerError(f"the upstream's status is {response.code}")
+
+
 def _check_order(answer: PlainAnswer) -> None:
     if answer.status != http.OK:
         raise errors.OrderRefusedError(f"status {answer.status}")
--- a/figford/wire.py
+++ b/figford/wire.py
@@ -9,6 +9,9 @@
 import attrs
 
 HeaderList = list[tuple[bytes, bytes]]
+# Of the final status of an answer (RFC 9110, section 15); what else comes is
+# no answer.
+FINAL_STATUSES = range(200, 600)
 
 
 @attrs.frozen
