Answers without end take bounded memory at the own interface

Operators of other systems saw faulty workers send bytes that were no answer, without end, until the caller closed; the machine that had called kept them all and ran out of memory. One body was bounded, but not all bodies in progress together.

The HTTP library bounds a line of a head, not their number. A connection now counts what comes from a request until its answer's head is complete, interim answers included, and is closed after 64 KiB. All buffered answers together, those of plain services and of models, are bounded by 32 MiB; the largest is given up, so that a worker that sends without end takes no room from others. Waiting pieces are bounded by 1 MiB. Given up answers are broken ones (502, run unknown) and counted as `answers_refused`.

--- a/figford/answers.py
+++ b/figford/answers.py
@@ -15,6 +15,8 @@
 # Limit of pieces that are buffered while an earlier one is missing.
 HELD_PIECES_LIMIT = 64
 PIECE_SIZE_LIMIT_BYTES = 1 << 20
+# Of all these together.
+HELD_SIZE_LIMIT_BYTES = 1 << 20
 
 
 class GapError(errors.FigfordError):
@@ -36,6 +38,7 @@
     _prefix: bytes = b""
     _incomplete: bytes = b""
     _held_pieces: dict[int, bytes] = attrs.field(factory=dict)
+    _held_size: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Prepares the prefix that every piece must have."""
@@ -45,6 +48,7 @@
         """Discards incomplete and buffered pieces of an earlier attempt."""
         self._incomplete = b""
         self._held_pieces.clear()
+        self._held_size = 0
 
     def feed(self, data: bytes) -> list[bytes]:
         """Returns the pieces that are next in order, each in full.
@@ -88,6 +92,7 @@
             held = self._held_pieces.pop(self.next_position, None)
             if held is None:
                 break
+            self._held_size -= len(held)
             self._append(held, ready)
 
     def _append(self, piece: bytes, ready: list[bytes]) -> None:
@@ -99,11 +104,14 @@
         if position < self.next_position or position in self._held_pieces:
             self.dropped += 1
             return
-        if len(self._held_pieces) >= HELD_PIECES_LIMIT:
+        held_size = self._held_size + len(piece)
+        too_many = len(self._held_pieces) >= HELD_PIECES_LIMIT
+        if too_many or held_size > HELD_SIZE_LIMIT_BYTES:
             raise GapError(
                 f"piece {self.next_position} of the answer is missing"
             )
         self._held_pieces[position] = piece
+        self._held_size = held_size
 
     def _drop_or_raise(self, piece: bytes) -> None:
         if piece.startswith(b"event: error"):
--- a/figford/daemon.py
+++ b/figford/daemon.py
@@ -20,6 +20,7 @@
 
 from figford import administration
 from figford import agreement
+from figford import answerbuffers
 from figford import callers
 from figford import clocks
 from figford import control
@@ -184,11 +185,14 @@
             started_at=self.clock.now(),
         )
         self.node.drainer = dispatcher
+        buffers = answerbuffers.AnswerBuffers(
+            max(answerbuffers.LIMIT_BYTES, self.config.limits.answer_bytes)
+        )
         self.gateway = gateways.Gateway(
             self.node,
             dispatcher,
             upstreams.UpstreamClient(
-                self.reactor, self.clock, self.config.limits
+                self.reactor, self.clock, self.config.limits, buffers
             ),
             self.metrics,
             self.clock,
@@ -196,6 +200,7 @@
             self,
             self.rng,
             self._fatal,
+            buffers=buffers,
         )
 
     # ---- Starting and stopping ------------------------------------------
--- a/figford/gateway.py
+++ b/figford/gateway.py
@@ -11,6 +11,7 @@
 import attrs
 
 from figford import access as access_tables
+from figford import answerbuffers
 from figford import claims
 from figford import dispatch
 from figford import errors
@@ -71,6 +72,10 @@
     access: access_tables.AccessTable = attrs.field(
         factory=lambda: access_tables.AccessTable(operators.Configuration())
     )
+    # Of answers that are not streamed to their callers.
+    buffers: answerbuffers.AnswerBuffers = attrs.field(
+        factory=answerbuffers.AnswerBuffers
+    )
     # What arrived until then has been read: all sockets are read between two
     # ticks, but a process that was late finds its timers due before its data.
     read_until: datetime.timedelta = datetime.timedelta(0)
--- a/figford/modelcalls.py
+++ b/figford/modelcalls.py
@@ -63,6 +63,7 @@
     _response_started: bool = False
     _finished: bool = False
     _paused_at: datetime.timedelta | None = None
+    # Of an answer that is not streamed.
     _pieces: list[bytes] = attrs.field(factory=list)
 
     # ---- From the dispatcher --------------------------------------------
@@ -148,11 +149,31 @@
             else:
                 pieces.append(b"")
                 self.responder.write(_SEPARATOR.join(pieces))
-        else:
-            self._pieces.extend(pieces)
+        elif not self._collect(pieces):
+            return
         if attempt.stream.ended:
             self._complete()
 
+    def _collect(self, pieces: list[bytes]) -> bool:
+        """Buffers pieces; returns whether the answer was not given up."""
+        self._pieces.extend(pieces)
+        buffers = self.gateway.buffers
+        buffers.add(self, sum(map(len, pieces)))
+        if buffers.size_of(self) > self.gateway.limits.answer_bytes:
+            buffers.refused += 1
+            self.give_up()
+        return not self._finished
+
+    def give_up(self) -> None:
+        """Refuses the request, as too many bytes of answers are buffered."""
+        self._stop_attempts()
+        self.refuse(
+            errors.UpstreamFailed(
+                "the upstream's answer is too large",
+                run_state=errors.RunState.UNKNOWN,
+            )
+        )
+
     def attempt_ended(
         self, attempt: _Attempt, error: errors.FigfordError | None
     ) -> None:
@@ -322,6 +343,7 @@
         if self._finished:
             raise AssertionError("a request ended twice")
         self._finished = True
+        self.gateway.buffers.remove(self)
         self.gateway.model_call_ended(
             self, outcome, max(0, self._next_position - 1)
         )
--- a/figford/status.py
+++ b/figford/status.py
@@ -29,6 +29,7 @@
         "waiting": dispatcher.queued,
         "open_breakers": len(dispatcher.breakers.open_addresses()),
         "pauses": node.pauses,
+        "answers_refused": gateway.buffers.refused,
         "link_bytes_sent": hub.bytes_sent,
         "link_bytes_received": hub.bytes_received,
     }
--- a/figford/tests/test_answers.py
+++ b/figford/tests/test_answers.py
@@ -47,6 +47,25 @@
         stream.feed(b"".join(parts))
 
 
+def test_pieces_that_wait_for_an_earlier_one_are_bounded_in_size():
+    """A faulty engine's large pieces filled the memory of the entry."""
+    stream = answers.AnswerStream("r1")
+    size = answers.PIECE_SIZE_LIMIT_BYTES // 4
+    with pytest.raises(answers.GapError):
+        for position in range(1, 8):
+            stream.feed(piece(position, "x" * size))
+
+
+def test_pieces_that_waited_leave_room_for_others():
+    stream = answers.AnswerStream("r1")
+    size = answers.PIECE_SIZE_LIMIT_BYTES // 4
+    found = []
+    for position in range(0, 40, 2):
+        found += stream.feed(piece(position + 1, "x" * size))
+        found += stream.feed(piece(position, "x" * size))
+    assert len(found) == 40
+
+
 def test_end_without_marker_is_a_gap():
     stream = answers.AnswerStream("r1")
     stream.feed(b"".join(answer(3)[:-1]))
--- a/figford/tests/test_cutmodelanswers.py
+++ b/figford/tests/test_cutmodelanswers.py
@@ -169,8 +169,13 @@
         self.attempts.append(Attempt(address, receiver, position))
         return self.attempts[-1]
 
-    def ask(self, account: str = "a", seconds: float = 30.0) -> Responder:
-        """Submits a request for a stream."""
+    def ask(
+        self,
+        account: str = "a",
+        seconds: float = 30.0,
+        streaming: bool = True,
+    ) -> Responder:
+        """Submits a request for a stream, or for an answer in one."""
         responder = Responder(self.gateway.new_request_id())
         request = dispatch.ModelRequest(
             responder.request,
@@ -181,8 +186,9 @@
             self.clock.time + datetime.timedelta(seconds=seconds),
         )
         call = modelcalls.ModelCall(
-            self.gateway, request, b"{}", True, responder, self.clock.time
-        )
+            self.gateway, request, b"{}", streaming, responder,
+            self.clock.time,
+        )  # fmt: skip
         self.gateway.begin_model_call(call)
         return responder
 
@@ -547,3 +553,21 @@
     assert source.cancelled and resumption.cancelled
     assert responder.end == "error"
     assert_idle(bench)
+
+
+def test_an_answer_without_end_is_given_up_where_it_is_not_streamed() -> None:
+    """All its pieces were kept until its deadline."""
+    bench = Bench("g1", "g2")
+    responder = bench.ask(streaming=False)
+    other = bench.ask(account="b", streaming=False)
+    data = b"data: " + b"x" * 65536
+    for position in range(1000):
+        if responder.end:
+            break
+        head = f"id: {responder.request}:{position}\n".encode()
+        bench.attempts[0].receiver.stream_data(head + data + answers.SEPARATOR)
+    assert responder.end == "refused"
+    assert responder.refusal.run_state is errors.RunState.UNKNOWN
+    assert position * 65536 <= LIMITS.answer_bytes
+    assert bench.attempts[0].cancelled and bench.gateway.buffers.size == 0
+    assert other.end == "" and not bench.attempts[1].cancelled
--- a/figford/tests/test_upstreams.py
+++ b/figford/tests/test_upstreams.py
@@ -5,6 +5,7 @@
 
 import attrs
 import pytest
+from twisted.internet import error as internet_errors
 from twisted.internet import testing
 from twisted.python import failure as failures
 
@@ -110,6 +111,11 @@
         if not self.transport.is_closed:
             self.protocol.dataReceived(data)
 
+    def close(self) -> None:
+        """Reports the end of the connection to the client."""
+        reason = internet_errors.ConnectionAborted()
+        self.protocol.connectionLost(failures.Failure(reason))
+
 
 def answer(status: bytes) -> bytes:
     return b"HTTP/1.1 " + status + b" -\r\nContent-Length: 2\r\n\r\nok"
@@ -148,3 +154,113 @@
     bench.call().send(answer(status))
     (result,) = bench.results
     assert (result.status, result.body) == (int(status), b"ok")
+
+
+# What comes before the element of an answer that never ends, and what is
+# repeated of it.
+HEADS_WITHOUT_END = {
+    "status line": (b"HTTP/1.1 200 ", b"x"),
+    "line": (b"HTTP/1.1 200 OK\r\nX-Long: ", b"x"),
+    "lines": (b"HTTP/1.1 200 OK\r\n", b"X-More: y\r\n"),
+    "folded line": (b"HTTP/1.1 200 OK\r\nX-L: x\r\n", b" xx\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "bytes": (b"", b"\x00\xff"),
+    "line ends": (b"", b"\r\n"),
+}
+PACKET_BYTES = 4096
+# What may have come when a connection is closed, with what is on its way.
+CLOSED_AFTER_BYTES = 128 << 10
+
+
+def send_without_end(
+    connection: Connection, before: bytes, part: bytes
+) -> int:
+    """Sends until the connection is closed; returns the number of bytes."""
+    connection.send(before)
+    packet = part * (PACKET_BYTES // len(part))
+    sent = 0
+    while not connection.transport.is_closed:
+        connection.send(packet)
+        sent += len(packet)
+        assert sent <= CLOSED_AFTER_BYTES, "the connection is still open"
+    connection.close()
+    return sent
+
+
+@pytest.mark.parametrize("kind", HEADS_WITHOUT_END)
+@pytest.mark.parametrize("reused", [False, True])
+def test_a_head_without_end_is_cut(kind: str, reused: bool) -> None:
+    """The entry kept all lines, and ran out of memory."""
+    bench = Bench()
+    connection = bench.call()
+    if reused:
+        connection.send(answer(b"200"))
+        request = upstreams.PlainRequest(b"GET", ADDRESS, b"/x", [], b"")
+        bench.results.clear()
+        pending = bench.client.call(request, 5 * SECOND)
+        pending.addBoth(bench.results.append)
+        assert len(bench.reactor.tcpClients) == 1
+    send_without_end(connection, *HEADS_WITHOUT_END[kind])
+    assert bench.failure() is upstreams.BrokenAnswerError
+
+
+@pytest.mark.parametrize("kind", HEADS_WITHOUT_END)
+def test_a_stream_or_order_whose_head_has_no_end_is_cut(kind: str) -> None:
+    bench = Bench()
+    stream = StreamEnd()
+    bench.client.stream(ADDRESS, {}, b"", stream)
+    send_without_end(bench.connection(), *HEADS_WITHOUT_END[kind])
+    assert [type(end) for end in stream.ends] == [upstreams.BrokenAnswerError]
+    pending = bench.client.send_order(ADDRESS, ORDER, 105 * SECOND)
+    pending.addBoth(bench.results.append)
+    send_without_end(bench.connection(), *HEADS_WITHOUT_END[kind])
+    assert isinstance(bench.results[0], failures.Failure)
+
+
+def test_a_long_answer_after_its_head_is_whole() -> None:
+    """Only the head is bounded so narrowly, and interim answers are read."""
+    bench = Bench()
+    connection = bench.call()
+    connection.send(b"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" * 3)
+    size = 1 << 20
+    connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % size)
+    connection.send(b"X-Long: %b\r\n\r\n" % (b"x" * 8000))
+    for _ in range(size // PACKET_BYTES):
+        connection.send(b"x" * PACKET_BYTES)
+    (result,) = bench.results
+    assert (result.status, len(result.body)) == (200, size)
+
+
+def test_bodies_without_end_take_no_room_from_other_answers() -> None:
+    """Each was bounded, but not all of them together."""
+    endless_count = 12
+    bench = Bench(settings.Limits(answer_bytes=16 << 20))
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    endless = [bench.call() for _ in range(endless_count)]
+    small = bench.call()
+    for connection in (*endless, small):
+        connection.send(head)
+    packet = b"10000\r\n" + b"x" * 65536 + b"\r\n"
+    sent = {id(connection): 0 for connection in endless}
+    highest = 0
+    for _ in range(400):
+        small.send(b"1\r\ny\r\n")
+        for connection in endless:
+            if not connection.transport.is_closed:
+                connection.send(packet)
+                sent[id(connection)] += 65536
+        open_bytes = sum(
+            sent[id(connection)]
+            for connection in endless
+            if not connection.transport.is_closed
+        )
+        highest = max(highest, open_bytes)
+    small.send(b"0\r\n\r\n")
+    (whole,) = [
+        result
+        for result in bench.results
+        if isinstance(result, upstreams.PlainAnswer)
+    ]
+    assert whole.body == b"y" * 400
+    assert highest <= (32 << 20) + 65536
+    assert all(connection.transport.is_closed for connection in endless)
--- a/figford/upstreams.py
+++ b/figford/upstreams.py
@@ -20,6 +20,7 @@
 from twisted.web import iweb
 from zope import interface
 
+from figford import answerbuffers
 from figford import codec
 from figford import errors
 from figford import messages
@@ -28,6 +29,8 @@
 
 POOLED_CONNECTIONS_PER_UPSTREAM = 64
 POOLED_IDLE_SECONDS = 50
+# Of the head of an answer, with all interim answers before it.
+HEAD_LIMIT_BYTES = 64 << 10
 # An answer may lie unread when its timeout is due, if this process was late.
 LAST_READ_SECONDS = 0.05
 # Hop-by-hop headers, which are never forwarded.
@@ -59,6 +62,75 @@
     """The upstream's answer exceeds the size limit."""
 
 
+class _Connection(client.HTTP11ClientProtocol):
+    """A connection that is closed if the head of an answer has no end.
+
+    The library bounds each line of a head, but not their number.
+    """
+
+    _head_bytes: int | None = None
+
+    def __init__(
+        self,
+        on_quiescent: typing.Callable,
+        buffers: answerbuffers.AnswerBuffers,
+    ) -> None:
+        """Creates the protocol of a connection that is being opened."""
+        super().__init__(on_quiescent)
+        self._buffers = buffers
+
+    def request(self, request: typing.Any) -> defer.Deferred:
+        """Sends a request; counts what comes until its answer's head ends."""
+        self._head_bytes = 0
+        return super().request(request).addBoth(self._head_ended)
+
+    def _head_ended(self, result: typing.Any) -> typing.Any:
+        self._head_bytes = None
+        return result
+
+    def dataReceived(self, data: bytes) -> None:
+        """Parses received bytes."""
+        if self._head_bytes is not None:
+            self._head_bytes += len(data)
+        super().dataReceived(data)
+        if (self._head_bytes or 0) > HEAD_LIMIT_BYTES:
+            self._buffers.refused += 1
+            self.transport.abortConnection()
+
+
+class _ConnectionFactory(protocol.Factory):
+    """Creates the connections of a pool."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        on_quiescent: typing.Callable,
+        buffers: answerbuffers.AnswerBuffers,
+    ) -> None:
+        self._on_quiescent = on_quiescent
+        self._buffers = buffers
+
+    def buildProtocol(self, addr: object) -> _Connection:
+        """Returns the protocol of a new connection."""
+        return _Connection(self._on_quiescent, self._buffers)
+
+
+class _ConnectionPool(client.HTTPConnectionPool):
+    """A pool of connections whose answers have bounded heads."""
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        buffers: answerbuffers.AnswerBuffers,
+        persistent: bool,
+    ) -> None:
+        super().__init__(reactor, persistent)
+        self._factory = lambda on_quiescent, _: _ConnectionFactory(
+            on_quiescent, buffers
+        )
+
+
 @interface.implementer(iweb.IBodyProducer)
 class BytesProducer:
     """Produces a body that is in memory."""
@@ -234,21 +306,29 @@
 class _Collector(protocol.Protocol):
     """Collects a body up to a limit."""
 
-    def __init__(self, limit: int) -> None:
+    def __init__(
+        self, limit: int, buffers: answerbuffers.AnswerBuffers
+    ) -> None:
         self.done: defer.Deferred = defer.Deferred(self._cancelled)
         self._limit = limit
+        self._buffers = buffers
         self._finished = False
         self._parts: list[bytes] = []
-        self._size = 0
 
     def dataReceived(self, data: bytes) -> None:
         """Stores the bytes; fails once the limit is exceeded."""
-        self._size += len(data)
-        if self._size > self._limit:
-            self._finish(AnswerTooLargeError("the answer is too large"))
-            self.transport.loseConnection()
+        if self._finished:
             return
         self._parts.append(data)
+        self._buffers.add(self, len(data))
+        if self._buffers.size_of(self) > self._limit:
+            self._buffers.refused += 1
+            self.give_up()
+
+    def give_up(self) -> None:
+        """Gives the body up, as it or all together are too large."""
+        self.transport.loseConnection()
+        self._finish(AnswerTooLargeError("the answer is too large"))
 
     def connectionLost(
         self, reason: failures.Failure = protocol.connectionDone
@@ -265,14 +345,17 @@
 
     def _cancelled(self, _: defer.Deferred) -> None:
         self._finished = True
+        self._buffers.remove(self)
         self.transport.loseConnection()
 
     def _finish(self, error: errors.FigfordError | None) -> None:
         if self._finished:
             return
         self._finished = True
+        self._buffers.remove(self)
+        parts, self._parts = self._parts, []
         if error is None:
-            self.done.callback(b"".join(self._parts))
+            self.done.callback(b"".join(parts))
         else:
             self.done.errback(error)
 
@@ -314,10 +397,15 @@
     limits: settings.Limits
     _pool: client.HTTPConnectionPool = attrs.field(init=False)
     _agent: client.Agent = attrs.field(init=False)
+    buffers: answerbuffers.AnswerBuffers = attrs.field(
+        factory=answerbuffers.AnswerBuffers
+    )
 
     def __attrs_post_init__(self) -> None:
         """Creates the connection pool for streams and repeatable calls."""
-        self._pool = client.HTTPConnectionPool(self.reactor, persistent=True)
+        self._pool = _ConnectionPool(
+            self.reactor, self.buffers, persistent=True
+        )
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = POOLED_CONNECTIONS_PER_UPSTREAM
         self._pool.cachedConnectionTimeout = POOLED_IDLE_SECONDS
@@ -327,6 +415,10 @@
             self._pool,
         )
 
+    def _pool_of_one(self) -> _ConnectionPool:
+        """Returns a pool whose connection is closed after one request."""
+        return _ConnectionPool(self.reactor, self.buffers, persistent=False)
+
     def close(self) -> defer.Deferred:
         """Closes idle connections; the result fires when they are closed."""
         return self._pool.closeCachedConnections()
@@ -373,7 +465,7 @@
                 _EndpointFactory(
                     self.reactor, self.limits.connect_timeout, may_send
                 ),
-                client.HTTPConnectionPool(self.reactor, persistent=False),
+                self._pool_of_one(),
             )
         fields = http_headers.Headers()
         for name, value in request.headers:
@@ -417,7 +509,7 @@
             for value in values
             if name.lower() not in HOP_BY_HOP_HEADERS
         ]
-        collector = _Collector(self.limits.answer_bytes)
+        collector = _Collector(self.limits.answer_bytes, self.buffers)
         response.deliverBody(collector)
         return collector.done.addCallback(
             lambda body: PlainAnswer(response.code, headers, body)
@@ -441,7 +533,7 @@
                 self.limits.connect_timeout,
                 lambda: self.clock.now() < valid_until,
             ),
-            client.HTTPConnectionPool(self.reactor, persistent=False),
+            self._pool_of_one(),
         )
         body = json.dumps(codec.to_plain(order, messages.Order)).encode()
         pending_response = _request(
