Interim answers are bounded, and the largest answer makes room

Interim answers were read until the call's deadline; now 16 of them make an answer invalid. And when all buffered answers together reached their limit, the one was cut whose data came next: a small whole answer beside a few that never end could be lost.

--- a/figford/attempts.py
+++ b/figford/attempts.py
@@ -26,6 +26,9 @@
     def answer_data(self, attempt: Attempt, data: bytes) -> None:
         """Handles a part of the body."""
 
+    def answer_too_large(self, attempt: Attempt) -> None:
+        """Handles an answer that can't be buffered."""
+
     def answer_ended(self, attempt: Attempt) -> None:
         """Handles the end of the answer."""
 
@@ -52,6 +55,11 @@
     # Whether its target counts as failing since the attempt stands still.
     doubted: bool = False
 
+    def give_up(self) -> None:
+        """Ends the attempt, as too many bytes of answers are buffered."""
+        if self.call.is_current(self):
+            self.call.answer_too_large(self)
+
     @property
     def has_begun(self) -> bool:
         """Returns whether the upstream has begun to write the answer."""
--- a/figford/exchanges.py
+++ b/figford/exchanges.py
@@ -38,6 +38,8 @@
 # An answer that nobody waits for is read to its end, so that its connection
 # can be kept, only if it is about this short.
 IGNORED_LIMIT_BYTES = 64 << 10
+# Interim answers (RFC 9110, section 15.2) of one request; few send any.
+MAX_INTERIM_ANSWERS = 16
 IGNORED_TIMEOUT = datetime.timedelta(seconds=1)
 # TCP keepalive probes, which detect peers that vanished without a reset.
 KEEPALIVE_IDLE_SECONDS = 2
@@ -144,6 +146,7 @@
         self.max_idle_connections = MAX_IDLE_PER_UPSTREAM
         self._open = False
         self._ignored_bytes = 0
+        self._interim_answers = 0
         # The ids of the last attempts that were sent on this connection.
         self._attempts: collections.deque[str] = collections.deque(
             maxlen=REMEMBERED_ATTEMPTS
@@ -184,6 +187,7 @@
             self._attempts.append(exchange.attempt)
         self._head = None
         self._ignored_bytes = 0
+        self._interim_answers = 0
         self.max_idle_connections = exchange.max_idle_connections
         exchange._connection = self
         headers = list(exchange.headers)
@@ -235,7 +239,9 @@
                     if self._exchange is not None:
                         self._on_end()
                 case h11.InformationalResponse():
-                    continue
+                    self._interim_answers += 1
+                    if self._interim_answers > MAX_INTERIM_ANSWERS:
+                        self._fail(Failure.INVALID)
                 case _:
                     return
 
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -10,6 +10,7 @@
 import attrs
 import logbook
 
+from figford import answerbuffers
 from figford import crashes
 from figford import crashguard
 from figford import endings
@@ -74,7 +75,9 @@
     # ticks, but a process that was late finds its timers due before its data.
     read_until: datetime.timedelta = datetime.timedelta(0)
     # Of answers that are not streams, in progress.
-    buffered_bytes: int = 0
+    buffers: answerbuffers.AnswerBuffers = attrs.field(
+        factory=answerbuffers.AnswerBuffers
+    )
     # In progress, the oldest first.
     calls: dict[forwarding.ForwardedCall, None] = attrs.field(factory=dict)
     _fleet: fleets.FleetTable = attrs.field(factory=fleets.FleetTable)
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -53,9 +53,8 @@
 # The leader rules on a crash within this time; without a ruling, a request
 # that may have caused it is not repeated.
 RULING_TIMEOUT = datetime.timedelta(milliseconds=250)
-# Of one answer that is not a stream, and of all together.
+# Of one answer that is not a stream.
 BUFFER_LIMIT_BYTES = 8 << 20
-BUFFERS_LIMIT_BYTES = 32 << 20
 # The status of an answer by another upstream than the expected one.
 MISDIRECTED = 421
 
@@ -520,12 +519,10 @@
         if not self._is_stream(head):
             attempt.active_at = now
             attempt.body += data
-            self.forwarder.buffered_bytes += len(data)
-            if (
-                len(attempt.body) > BUFFER_LIMIT_BYTES
-                or self.forwarder.buffered_bytes > BUFFERS_LIMIT_BYTES
-            ):
-                self._attempt_failed(attempt, "answer too large")
+            if len(attempt.body) > BUFFER_LIMIT_BYTES:
+                self.answer_too_large(attempt)
+            else:
+                self.forwarder.buffers.add(attempt, len(data))
             return
         splitter = attempt.splitter
         completed, identified = splitter.completed, splitter.identified
@@ -546,6 +543,11 @@
         if attempt.has_begun:
             self._record_survival(attempt)
 
+    def answer_too_large(self, attempt: attempts.Attempt) -> None:
+        """Gives up an attempt whose answer can't be buffered."""
+        self.forwarder.metrics.event("answer-too-large")
+        self._attempt_failed(attempt, "answer too large")
+
     def _drop_other(self, attempt: attempts.Attempt) -> None:
         """Cancels the other attempt once one has sent the next event."""
         if self._resumption is None:
@@ -810,7 +812,7 @@
             self._resumption = None
         else:
             return
-        self.forwarder.buffered_bytes -= len(attempt.body)
+        self.forwarder.buffers.remove(attempt)
         self.forwarder.placement.finished(attempt.target)
 
     def _drop(
--- a/figford/tests/test_exchanges.py
+++ b/figford/tests/test_exchanges.py
@@ -236,6 +236,26 @@
     assert bench.kept() == 0
 
 
+def test_interim_answers_without_end_are_cut() -> None:
+    """Until its deadline, a call read and dropped one after the other."""
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+    bench = Bench()
+    for _ in range(1000):
+        if not bench.transport.aborted:
+            bench.connection.dataReceived(interim)
+    assert bench.receiver == Receiver(ends=[exchanges.Failure.INVALID])
+
+
+def test_some_interim_answers_are_read() -> None:
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+    bench = Bench()
+    for _ in range(3):
+        bench.connection.dataReceived(interim * 8 + OK)
+        assert bench.receiver.ends == ["whole"]
+        bench.receiver = Receiver()
+        bench.connection.begin(bench.exchange())
+
+
 def test_connection_close_is_obeyed() -> None:
     bench = Bench()
     bench.connection.dataReceived(
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -160,10 +160,16 @@
             routes.RouteTable(1, (route,), (service,))
         )
         self.place("u1", "u2")
-        self.call = forwarding.ForwardedCall(
-            self.forwarder, route, None,
-            wire.CallHead("a1", 6 * SECOND, None, model="m"),
-            b"POST", b"/x", [], b"body", self.responder,
+        self.call = self.make_call("a1", self.responder)
+
+    def make_call(
+        self, attempt: str, responder: Responder
+    ) -> forwarding.ForwardedCall:
+        """Returns a call on the only route."""
+        return forwarding.ForwardedCall(
+            self.forwarder, self.forwarder.table.routes[0], None,
+            wire.CallHead(attempt, 6 * SECOND, None, model="m"),
+            b"POST", b"/x", [], b"body", responder,
             self.clock.now(), self.clock.now() + 6 * SECOND,
         )  # fmt: skip
 
@@ -334,12 +340,7 @@
     bench.answer(503, b"full", pause=60 * SECOND)
     receiver.answer_ended()
     for number in range(8):
-        call = attrs.evolve(
-            bench.call,
-            head=attrs.evolve(bench.call.head, attempt=f"b{number}"),
-            responder=Responder(),
-        )
-        bench.forwarder.begin(call)
+        bench.forwarder.begin(bench.make_call(f"b{number}", Responder()))
     assert paused not in [address for address, _ in bench.pool.sent[1:]]
     assert len(bench.pool.sent) > 1
 
@@ -355,6 +356,20 @@
     assert (bench.responder.status, bench.responder.body) == (status, b"busy")
 
 
+def test_answers_without_end_take_no_room_from_others() -> None:
+    """The answer that reached the limit of all was cut, whatever its size."""
+    bench = Bench(routes.RetryMode.ONCE).begin()
+    small, receiver = bench.responder, bench.receiver
+    bench.answer(200, b"ok")
+    for number in range(5):
+        bench.forwarder.begin(bench.make_call(f"b{number}", Responder()))
+        bench.answer(200, b"x" * (7 << 20))
+        receiver.answer_data(b"ok")
+    receiver.answer_ended()
+    assert (small.ends, small.body) == (["whole"], b"ok" * 6)
+    assert bench.forwarder.buffers.size <= 32 << 20
+
+
 def test_attempts_end_at_the_limit_of_the_route() -> None:
     bench = Bench(routes.RetryMode.IDEMPOTENT, attempts=1).begin()
     bench.receiver.answer_failed(exchanges.Failure.BROKEN)
