Requests to control ports are bounded in size and time

What a worker or operator sends to a controller, or to the ports of an entry of the own interface, was stored whole before anything looked at it: a body of over 100 KB in a temporary file of any size, which counts as memory on the platform. One heartbeat without end could fill it. A byte now and then kept a request and its socket for good, as each one restarted the idle timeout.

Now a body has at most 16 MiB, the limit of a message in the log, and all bodies that a port receives at the moment 32 MiB; a request arrives within 30 s. What passes that gets 413 or is closed, and is counted. 16 MiB was the limit of the own interface already, but only after the whole body was stored.

--- a/figford/administration.py
+++ b/figford/administration.py
@@ -13,9 +13,9 @@
 from figford import errors
 from figford import messages
 from figford import operators
+from figford import pages
 from figford import problems
 
-BODY_LIMIT_BYTES = 16 << 20
 MAXIMUM_ITEMS_PER_REQUEST = 1_000
 
 Handler = typing.Callable[[server.Request], typing.Any]
@@ -33,11 +33,8 @@
 
 def read_json(request: server.Request) -> typing.Any:
     """Returns the JSON body of a request; raises BadRequest or TooLarge."""
-    body = request.content.read(BODY_LIMIT_BYTES + 1)
-    if len(body) > BODY_LIMIT_BYTES:
-        raise errors.TooLarge("the body is too large")
     try:
-        return json.loads(body)
+        return json.loads(request.content.read())
     except (ValueError, RecursionError) as error:
         raise errors.BadRequest("the body is not JSON") from error
 
@@ -68,13 +65,30 @@
         return server.NOT_DONE_YET
 
 
+class _SiteRequest(pages.BoundedBody, server.Request):
+    """A request of a bounded size."""
+
+
 class UnloggedSite(server.Site):
-    """A site without an access log."""
+    """A site without an access log, for requests of a bounded size."""
 
     def __init__(self, root: resource.Resource) -> None:
         """Initializes the site."""
-        super().__init__(root, timeout=60)
+        super().__init__(
+            root, requestFactory=_SiteRequest, timeout=pages.IDLE_SECONDS
+        )
         self.displayTracebacks = False
+        self._sizes = pages.BodySizes()
+
+    def buildProtocol(self, addr: object) -> pages.BoundedChannel:
+        """Returns the protocol of a new connection."""
+        channel = pages.BoundedChannel()
+        channel.sizes = self._sizes
+        channel.factory = channel.site = self
+        channel.requestFactory = self.requestFactory
+        channel.callLater = self.reactor.callLater
+        channel.timeOut = self.timeOut
+        return channel
 
     def log(self, request: typing.Any) -> None:
         """Writes nothing; counters replace the access log."""
--- a/figford/platform/controlpages.py
+++ b/figford/platform/controlpages.py
@@ -8,6 +8,7 @@
 
 from figford import errors
 from figford import fleetmessages
+from figford import pages
 from figford.platform import announcing
 from figford.platform import manifest
 
@@ -40,7 +41,7 @@
         """Replies with the latest quorum-confirmed route table, compressed."""
 
 
-class ControlRequest(http.Request):
+class ControlRequest(pages.BoundedBody, http.Request):
     """A call from an upstream or an operator."""
 
     is_disconnected = False
@@ -116,7 +117,7 @@
         self.finish()
 
 
-class ReadyRequest(http.Request):
+class ReadyRequest(pages.BoundedBody, http.Request):
     """The platform's readiness probe: whether to route new callers here."""
 
     def requestReceived(
