A link's handshake is bounded

Before a peer had proven that it knows the secret, it could send messages of 16 MiB, on as many connections as it liked, for 3 s each. A handshake takes a few hundred bytes; it is closed after 64 KiB now. The new test failed before.

--- a/figford/links.py
+++ b/figford/links.py
@@ -33,6 +33,8 @@
 
 PROTOCOL_VERSION = 3
 MESSAGE_LIMIT_BYTES = 16 << 20
+# Of the handshake, whose sender has not proven who it is.
+HANDSHAKE_LIMIT_BYTES = 64 << 10
 # Limit of the data that is buffered for a peer that does not read.
 UNSENT_LIMIT_BYTES = 32 << 20
 HANDSHAKE_TIMEOUT_SECONDS = 3.0
@@ -64,6 +66,7 @@
         self._received_hello = b""
         self._paused = False
         self._unsent_bytes = 0
+        self._handshake_bytes = 0
         self._timeout = None
         self._websocket: websocket_protocol.Protocol
 
@@ -96,10 +99,16 @@
     def dataReceived(self, data: bytes) -> None:
         """Passes data to the websocket and handles the resulting events."""
         self.heard_at = self._hub.clock.now()
+        if not self.up:
+            self._handshake_bytes += len(data)
         self._websocket.receive_data(data)
         for event in self._websocket.events_received():
             self._on_event(event)
         self._flush()
+        if not self.up and self._handshake_bytes > HANDSHAKE_LIMIT_BYTES:
+            self._hub.input_refused(errors.HandshakeError("has no end"))
+            self.abort()
+            return
         if self._websocket.close_expected() and (
             self._websocket.state is websocket_protocol.State.CLOSED
         ):
--- a/figford/tests/test_links.py
+++ b/figford/tests/test_links.py
@@ -64,6 +64,16 @@
     )
 
 
+def make_transport(side):
+    """Returns the transport of one side, which is not connected to it yet."""
+    transport = testing.StringTransportWithDisconnection()
+    transport.protocol = side
+    transport.setTcpNoDelay = lambda _: None
+    transport.abortConnection = transport.loseConnection
+    transport.disconnected = False
+    return transport
+
+
 class Wire:
     """Two sides of a link, connected in memory."""
 
@@ -72,14 +82,7 @@
             links.LinkProtocol(dialling, "127.0.0.1:9"),
             links.LinkProtocol(listening, None),
         ]
-        self.transports = []
-        for side in self.sides:
-            transport = testing.StringTransportWithDisconnection()
-            transport.protocol = side
-            transport.setTcpNoDelay = lambda _: None
-            transport.abortConnection = transport.loseConnection
-            transport.disconnected = False
-            self.transports.append(transport)
+        self.transports = [make_transport(side) for side in self.sides]
         for side, transport in zip(self.sides, self.transports):
             side.makeConnection(transport)
         self.pump()
@@ -120,6 +123,26 @@
         assert all(isinstance(item, errors.HandshakeError) for item in found)
 
 
+def test_a_handshake_without_end_is_cut():
+    """A peer that proved nothing could send messages of 16 MiB."""
+    side = links.LinkProtocol(hub("b"), None)
+    transport = make_transport(side)
+    side.makeConnection(transport)
+    request = (
+        b"GET / HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\n"
+        b"Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+        b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+    )
+    # The head of a frame of 8 MiB.
+    frame = b"\x82\xff" + (8 << 20).to_bytes(8, "big") + b"\0" * 4
+    side.dataReceived(request + frame)
+    sent = 0
+    while transport.connected:
+        side.dataReceived(b"x" * 4096)
+        sent += 4096
+        assert sent <= 128 << 10, "the connection is still open"
+
+
 def test_another_protocol_version_is_refused(monkeypatch):
     left, right = hub("a"), hub("b")
     real = messages.Hello
