--- a/figford/tests/test_plannedreplacements.py
+++ b/figford/tests/test_plannedreplacements.py
@@ -24,6 +24,7 @@
 # The longest time for which a stopping process waits for the others.
 LONGEST_STOP_SECONDS = 2.0
 TICK_SECONDS = 0.02
+REPLACEMENTS_IN_SERIES = 4
 PAUSES_SECONDS = (0.0, 0.5, 1.9, 2.1)
 
 
@@ -221,3 +222,24 @@
     planned.net.run(STOP_DELAY_SECONDS)
     for name in planned.replacement.live():
         assert planned.net.process_by_name[name].state.may_end(planned.net.now)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_each_planned_replacement_of_a_series_bears_a_lost_disk(
+    seed: int,
+) -> None:
+    """The kind of end, the lost disk and the time between are drawn."""
+    replacement = test_voterchanges.make(seed)
+    planned = Planned(replacement)
+    rng = planned.net.rng
+    for number in range(REPLACEMENTS_IN_SERIES):
+        planned.net.start_controller(f"s{number}")
+        planned.net.run(CATCH_UP_SECONDS)
+        gone = replacement.draw_victim()
+        ENDS[rng.choice(sorted(ENDS))](planned.net, gone)
+        planned.net.run(rng.uniform(0.0, 2.5))
+        planned.lose_disk(rng.choice(replacement.live()))
+        planned.check()
+        # Of one that was cut off, which reaches later controllers.
+        planned.net.kill(gone)
+        planned.net.run(CATCH_UP_SECONDS)
