A stopping controller waits until the change that removes it is committed

It ended as soon as it had the entry that removes it, which the others may not have committed yet; until then quorums of the former voters are needed, so its end was a loss for some milliseconds. Now its vote counts while the change is open.

--- a/figford/administration.py
+++ b/figford/administration.py
@@ -32,7 +32,7 @@
 
 
 def read_json(request: server.Request) -> typing.Any:
-    """Returns the JSON body of a request; raises BadRequest or TooLarge."""
+    """Returns the JSON body of a request; raises BadRequest."""
     try:
         return json.loads(request.content.read())
     except (ValueError, RecursionError) as error:
--- a/figford/control.py
+++ b/figford/control.py
@@ -151,17 +151,21 @@
         """Returns whether a stopping replica need not wait any longer.
 
         It waits until another voter leads. Its vote is given up if enough
-        voters remain, or a live replica may take its place. If all voters
-        stop, nobody takes over.
+        voters remain, or a live replica may take its place; until that change
+        is committed, it counts. If all voters stop, nobody takes over.
         """
-        voters = self.agreement.voters
-        others = [voter for voter in voters if voter != self.agreement.voter]
-        has_vote = len(others) < len(voters)
+        members = self.agreement.members
+        others = [voter for voter in members if voter != self.agreement.voter]
+        has_vote = len(others) < len(members)
         if not has_vote or all(self._is_stopping(voter) for voter in others):
             return True
         if self.agreement.leading:
             return not self._may_take_over(others, now)
-        return not self._has_spare() and not self._promotable(now)
+        return not (
+            self.agreement.changes_voters
+            or self._has_spare()
+            or self._promotable(now)
+        )
 
     def leader_instance(self) -> str | None:
         """Returns the instance of the leader, None if it is unknown."""
--- a/figford/tests/test_plannedreplacements.py
+++ b/figford/tests/test_plannedreplacements.py
@@ -243,3 +243,18 @@
         # Of one that was cut off, which reaches later controllers.
         planned.net.kill(gone)
         planned.net.run(CATCH_UP_SECONDS)
+
+
+@pytest.mark.parametrize("replaced", ["leader", "follower"])
+@pytest.mark.parametrize("seed", range(6))
+def test_a_controller_ends_only_once_nobody_needs_its_vote(
+    seed: int, replaced: str
+) -> None:
+    """It ended as the change that removes it was begun, not committed."""
+    planned = make(seed)
+    gone = planned.pick(replaced)
+    voter = planned.net.process_by_name[gone].state.me.voter
+    end_gracefully(planned.net, gone)
+    leader = planned.replacement.leader()
+    agreement = planned.net.process_by_name[leader].state.control.agreement
+    assert voter not in agreement.members
