--- a/figford/tests/test_agreement.py
+++ b/figford/tests/test_agreement.py
@@ -47,18 +47,8 @@
     ]
 
 
-class Cluster(stateful.RuleBasedStateMachine):
-    """Three voters; the oracle is the list of committed entries."""
-
-    def __init__(self):
-        super().__init__()
-        self.now = datetime.timedelta(0)
-        self.members = {v: Member(v, voter_records(v)) for v in VOTERS}
-        self.network = []
-        self.committed = {}
-        self.acknowledged = {}
-        self.cut = set()
-        self.proposed = 0
+class Oracle:
+    """The list of committed entries, and what members send and write."""
 
     def take(self, member, output):
         member.unsynced.append((output.records, output.sends))
@@ -78,6 +68,20 @@
             member.agreement.synced(log.last_index, log.last_term, self.now),
         )
 
+
+class Cluster(Oracle, stateful.RuleBasedStateMachine):
+    """Three voters; the oracle is the list of committed entries."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = datetime.timedelta(0)
+        self.members = {v: Member(v, voter_records(v)) for v in VOTERS}
+        self.network = []
+        self.committed = {}
+        self.acknowledged = {}
+        self.cut = set()
+        self.proposed = 0
+
     @stateful.rule(
         voter=strategies.sampled_from(VOTERS),
         steps=strategies.integers(1, 40),
--- a/figford/tests/test_lostdisks.py
+++ b/figford/tests/test_lostdisks.py
@@ -10,6 +10,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from figford import control
 from figford import messages
 from figford.tests import test_agreement
 
@@ -17,19 +18,7 @@
 MAX_VOTERS = 7
 
 
-def first_records(voter: str, voters: list[str]) -> list[messages.Record]:
-    """Returns the journal of a voter of a new deployment."""
-    first = messages.Entry(
-        1, 1, datetime.timedelta(0), messages.VoterChange(voters)
-    )
-    return [
-        messages.Identity(voter),
-        messages.HardState(1, None),
-        messages.Appended([first]),
-    ]
-
-
-class ChangingCluster(stateful.RuleBasedStateMachine):
+class ChangingCluster(test_agreement.Oracle, stateful.RuleBasedStateMachine):
     """Voters that are added, removed, cut off, restarted and wiped."""
 
     founder_count = 4
@@ -43,7 +32,7 @@
         self.generation = 0
         self.lost = set()
         for voter in names:
-            self.add(voter, first_records(voter, names))
+            self.add(voter, control.bootstrap_records(voter, names))
         self.network = []
         self.committed = {}
         self.cut = set()
@@ -54,24 +43,6 @@
         member.agreement.minimum_quorum = self.tolerance + 1
         self.members[voter] = member
 
-    def take(self, member, output):
-        member.unsynced.append((output.records, output.sends))
-        for entry in output.committed:
-            known = self.committed.setdefault(entry.index, entry)
-            assert known == entry, "two entries committed at one index"
-
-    def sync(self, member):
-        batches, member.unsynced = member.unsynced, []
-        for records, sends in batches:
-            member.disk.extend(records)
-            for addressed in sends:
-                self.network.append((member.voter, addressed))
-        log = member.agreement.log
-        self.take(
-            member,
-            member.agreement.synced(log.last_index, log.last_term, self.now),
-        )
-
     def draw(self, data):
         return self.members[
             data.draw(strategies.sampled_from(sorted(self.members)))
