--- a/figford/tests/test_plannedreplacements.py
+++ b/figford/tests/test_plannedreplacements.py
@@ -258,3 +258,25 @@
     leader = planned.replacement.leader()
     agreement = planned.net.process_by_name[leader].state.control.agreement
     assert voter not in agreement.members
+
+
+@pytest.mark.parametrize("returns_seconds", [0.0, 0.6, 1.5, 6.0])
+@pytest.mark.parametrize("pause_seconds", PAUSES_SECONDS)
+@pytest.mark.parametrize("replaced", ["leader", "follower"])
+def test_a_replaced_controller_that_is_back_once_more_does_no_harm(
+    replaced: str, pause_seconds: float, returns_seconds: float
+) -> None:
+    """It was killed, and returns with its old vote around the lost disk."""
+    planned = make(1)
+    net = planned.net
+    gone = planned.pick(replaced)
+    net.kill(gone)
+    net.run(pause_seconds)
+    others = [name for name in planned.replacement.live() if name != gone]
+    victim = net.rng.choice(others)
+    net.wipe(victim)
+    net.run(returns_seconds)
+    net.start(gone)
+    net.run(max(0.0, RESTART_SECONDS - returns_seconds))
+    net.start(victim)
+    planned.check()
