The age that another entry tells does not lower the baseline of delays

Cause: an entry that was suspended takes over what it hears in the first second, but not the time at which it was heard, as it may have been buffered. Asked by an entry that starts, it passes on the newest announcement with the age of an older one. The other one took the difference for the upstream's fastest delay: for up to two minutes each announcement of that upstream counted as 2 s late, and its group as incomplete now and then.

The told age is still compared with the baseline, but no longer lowers it. `UpstreamTable` is used by `figford serve` only.

--- a/figford/membership.py
+++ b/figford/membership.py
@@ -49,22 +49,34 @@
     _window_started_at: datetime.timedelta = datetime.timedelta(0)
 
     def excess_delay(
-        self, clock_ms: int, now: datetime.timedelta
+        self,
+        clock_ms: int,
+        now: datetime.timedelta,
+        age: datetime.timedelta = datetime.timedelta(0),
     ) -> datetime.timedelta:
-        """Returns by how much an announcement's delay exceeds the baseline."""
+        """Returns by how much an announcement's delay exceeds the baseline.
+
+        The age that another entry tells may be that of an announcement before
+        this one, so it does not lower the baseline.
+        """
         if not clock_ms:
             return datetime.timedelta(0)
-        delay = now.total_seconds() - clock_ms / 1000
+        delay = (now - age).total_seconds() - clock_ms / 1000
+        if age:
+            return self._excess(delay)
         if now - self._window_started_at > DELAY_WINDOW:
             self._previous_minimum = self._minimum_delay
             self._minimum_delay = None
             self._window_started_at = now
         if self._minimum_delay is None or delay < self._minimum_delay:
             self._minimum_delay = delay
-        baseline = self._minimum_delay
-        if self._previous_minimum is not None:
-            baseline = min(baseline, self._previous_minimum)
-        return datetime.timedelta(seconds=delay - baseline)
+        return self._excess(delay)
+
+    def _excess(self, delay: float) -> datetime.timedelta:
+        minima = (self._minimum_delay, self._previous_minimum)
+        known = [minimum for minimum in minima if minimum is not None]
+        baseline = min(known, default=delay)
+        return datetime.timedelta(seconds=max(0.0, delay - baseline))
 
 
 @attrs.define
@@ -268,7 +280,7 @@
     ) -> None:
         known.announcement = announcement
         excess = known.delay_tracker.excess_delay(
-            announcement.clock_ms, now - age
+            announcement.clock_ms, now, age
         )
         if now < self._settled_at:
             return
--- a/figford/tests/test_membership.py
+++ b/figford/tests/test_membership.py
@@ -134,3 +134,24 @@
     assert membership.announcement_digest(
         one
     ) != membership.announcement_digest(attrs.evolve(one, models=["m"]))
+
+
+def test_an_entry_that_paused_does_not_mislead_one_that_starts():
+    """A complete group was seen as incomplete for up to two minutes.
+
+    The one that paused passes on the newest announcement with the age of the
+    one before, since what arrives right after a pause may be old.
+    """
+    paused = membership.UpstreamTable("north")
+    paused.announce(announcement(1, clock=1.0), seconds(10), True)
+    paused.process_resumed(seconds(12))
+    paused.announce(announcement(2, clock=3.0), seconds(12.1), True)
+    told = paused.fresh_announcements(["u"], seconds(12.2))
+    started = membership.UpstreamTable("north")
+    age = datetime.timedelta(milliseconds=told.ages_ms[0])
+    assert age > seconds(2)
+    started.announce(told.full[0], seconds(12.2), False, age)
+    for number in range(3, 9):
+        now = seconds(10.0 + number)
+        started.announce(announcement(number, clock=1.0 * number), now, False)
+        assert started.by_name["u"].heard_at == now
