--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -361,13 +361,17 @@
     bench = Bench(routes.RetryMode.ONCE).begin()
     small, receiver = bench.responder, bench.receiver
     bench.answer(200, b"ok")
-    for number in range(5):
-        bench.forwarder.begin(bench.make_call(f"b{number}", Responder()))
-        bench.answer(200, b"x" * (7 << 20))
-        receiver.answer_data(b"ok")
+    # Together with the small answer, two bytes less than the limit of all.
+    largest = forwarding.BUFFER_LIMIT_BYTES
+    others = [Responder() for _ in range(4)]
+    for number, size in enumerate((*[largest] * 3, largest - 4)):
+        bench.forwarder.begin(bench.make_call(f"b{number}", others[number]))
+        bench.answer(200, b"x" * size)
+    receiver.answer_data(b"ok" * 2)
     receiver.answer_ended()
-    assert (small.ends, small.body) == (["whole"], b"ok" * 6)
-    assert bench.forwarder.buffers.size <= 32 << 20
+    assert (small.ends, small.body) == (["whole"], b"ok" * 3)
+    assert [other.ends for other in others].count(["refused"]) == 1
+    assert bench.forwarder.buffers.size <= 4 * largest
 
 
 def test_attempts_end_at_the_limit_of_the_route() -> None:
