--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,12 +1,11 @@
-"""A heartbeat of another writer ends groups that serve.
+"""Many callers at once, with bodies as long as the manifest allows.
 
-Streams run on two groups. Two heartbeats then come from another writer, with
-a service that no manifest names: one has the address of the first group's
-head, the other one the id of the second group's head.
+The entry keeps several times each body and bounds no sum, so its process takes
+more memory than its settings grant and is killed, with all that it carries.
 """
 
-import json
 import pathlib
+import signal
 import sys
 import threading
 import time
@@ -19,146 +18,154 @@
 import manifests  # noqa: E402
 import workers  # noqa: E402
 
-# An event each 0.1 s for 4 s: half of the route's timeout_ms.
-EVENTS = 40
-STREAMS = 80
-STREAM_INTERVAL_SECONDS = 0.25
-TROUBLE_AT_SECONDS = 6.0
+MEMORY_MB = 300
+BODY = b"x" * manifests.LIMITS["max_body_bytes"]
+# Callers with long bodies, beside others with short ones.
+USUAL_CALLERS = 31
+# `burst` has x = 1.7 at most.
+BURST = 1.7
+SHORT_CALLERS = 16
+SHORT_SECONDS = 6.0
+WORKERS = 6
+WORK_SECONDS = 0.2
 # LOST allows three.
 MOST_LOST = 3
 
 
-def start_workers(system: cluster.Cluster, record) -> workers.Floor:
-    """Starts four engines in one domain, and a plain worker."""
-    controls = [f"{ip}:{system.control_port}" for ip in system.controllers]
-    floor = workers.Floor(record, controls)
-    port = cluster.free_port(["127.0.0.1"], 5)
-    for index in range(4):
-        engine = workers.Engine(
-            floor, f"i-{index}", manifests.POOL, "127.0.0.1", port + index,
-            "casa-a", 13, domain="d1", staged=[manifests.MODEL],
-        )
-        engine.events = EVENTS
-        floor.add(engine)
-    floor.add(
-        workers.Worker(
-            floor, "p-0", manifests.PLAIN, "127.0.0.1", port + 4, "casa-a", 6
-        )
-    )
-    return floor
-
-
-def open_heads(floor: workers.Floor) -> list[workers.Engine]:
-    """Returns the heads that are open."""
-    return [
-        worker
-        for worker in floor.worker_by_name.values()
-        if isinstance(worker, workers.Engine)
-        and worker.seat is not None
-        and worker.seat["state"] == "open"
-    ]
-
-
-def other_writers_beats(heads: list[workers.Engine]) -> list[tuple]:
-    """Returns the ids and bodies of what another writer sends."""
-    common = {
-        "service": "node-agent",
-        "zone": "casa-a",
-        "version": "v1",
-        "slots": 1,
-        "state": "ready",
-        "cold_remaining_ms": 0,
-        "sequence": 1,
-        "born": int(time.time() * 1000),
-    }
-    return [
-        ("agent-7", common | {"address": heads[0].address}),
-        (heads[1].name, common | {"address": heads[1].address}),
-    ]
-
-
-def stream(front: str, number: int, record, outcomes: list) -> None:
-    """Sends a call and then a stream on one kept channel."""
+class MemoryLimit(threading.Thread):
+    """Kills a process that takes more memory than it may, as the platform."""
+
+    def __init__(self, system: cluster.Cluster, ip: str) -> None:
+        super().__init__(daemon=True)
+        self.system, self.ip = system, ip
+        self.most_mb = 0
+        self.killed = False
+        self.ends = False
+
+    def run(self) -> None:
+        """Watches until the process is killed or the case ends."""
+        process = self.system.process_by_ip[self.ip]
+        while not self.ends and process.poll() is None:
+            status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+            line = next(
+                (x for x in status.splitlines() if x.startswith("VmRSS")), ""
+            )
+            if line:
+                self.most_mb = max(self.most_mb, int(line.split()[1]) // 1024)
+            if self.most_mb > MEMORY_MB:
+                self.killed = True
+                self.system.record(f"platform: {self.most_mb} MB are taken")
+                self.system.signal(self.ip, signal.SIGKILL)
+                return
+            time.sleep(0.01)
+
+
+def call(front: str, number: int, record, outcomes: list, gate) -> None:
+    """Sends a short and then a long request on one kept channel."""
     ip, _, port = front.partition(":")
     connection = callers.http.client.HTTPConnection(ip, int(port), timeout=9)
     callers.ask(
-        front, "/book/x", f"call-{number}", key=manifests.KEY,
-        connection=connection,
+        front, "/book/x", f"short-{number}", key=manifests.KEY,
+        remaining_ms=6000, connection=connection,
     )
+    gate.wait()
+    # The callers with short requests are at it by then.
+    time.sleep(1.0)
     outcome = callers.ask(
-        front, "/ask/x", f"stream-{number}", key=manifests.KEY,
-        remaining_ms=8000, connection=connection,
-        more={
-            "Figford-Model": manifests.MODEL,
-            "Figford-Token-Usage": "100,200",
-        },
+        front, "/book/x", f"long-{number}", key=manifests.KEY, body=BODY,
+        remaining_ms=6000, connection=connection,
     )
     connection.close()
     record(str(outcome))
     outcomes.append(outcome)
 
 
+def call_often(front: str, name: int, until: float, record, outcomes) -> None:
+    """Sends short requests on one kept channel, one after the other."""
+    ip, _, port = front.partition(":")
+    connection = callers.http.client.HTTPConnection(ip, int(port), timeout=9)
+    number = 0
+    while time.monotonic() < until:
+        outcome = callers.ask(
+            front, "/book/x", f"often-{name}-{number}", key=manifests.KEY,
+            remaining_ms=6000, connection=connection,
+        )
+        outcomes.append(outcome)
+        number += 1
+        if outcome.status is None:
+            record(str(outcome))
+            break
+    connection.close()
+
+
 def main() -> int:
     """Plays the case; returns 1 if the rule was broken."""
     record = cluster.Record(HERE / "record.txt")
     system = cluster.Cluster(record, controllers=3, entries=1)
     try:
         system.start_all()
-        floor = start_workers(system, record)
-        routes = [
-            manifests.stream_route("s", "/ask/", resumable=False),
-            manifests.route(
-                "b", "/book/", "non_idempotent", manifests.PLAIN
-            ),
-        ]
-        services = [manifests.pool_service(2), manifests.plain_service()]
-        manifest = manifests.manifest(3, routes, services)
+        controls = [f"{ip}:{system.control_port}" for ip in system.controllers]
+        floor = workers.Floor(record, controls)
+        port = cluster.free_port(["127.0.0.1"], WORKERS)
+        for index in range(WORKERS):
+            worker = workers.Worker(
+                floor, f"p-{index}", manifests.PLAIN, "127.0.0.1",
+                port + index, "casa-a", 6,
+            )
+            worker.work_s = WORK_SECONDS
+            floor.add(worker)
+        route = manifests.route(
+            "b", "/book/", "non_idempotent", manifests.PLAIN,
+            timeout_ms=6000, target_latency_ms=3000,
+        )
+        manifest = manifests.manifest(
+            3, [route], [manifests.plain_service()]
+        )
         if not system.submit(manifest, 20):
             return 2
-        if not cluster.wait_until(lambda: len(open_heads(floor)) == 2, 20):
-            record("the case could not run: no two groups are open")
-            return 2
-        # connectivity_window_ms after the start, and as much again.
         time.sleep(6)
-        front = f"{system.entries[0]}:{system.front_port}"
+        entry = system.entries[0]
+        limit = MemoryLimit(system, entry)
+        limit.start()
+        front = f"{entry}:{system.front_port}"
+        factor = BURST if cluster.has_trouble() else 1.0
+        count = int(USUAL_CALLERS * factor)
+        gate = threading.Barrier(count)
         outcomes: list[callers.Outcome] = []
-        threads = []
-        started = time.monotonic()
-        is_due = cluster.has_trouble()
-        for number in range(STREAMS):
-            thread = threading.Thread(
-                target=stream, args=(front, number, record, outcomes)
+        threads = [
+            threading.Thread(
+                target=call, args=(front, number, record, outcomes, gate)
+            )
+            for number in range(count)
+        ]
+        until = time.monotonic() + SHORT_SECONDS
+        threads += [
+            threading.Thread(
+                target=call_often,
+                args=(front, number, until, record, outcomes),
             )
+            for number in range(SHORT_CALLERS)
+        ]
+        for thread in threads:
             thread.start()
-            threads.append(thread)
-            if is_due and time.monotonic() - started > TROUBLE_AT_SECONDS:
-                is_due = False
-                for name, body in other_writers_beats(open_heads(floor)):
-                    status = workers.post(
-                        floor.controls[0],
-                        f"/figford/instances/{name}/heartbeat",
-                        json.dumps(body).encode(),
-                    )
-                    record(
-                        f"other writer: heartbeat of {name}, service"
-                        f" node-agent, address {body['address']}: {status}"
-                    )
-            time.sleep(STREAM_INTERVAL_SECONDS)
         for thread in threads:
             thread.join()
-        passed_on = {attempt for _, _, attempt in floor.runs}
+        limit.ends = True
+        limit.join()
+        run = {attempt for _, _, attempt in floor.runs}
         lost = [
-            outcome.attempt
-            for outcome in outcomes
-            if outcome.attempt in passed_on and not outcome.complete
+            o for o in outcomes if o.attempt in run and o.status is None
         ]
-        refused = [o.attempt for o in outcomes if o.status == 503]
-        for ip, status in system.ended().items():
-            record(f"platform: {ip} ended by itself with status {status}")
+        unread = [
+            o for o in outcomes if o.attempt not in run and o.status is None
+        ]
+        record(
+            f"{count} callers: the entry took {limit.most_mb} MB at most, of"
+            f" {MEMORY_MB}; killed: {limit.killed}"
+        )
         record(
-            f"LOST: of {len(outcomes)} streams, {len(lost)} were passed on"
-            f" and ended with a closed channel (allowed: {MOST_LOST});"
-            f" {len(refused)} were refused with 503"
+            f"LOST: {len(lost)} requests ran and ended with a closed channel"
+            f" (allowed: {MOST_LOST}); {len(unread)} more got no answer"
         )
         return 1 if len(lost) > MOST_LOST else 0
     finally:
