Groups of a size or model that the configuration dropped are dissolved

Groups of a model that no manifest named any more served as well, and kept their instances from the model that was named.

Cause: a group was judged once, when it was formed. The planner never compared an open group with the settings of its model, and an entry took each open head for a target, whatever its size and model. A forming group of another size could not open, but was held until its deadline; hosts with weights of a removed model, or reserved for one, waited as if those still had a use.

Nobody could have compared the sizes there: a member reports name, epoch and rank, but not the number of members. So the name of a group tells its size now, which an entry and a successor of the planner read from a single report.

- Entries choose only heads of configured models whose groups have the model's size.
A request begins under the size that the table of its entry names when it is sent.
What had begun is finished where it began.
- The planner closes all groups of another size at once, since they get no request any more, and waits for their work; members that load for a group that forms finish first, and join the new one with the weights.
Groups of a model that is not configured are dissolved.
- A model that needs more instances than the fleet has is left out of planning after 8 s, and its callers are told to come back after 30 s.
- Groups that a former version named are judged by the members that report.

A check has moved: the emulated engines compared the size when an order to open was carried out. An order that is carried out late, after another change, broke it without a fault of the planner, so the size is compared when the order is sent, whether it has an effect or not. A planner's world also checks at each step that an entry could begin requests only in groups of the right size. test_placement used a model that its engine did not name.

--- a/figford/formations.py
+++ b/figford/formations.py
@@ -18,14 +18,6 @@
 # After that it is dissolved, which frees its members for other groups.
 FORMING_SLACK = datetime.timedelta(seconds=6)
 
-# Prefix of the names of warm-up groups; no other group name starts with it.
-WARM_UP_PREFIX = "warm-"
-
-
-def is_warm_up(group: str) -> bool:
-    """Returns whether a group only warms up a spare and is never opened."""
-    return group.startswith(WARM_UP_PREFIX)
-
 
 class Action(enum.Enum):
     """The action that an order requests from an upstream."""
@@ -135,6 +127,8 @@
     HEAD_RETURNED = "head reports again after release"
     FITS_IN_ONE_DOMAIN = "fits in one domain"
     MODEL_IN_SURPLUS = "model in surplus"
+    SIZE_CHANGED = "size of the model changed"
+    MODEL_REMOVED = "model not configured"
     HEAD_ENDED = "head ended"
     HEAD_GONE = "head gone"
     BROKEN = "broken"
@@ -155,6 +149,8 @@
     phase: Phase
     since: datetime.timedelta
     deadline: datetime.timedelta
+    # The number of members that it was formed with; None if unknown.
+    size: int | None = None
     cause: Cause | None = None
     spans_domains: bool = False
     loads: int = 0
--- a/figford/forming.py
+++ b/figford/forming.py
@@ -6,6 +6,7 @@
 
 from figford import fleetmessages
 from figford import formations
+from figford import groupnames
 from figford import planrounds
 from figford import routes
 from figford import warming
@@ -55,7 +56,8 @@
             slowdown = (
                 engine.cross_domain_factor if formation.spans_domains else 1.0
             )
-            allocated[model.name] += model.size / slowdown
+            size = model.size if formation.size is None else formation.size
+            allocated[model.name] += size / slowdown
     return allocated
 
 
@@ -75,7 +77,7 @@
 def form(round_: planrounds.Round) -> None:
     """Forms all groups for which there are enough free hosts."""
     for service in sorted(round_.view.engines):
-        engine = round_.view.engines[service]
+        engine = round_.fillable_engine(service)
         while _form_one(service, engine, round_):
             pass
 
@@ -176,7 +178,7 @@
     if round_.now - round_.planner.changed_at < REBALANCE_WAIT:
         return
     for service in sorted(round_.view.engines):
-        engine = round_.view.engines[service]
+        engine = round_.fillable_engine(service)
         groups = [
             formation
             for formation in round_.planner.formation_by_key.values()
@@ -307,7 +309,7 @@
     a smaller shortfall.
     """
     if largest_shortfall:
-        bare = [item for item in free if not item.staged]
+        bare = [item for item in free if round_.is_bare(item)]
         found = _in_one_domain(bare, model.size, SPARES_PER_DOMAIN)
         if found:
             return found
@@ -360,7 +362,7 @@
     epoch = round_.planner.next_epoch()
     loads = round_.loads_needed(members, model.name)
     formation = formations.Formation(
-        group=f"g{epoch:x}",
+        group=groupnames.group_name(epoch, model.size),
         epoch=epoch,
         service=service,
         model=model.name,
@@ -368,6 +370,7 @@
         incarnations=dict(enumerate(item.incarnation for item in members)),
         phase=formations.Phase.FORMING,
         since=round_.now,
+        size=model.size,
         spans_domains=len({item.domain for item in members}) > 1,
         loads=loads,
         deadline=round_.now
@@ -424,12 +427,12 @@
 def stage(round_: planrounds.Round) -> None:
     """Stages weights on spare hosts, so that a repair needs no load."""
     for service in sorted(round_.view.engines):
-        engine = round_.view.engines[service]
+        engine = round_.fillable_engine(service)
         idle = round_.idle(service)
         for item in round_.free(service):
             model = _model_to_stage(item, idle, engine, round_)
             if model is None:
-                model = _model_to_change_to(item, service, idle, round_)
+                model = _model_to_change_to(item, idle, engine, round_)
             if model is None:
                 model = _model_without_spare(item, idle, engine, round_)
             if model is None:
@@ -463,21 +466,22 @@
 
 def _model_to_change_to(
     item: fleetmessages.Registration,
-    service: str,
     idle: list[fleetmessages.Registration],
+    engine: routes.Engine,
     round_: planrounds.Round,
 ) -> routes.Model | None:
     """Returns the model that a spare of another model should stage.
 
     Considers only a model that lacks a whole group, and only if at least
-    half of a group's members are in the spare's domain, idle or in a slow
-    group that spans domains.
+    half of a group's members are in the spare's domain: idle, in a slow
+    group that spans domains, or in one that is dissolved for its size.
     """
-    engine = round_.view.engines[service]
+    if not engine.models:
+        return None
     groups = [
         formation
         for formation in round_.planner.formation_by_key.values()
-        if formation.service == service
+        if formation.service == item.service
     ]
     allocated = instances_by_model(groups, engine)
     model = by_shortfall(allocated, engine)[0]
@@ -495,21 +499,28 @@
     staging_count = sum(
         known[other.upstream].staging == model.name for other in idle_in_domain
     )
-    slow = sum(
+    soon_free = sum(
         round_.view.fleet[name].domain == item.domain
         for formation in groups
-        if formation.spans_domains
-        and formation.model == model.name
-        and formation.phase is formations.Phase.SERVING
+        if formation.model == model.name and _is_soon_free(formation)
         for name in formation.members.values()
         if name in round_.view.fleet
     )
-    available = ready + slow
+    available = ready + soon_free
     if 2 * available < model.size or available + staging_count >= model.size:
         return None
     return model
 
 
+def _is_soon_free(formation: formations.Formation) -> bool:
+    """Returns whether the members of a group can soon form another one."""
+    if _is_dissolving(formation):
+        return formation.cause is formations.Cause.SIZE_CHANGED
+    return (
+        formation.spans_domains and formation.phase is formations.Phase.SERVING
+    )
+
+
 def _model_without_spare(
     item: fleetmessages.Registration,
     idle: list[fleetmessages.Registration],
@@ -557,7 +568,7 @@
     precedence: it only waits for the weight store.
     """
     bare = sum(
-        not other.staged
+        round_.is_bare(other)
         and not round_.planner.member_by_name[other.upstream].staging
         for other in idle_in_domain
     )
@@ -580,7 +591,9 @@
     in the domain but no spare there; then the one whose groups strand the
     most instances when a member is lost.
     """
-    if item.staged or round_.planner.member_by_name[item.upstream].staging:
+    if not round_.is_bare(item):
+        return None
+    if round_.planner.member_by_name[item.upstream].staging:
         return None
     idle_in_domain = [other for other in idle if other.domain == item.domain]
     if round_.free_duration(item.upstream) < _stage_wait(
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -42,6 +42,9 @@
 # without any upstream are told to retry then.
 REPAIR_RETRY_AFTER = datetime.timedelta(milliseconds=1500)
 RETRY_AFTER_SPREAD = datetime.timedelta(milliseconds=800)
+# A model that is not configured, or needs more instances than there are,
+# can't be served before an operator changes that.
+UNSERVABLE_RETRY_AFTER = datetime.timedelta(seconds=30)
 # A request that crashes upstreams is refused for minutes at least.
 CONVICTED_RETRY_AFTER = datetime.timedelta(minutes=5)
 # Requests that are named in the log line of a crash.
@@ -106,6 +109,9 @@
         """Applies a new route table."""
         self.table = table
         self._update_placement()
+        for _, _, call in list(self._queue):
+            if call.state is forwarding.State.WAITING:
+                self._refuse_without_target(call)
 
     def fleet_changed(self, fleet: fleets.FleetTable) -> None:
         """Applies a change of the fleet."""
@@ -169,14 +175,7 @@
         self._budgets.of(call.service).record_request(now)
         if self._refuse_convicted(call, now):
             return
-        if not self.placement.has_any(call.service, self._model(call)):
-            call.end_early(
-                endings.Cause.REFUSED,
-                self.no_capacity(
-                    "no complete group or upstream is available",
-                    REPAIR_RETRY_AFTER,
-                ),
-            )
+        if self._refuse_without_target(call):
             return
         self._demand.record_arrival(self._key(call), now)
         if self._refuse_paused(call, now):
@@ -185,6 +184,33 @@
             self._enqueue(call)
             self._refuse_beyond_limits(now)
 
+    def _refuse_without_target(self, call: forwarding.ForwardedCall) -> bool:
+        """Refuses a call that has no target; returns whether it did."""
+        if self.placement.has_any(call.service, self._model(call)):
+            return False
+        detail = self._unservable_detail(call)
+        if detail is not None:
+            refusal = self.no_capacity(detail, UNSERVABLE_RETRY_AFTER)
+        else:
+            refusal = self.no_capacity(
+                "no complete group or upstream is available",
+                REPAIR_RETRY_AFTER,
+            )
+        call.end_early(endings.Cause.REFUSED, refusal)
+        return True
+
+    def _unservable_detail(self, call: forwarding.ForwardedCall) -> str | None:
+        """Returns why no group can serve a call; None if one may soon."""
+        service = self.table.service_by_name.get(call.service)
+        if service is None or service.engine is None:
+            return None
+        model = service.engine.model(call.head.model or "")
+        if model is None:
+            return "the model is not configured"
+        if 0 < self.placement.instances(call.service) < model.size:
+            return "the model needs more instances than there are"
+        return None
+
     def _refuse_paused(
         self, call: forwarding.ForwardedCall, now: datetime.timedelta
     ) -> bool:
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -6,6 +6,7 @@
 head has left, is broken or was restarted; silence proves neither.
 """
 
+import collections
 import datetime
 
 import attrs
@@ -13,8 +14,10 @@
 from figford import fleetmessages
 from figford import formations
 from figford import forming
+from figford import groupnames
 from figford import loadrecord
 from figford import planrounds
+from figford import routes
 from figford import warming
 
 SeatState = fleetmessages.SeatState
@@ -22,10 +25,10 @@
 # After a change of leader, planning starts only after this long, so that
 # reports show the effect of the previous leader's orders.
 TAKEOVER_WAIT = datetime.timedelta(milliseconds=600)
-# Members of a group that another planner was forming report within this
-# time; reports come every 1.2 s.
-ADOPTION_WAIT = datetime.timedelta(milliseconds=2500)
 EPOCHS_PER_TERM = 1 << 20
+# A model that needs more instances than the fleet has is left out of planning
+# after this long.
+SHORTAGE_WAIT = datetime.timedelta(seconds=8)
 
 
 @attrs.define
@@ -41,6 +44,11 @@
     load_record: loadrecord.LoadRecord = attrs.field(
         factory=loadrecord.LoadRecord
     )
+    # Since when the fleet has been too small for one group of a model, by
+    # service, model and size.
+    _short_since: dict[tuple[str, str, int], datetime.timedelta] = attrs.field(
+        factory=dict
+    )
     # When a group was last formed, opened, dissolved or freed.
     changed_at: datetime.timedelta = datetime.timedelta(0)
     # Groups freed by their heads' leaves since the last round.
@@ -67,6 +75,7 @@
         self.formation_by_key.clear()
         self.member_by_name.clear()
         self._freed_by_leave.clear()
+        self._short_since.clear()
         self.load_record.start(heard_predecessor, now)
 
     # ---- Results of orders ----------------------------------------------
@@ -180,6 +189,7 @@
         round_ = planrounds.Round(self, view, now)
         self._note_freed_by_leave(round_)
         self._update_members(view, now)
+        self._record_shortages(view, now)
         self.load_record.prune(view, now)
         self._adopt(round_)
         for formation in list(self.formation_by_key.values()):
@@ -225,6 +235,31 @@
             if unanswered_at and unanswered_at < view.heard_at[name]:
                 member.unanswered_at = None
 
+    def _record_shortages(
+        self, view: formations.View, now: datetime.timedelta
+    ) -> None:
+        """Records which models need more instances than the fleet has."""
+        count = collections.Counter(
+            item.service for item in view.fleet.values() if not item.leaving
+        )
+        self._short_since = {
+            key: self._short_since.get(key, now)
+            for service, engine in view.engines.items()
+            for model in engine.models
+            if count[service] < model.size
+            for key in [(service, model.name, model.size)]
+        }
+
+    def is_unfillable(
+        self, service: str, model: routes.Model, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether the fleet has long been too small for a group.
+
+        Hosts that start at the same time report one after the other.
+        """
+        since = self._short_since.get((service, model.name, model.size))
+        return since is not None and now - since >= SHORTAGE_WAIT
+
     def _adopt(self, round_: planrounds.Round) -> None:
         """Adopts groups that other planners formed, from members' reports."""
         for key, seats in round_.seats_by_key.items():
@@ -234,7 +269,7 @@
                 self.formation_by_key[key] = formation
             for rank, registration in seats.items():
                 member = self.member_by_name[registration.upstream]
-                if not formations.is_warm_up(formation.group):
+                if not groupnames.is_warm_up(formation.group):
                     member.had_group = True
                 if rank not in formation.members:
                     formation.members[rank] = registration.upstream
@@ -267,7 +302,7 @@
         # late order made its member join again. No planner needs to keep a
         # warm-up group.
         phase = formations.Phase.FORMING
-        if formations.is_warm_up(key[0]):
+        if groupnames.is_warm_up(key[0]):
             phase = formations.Phase.FREED
         elif key[1] // EPOCHS_PER_TERM == self.term:
             phase = formations.Phase.ABANDONED
@@ -283,6 +318,7 @@
             deadline=round_.now
             + max(load_times, default=datetime.timedelta(0))
             + formations.FORMING_SLACK,
+            size=groupnames.group_size(key[0]),
             adopted=True,
         )
 
@@ -349,6 +385,10 @@
         if round_.read_until >= formation.deadline:
             self.begin_dissolving(formation, formations.Cause.DEADLINE, round_)
             return
+        outdated = round_.outdated_cause(formation)
+        if outdated is not None:
+            self._dissolve_outdated(formation, outdated, round_)
+            return
         size = round_.size(formation)
         if size and set(formation.members) == set(range(size)):
             self._order_missing(formation, size, round_)
@@ -391,10 +431,27 @@
         """
         return (
             formation.adopted
-            and round_.read_until - formation.since >= ADOPTION_WAIT
+            and round_.read_until - formation.since >= planrounds.ADOPTION_WAIT
             and set(formation.members) != set(range(size))
         )
 
+    def _dissolve_outdated(
+        self,
+        formation: formations.Formation,
+        cause: formations.Cause,
+        round_: planrounds.Round,
+    ) -> None:
+        """Dissolves a group that another configuration was formed for.
+
+        Members of a model that only changed its size finish their loads
+        first: with the weights they join a new group in little time.
+        """
+        if cause is formations.Cause.SIZE_CHANGED and (
+            round_.is_joining(formation)
+        ):
+            return
+        self.begin_dissolving(formation, cause, round_)
+
     def _order_missing(
         self,
         formation: formations.Formation,
@@ -464,6 +521,8 @@
             self.begin_dissolving(
                 formation, formations.Cause.MEMBER_LEAVING, round_
             )
+        elif (outdated := round_.outdated_cause(formation)) is not None:
+            self.begin_dissolving(formation, outdated, round_)
         elif name in round_.view.doubted:
             self._check_for_lost_member(formation, round_)
 
--- a/figford/loadrecord.py
+++ b/figford/loadrecord.py
@@ -14,6 +14,7 @@
 
 from figford import fleetmessages
 from figford import formations
+from figford import groupnames
 from figford import routes
 
 # Sliding window over which loads are counted against the weight store's
@@ -400,7 +401,7 @@
     if (
         seat is not None
         and seat.state is not fleetmessages.SeatState.JOINING
-        and not formations.is_warm_up(seat.group)
+        and not groupnames.is_warm_up(seat.group)
     ):
         return False
     return not member.has_replied or member.orders_begun != 0
--- a/figford/placement.py
+++ b/figford/placement.py
@@ -8,6 +8,7 @@
 An upstream with a limit is a choice only while this entry holds a permit.
 """
 
+import collections
 import datetime
 import random
 import typing
@@ -16,6 +17,7 @@
 
 from figford import fleet as fleets
 from figford import fleetmessages
+from figford import groupnames
 from figford import limits
 from figford import permits as permit_tables
 from figford import prediction
@@ -102,6 +104,10 @@
     _targets: dict[tuple[str, str | None], list[Target]] = attrs.field(
         factory=dict
     )
+    # How many upstreams of each service are not leaving.
+    _instances: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
     # Those of `_targets` that have a limit, at a revision of the limits.
     _limited_targets: dict[limits.Key, list[Target]] = attrs.field(
         factory=dict
@@ -122,6 +128,9 @@
         self._targets = {}
         self._limited_at_revision = None
         present = fleet.present()
+        self._instances = collections.Counter(
+            item.service for item in present if not item.leaving
+        )
         cross_domain = _cross_domain_groups(present)
         for item in present:
             if item.leaving:
@@ -137,11 +146,11 @@
                     item.seat.epoch,
                 ) in cross_domain
                 slowdown = engine.cross_domain_factor if spans_domains else 1.0
-                for model in item.models:
-                    first = prediction.first_token(
-                        engine, engine.model(model), slowdown
+                for model in _served_models(item, item.seat, engine):
+                    first = prediction.first_token(engine, model, slowdown)
+                    self._add(
+                        _target(item, model.name, slowdown, first), model.name
                     )
-                    self._add(_target(item, model, slowdown, first), model)
         names = {item.upstream for item in present}
         for name, target_state in list(self.state_by_upstream.items()):
             if name not in names and not target_state.in_progress:
@@ -155,6 +164,10 @@
         """Returns the targets of a service that serve a model."""
         return self._targets.get((service, model), [])
 
+    def instances(self, service: str) -> int:
+        """Returns how many upstreams of a service are not leaving."""
+        return self._instances[service]
+
     def services(self, model: str | None) -> set[str]:
         """Returns the services that have a target for a model."""
         return {
@@ -417,6 +430,25 @@
     return {key for key, names in domains.items() if len(names) > 1}
 
 
+def _served_models(
+    item: fleetmessages.Registration,
+    seat: fleetmessages.FleetSeat,
+    engine: routes.Engine,
+) -> list[routes.Model]:
+    """Returns the models of a head that its group may serve.
+
+    These are configured, and their groups have as many members as this one.
+    A name that does not tell the size is one of a former version.
+    """
+    size = groupnames.group_size(seat.group)
+    models = [engine.model(name) for name in item.models]
+    return [
+        model
+        for model in models
+        if model is not None and size in (None, model.size)
+    ]
+
+
 def _target(
     item: fleetmessages.Registration,
     model: str | None,
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -37,6 +37,9 @@
 MEMBER_FRESHNESS = datetime.timedelta(seconds=2)
 # An upstream's reply to a query tells its state of at most this long ago.
 REPLY_LAG = datetime.timedelta(milliseconds=400)
+# Members of a group that another planner was forming report within this
+# time; reports come every 1.2 s.
+ADOPTION_WAIT = datetime.timedelta(milliseconds=2500)
 # A report counts as missed after this long.
 MISSED_REPORT = datetime.timedelta(milliseconds=1350)
 
@@ -75,12 +78,75 @@
         """Returns the engine settings of a service; None if it has none."""
         return self.view.engines.get(service)
 
+    def fillable_engine(self, service: str) -> routes.Engine:
+        """Returns the engine settings with the models that can be served.
+
+        Left out are models that need more instances than the fleet has.
+        """
+        engine = self.view.engines[service]
+        models = tuple(
+            model
+            for model in engine.models
+            if not self.planner.is_unfillable(service, model, self.now)
+        )
+        if len(models) == len(engine.models):
+            return engine
+        return attrs.evolve(engine, models=models)
+
+    def is_bare(self, registration: fleetmessages.Registration) -> bool:
+        """Returns whether a host has no weights of a configured model."""
+        engine = self.engine(registration.service)
+        return engine is None or not any(
+            engine.model(name) for name in registration.staged
+        )
+
     def size(self, formation: formations.Formation) -> int:
         """Returns the number of members a group needs; 0 if unknown."""
         engine = self.engine(formation.service)
         model = engine.model(formation.model) if engine else None
         return model.size if model else 0
 
+    def outdated_cause(
+        self, formation: formations.Formation
+    ) -> formations.Cause | None:
+        """Returns why the configuration in force rules a group out.
+
+        Returns None if it does not, and while the model is not known yet.
+        """
+        engine = self.engine(formation.service)
+        if engine is None or not formation.model:
+            return None
+        model = engine.model(formation.model)
+        if model is None:
+            return formations.Cause.MODEL_REMOVED
+        if self._may_have_size(formation, model.size):
+            return None
+        return formations.Cause.SIZE_CHANGED
+
+    def _may_have_size(
+        self, formation: formations.Formation, size: int
+    ) -> bool:
+        """Returns whether a group has `size` members, as far as is known.
+
+        A former version's names do not tell it; the members that have
+        reported since the group was adopted are all of them then.
+        """
+        if formation.size is not None:
+            return formation.size == size
+        if self.read_until - formation.since < ADOPTION_WAIT:
+            return all(rank < size for rank in formation.members)
+        return set(formation.members) == set(range(size))
+
+    def is_joining(self, formation: formations.Formation) -> bool:
+        """Returns whether a member still joins, or may not have begun to."""
+        states = {
+            self.seat_state(formation, rank) for rank in formation.members
+        }
+        has_just_begun = self.read_until - formation.since < ORDER_REPEAT
+        return SeatState.JOINING in states or (
+            None in states and has_just_begun
+        )
+
     def silence_duration(self, name: str) -> datetime.timedelta:
         """Returns the time since the last report of an upstream."""
         return self.now - self.view.heard_at.get(name, self.now)
@@ -160,20 +226,6 @@
         replied_at = member.replied_at if member else datetime.timedelta(0)
         return max(replied_at, self.view.heard_at.get(name, replied_at))
 
-    def is_complete(self, formation: formations.Formation) -> bool:
-        """Returns whether all members are present and the head is open."""
-        size = self.size(formation)
-        return (
-            self.seat_state(formation, 0) is SeatState.OPEN
-            and len(formation.members) == size
-            and not self.lost_members(formation)
-            and all(
-                self.seat_state(formation, rank)
-                in (SeatState.READY, SeatState.OPEN)
-                for rank in formation.members
-            )
-        )
-
     def seat_state(
         self, formation: formations.Formation, rank: int
     ) -> SeatState | None:
@@ -384,13 +436,17 @@
     def available_for(
         self, free: list[fleetmessages.Registration], model: routes.Model
     ) -> list[fleetmessages.Registration]:
-        """Returns the free engines not reserved for another model."""
-        return [
-            item
-            for item in free
-            if self.planner.member_by_name[item.upstream].reserved_for
-            in ("", model.name)
-        ]
+        """Returns the free engines not reserved for another model.
+
+        A reservation ends when its model can't be served any more.
+        """
+        result = []
+        for item in free:
+            reserved = self.planner.member_by_name[item.upstream].reserved_for
+            engine = self.fillable_engine(item.service)
+            if reserved in ("", model.name) or not engine.model(reserved):
+                result.append(item)
+        return result
 
     def free_duration(self, name: str) -> datetime.timedelta:
         """Returns how long an engine has been free."""
--- a/figford/tests/plannerworld.py
+++ b/figford/tests/plannerworld.py
@@ -10,6 +10,7 @@
 from figford import formations
 from figford import groupplanner
 from figford import loadrecord
+from figford import placement as placements
 from figford import routes
 from figford import signoffs
 from figford.tools import enginefleet
@@ -44,12 +45,16 @@
     # Whether no request has arrived yet; then the weight store has no rate
     # limit.
     warming_up: bool = False
+    # The choices of an entry that holds the configuration in force.
+    placement: placements.Placement = attrs.field(init=False)
+    _placed_at: tuple[int, routes.Engine] | None = None
     _beat_at: dict[str, datetime.timedelta] = attrs.field(factory=dict)
     _results: list = attrs.field(factory=list)
 
     def __attrs_post_init__(self) -> None:
         """Starts engines in domains of eight and a first planner."""
         self.rng = random.Random(self.seed)
+        self.placement = placements.Placement("dc", self.rng)
         self.engines = enginefleet.EngineFleet(
             {model.name: model for model in self.engine_settings().models},
             self.rng,
@@ -64,6 +69,29 @@
         """Returns the settings of all engines."""
         return ENGINE if self.engine is None else self.engine
 
+    def change_models(self, *models: routes.Model) -> None:
+        """Lets a configuration that names these models come into force."""
+        self.engine = attrs.evolve(self.engine_settings(), models=models)
+        self.engines.change_models(models)
+
+    def _check_targets(self) -> None:
+        """Checks that requests begin only in groups of their model's size."""
+        state = (self.fleet.revision, self.engine_settings())
+        if state != self._placed_at:
+            self._placed_at = state
+            self.placement.update(self.fleet, {"pool": state[1]})
+        for model in self.engines.models.values():
+            for target in self.placement.targets("pool", model.name):
+                seat = self.engines.by_name[target.upstream].seat
+                if seat is None or seat.epoch != target.epoch:
+                    continue
+                assert model.name not in self.engines.removed_models
+                assert len(seat.members) == model.size
+
+    def targets(self, model: str) -> int:
+        """Returns how many groups of a model an entry may choose."""
+        return len(self.placement.targets("pool", model))
+
     def add(self, name: str, domain: str) -> None:
         """Adds an engine with no weights."""
         self.engines.add(
@@ -78,6 +106,7 @@
             self.engines.advance(self.now)
             self._report()
             self._plan()
+            self._check_targets()
 
     def run_until(self, condition: typing.Callable[[], bool]) -> None:
         """Advances time until a condition holds; fails after `MAX_WAIT`."""
--- a/figford/tests/test_forwarding.py
+++ b/figford/tests/test_forwarding.py
@@ -173,8 +173,8 @@
             self.clock.now(), self.clock.now() + 6 * SECOND,
         )  # fmt: skip
 
-    def place(self, *names: str) -> None:
-        """Replaces the fleet by these upstreams."""
+    def place(self, *names: str, group: str = SEAT.group) -> None:
+        """Replaces the fleet by heads of groups with this name."""
         fleet = fleets.FleetTable()
         for name in names:
             fleet.report(fleetmessages.Registration(
@@ -186,7 +186,7 @@
                 "dc",
                 13,
                 models=["m"],
-                seat=SEAT,
+                seat=attrs.evolve(SEAT, group=group),
                 ),  # fmt: skip
                 self.clock.now(),
             )
@@ -246,6 +246,80 @@
     assert bench.responder.body == b"" and bench.idle()
 
 
+def size_table(bench: Bench, size: int) -> routes.RouteTable:
+    """Returns a newer table in which the model has another size."""
+    (model,) = ENGINE.models
+    engine = attrs.evolve(ENGINE, models=(attrs.evolve(model, size=size),))
+    return routes.RouteTable(
+        bench.forwarder.table.version + 1,
+        bench.forwarder.table.routes,
+        (routes.Service("s", 10, engine),),
+    )
+
+
+def test_no_request_begins_in_a_group_of_another_size() -> None:
+    """A table changed the size; its groups went on to get requests."""
+    bench = Bench(routes.RetryMode.STREAM, resumable=True)
+    bench.place("u1", "u2", group="g1-1")
+    bench.begin()
+    assert len(bench.pool.sent) == 1
+    receiver = bench.receiver
+    bench.forwarder.apply_route_table(size_table(bench, 2))
+    late = Responder()
+    bench.forwarder.begin(bench.make_call("a2", late))
+    assert late.refusal.status == 503
+    assert late.refusal.run_state is errors.RunState.NOT_RUN
+    assert late.refusal.retry_after < forwarders.UNSERVABLE_RETRY_AFTER
+    # What had begun is finished where it began.
+    bench.answer(200, event(1), streamed=True)
+    receiver.answer_ended()
+    assert bench.responder.ends == ["whole"]
+    assert len(bench.pool.sent) == 1
+
+
+def test_a_retry_is_not_sent_to_a_group_of_another_size() -> None:
+    bench = Bench(routes.RetryMode.IDEMPOTENT)
+    bench.place("u1", "u2", group="g1-1")
+    bench.begin()
+    bench.forwarder.apply_route_table(size_table(bench, 2))
+    bench.answer(503, not_run=True, signed=False)
+    assert len(bench.pool.sent) == 1
+    assert bench.responder.refusal.status == 503 and bench.idle()
+
+
+def test_queued_calls_are_refused_once_no_group_may_serve_them() -> None:
+    """They waited for a slot of groups that get no request any more."""
+    bench = Bench(routes.RetryMode.STREAM)
+    bench.place("u1", group="g1-1")
+    for number in range(13):
+        bench.forwarder.begin(bench.make_call(f"b{number}", Responder()))
+    bench.begin()
+    assert bench.call.state is forwarding.State.WAITING
+    bench.forwarder.apply_route_table(size_table(bench, 2))
+    assert bench.responder.refusal.status == 503
+
+
+@pytest.mark.parametrize("size", [3, None])
+def test_callers_are_told_to_come_back_late_for_what_no_group_can_serve(
+    size: int | None,
+) -> None:
+    """The fleet has two instances, or the model is not configured."""
+    bench = Bench(routes.RetryMode.STREAM)
+    if size is None:
+        bench.call.head = attrs.evolve(bench.call.head, model="other")
+    else:
+        bench.forwarder.apply_route_table(size_table(bench, size))
+        bench.place("u1", "u2", group="g1-1")
+    bench.begin()
+    refusal = bench.responder.refusal
+    assert (refusal.status, refusal.run_state) == (
+        503,
+        errors.RunState.NOT_RUN,
+    )
+    assert refusal.retry_after >= forwarders.UNSERVABLE_RETRY_AFTER
+    assert not bench.pool.sent and bench.idle()
+
+
 def test_non_repeatable_call_that_may_have_run_is_not_retried() -> None:
     bench = Bench(routes.RetryMode.ONCE).begin()
     bench.receiver.answer_failed(exchanges.Failure.BROKEN)
--- a/figford/tests/test_groupplanner.py
+++ b/figford/tests/test_groupplanner.py
@@ -9,7 +9,7 @@
 from figford import fleet as fleets
 from figford import formations
 from figford import forming
-from figford import groupplanner
+from figford import planrounds
 from figford.tests import plannerworld
 from figford.tests.plannerworld import BEAT
 from figford.tests.plannerworld import ENGINE
@@ -688,7 +688,7 @@
         world.fleet.report(world.engines.by_name[name].report(), world.now)
     key = head.seat.key[:2]
     world.replace_planner()
-    world.run(groupplanner.ADOPTION_WAIT.total_seconds() + 2)
+    world.run(planrounds.ADOPTION_WAIT.total_seconds() + 2)
     assert key not in world.planner.formation_by_key
 
 
--- a/figford/tests/test_placement.py
+++ b/figford/tests/test_placement.py
@@ -7,14 +7,16 @@
 
 from figford import fleet as fleets
 from figford import fleetmessages
+from figford import groupnames
 from figford import placement
 from figford import routes
 
 NOW = datetime.timedelta(seconds=100)
 TICK = datetime.timedelta(milliseconds=10)
+NO_TIME = datetime.timedelta(0)
 ENGINE = routes.Engine(
     slots=13,
-    models=(),
+    models=(routes.Model("m", 2, 1.0, 1.0, NO_TIME, NO_TIME),),
     cross_domain_factor=2.5,
     step_ms=6.0,
     step_ms_per_sequence=0.5,
@@ -166,3 +168,22 @@
     placer.leaving_noticed(former)
     placer.finished(former)
     assert placer.choose("pool", "m", (), NOW) == target
+
+
+def test_only_groups_of_their_models_size_are_targets() -> None:
+    """Requests began in groups of the size that a former table named."""
+    seats = [
+        attrs.evolve(SEAT, group=groupnames.group_name(number, size))
+        for number, size in enumerate((2, 3, 1), start=1)
+    ]
+    heads = [head(f"u{seat.group[1]}", seat=seat) for seat in seats]
+    assert [item.upstream for item in placed(*heads).targets("pool", "m")] == [
+        "u1"
+    ]
+
+
+def test_a_model_that_is_not_configured_has_no_targets() -> None:
+    """Groups served a model that no table named."""
+    placer = placed(head("u1", models=["m", "former"]))
+    assert placer.services("former") == set()
+    assert placer.services("m") == {"pool"}
--- a/figford/tests/test_warming.py
+++ b/figford/tests/test_warming.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from figford import formations
 from figford import forming
+from figford import groupnames
 from figford.tests import plannerworld
 from figford import warming
 
@@ -52,7 +52,7 @@
 
 @pytest.mark.parametrize("group", ["g1", "warmer", ""])
 def test_other_groups_are_not_recognised_as_warm_ups(group) -> None:
-    assert not formations.is_warm_up(group)
+    assert not groupnames.is_warm_up(group)
 
 
 def test_the_last_spare_is_for_the_model_that_strands_more() -> None:
--- a/figford/tools/enginefleet.py
+++ b/figford/tools/enginefleet.py
@@ -150,6 +150,12 @@
     rng: random.Random
     by_name: dict[str, Engine] = attrs.field(factory=dict)
     ready_by_group: dict[tuple, set[str]] = attrs.field(factory=dict)
+    # The orders to join that were sent last, by group and epoch.
+    join_by_group: dict[tuple[str, int], formations.GroupOrder] = attrs.field(
+        factory=dict
+    )
+    # Models that the configuration no longer names.
+    removed_models: frozenset[str] = frozenset()
     changed: list[Engine] = attrs.field(factory=list)
     # When each load from the weight store began.
     load_times: list[datetime.timedelta] = attrs.field(factory=list)
@@ -180,6 +186,12 @@
             default=0,
         )
 
+    def change_models(self, models: typing.Iterable[routes.Model]) -> None:
+        """Sets the models that the configuration names from now on."""
+        named = {model.name: model for model in models}
+        self.removed_models = frozenset({*self.models} - {*named})
+        self.models |= named
+
     # ---- Orders ---------------------------------------------------------
 
     def order(
@@ -187,6 +199,7 @@
     ) -> Result:
         """Sends an order to an engine; delays a random share of them."""
         engine = self.by_name[order.upstream]
+        self._check_size(order)
         if not engine.up:
             return Result.UNSENT
         if self.rng.random() < self.delayed_order_share:
@@ -204,6 +217,23 @@
             return Result.UNKNOWN
         return result
 
+    def _check_size(self, order: formations.GroupOrder) -> None:
+        """Checks the size of a group when the order to open it is sent.
+
+        An order may be carried out late, after another change of the size.
+        """
+        key = (order.group, order.epoch)
+        if order.action is Action.JOIN:
+            self.join_by_group[key] = order
+        join = self.join_by_group.get(key)
+        if order.action is not Action.OPEN or join is None:
+            return
+        size = self.models[join.model].size
+        if join.model in self.removed_models or len(join.members) != size:
+            raise InvariantViolation(
+                f"size of {order.group} differs from its model's"
+            )
+
     def _execute(
         self,
         engine: Engine,
@@ -326,10 +356,6 @@
                 f"{current_seat.group} opens at {now} with only"
                 f" {sorted(ready)} ready of {current_seat.members}"
             )
-        if len(current_seat.members) != self.models[current_seat.model].size:
-            raise InvariantViolation(
-                f"size of {current_seat.group} differs from its model's"
-            )
         current_seat.state = SeatState.OPEN
         if not all(
             self._holds(name, current_seat) for name in current_seat.members
--- a/figford/warming.py
+++ b/figford/warming.py
@@ -7,6 +7,7 @@
 
 from figford import fleetmessages
 from figford import formations
+from figford import groupnames
 from figford import planrounds
 from figford import routes
 
@@ -19,7 +20,7 @@
     Returns None if that is a warm-up group.
     """
     seat = registration.seat
-    if seat is None or formations.is_warm_up(seat.group):
+    if seat is None or groupnames.is_warm_up(seat.group):
         return None
     return None if (seat.group, seat.epoch) == (group, epoch) else seat
 
@@ -27,7 +28,7 @@
 def warm(round_: planrounds.Round) -> None:
     """Orders spares to join warm-up groups of a model they have staged."""
     for service in sorted(round_.view.engines):
-        engine = round_.view.engines[service]
+        engine = round_.fillable_engine(service)
         for item in round_.free(service):
             model = _model_to_warm(item, engine, round_)
             if model is not None:
@@ -65,7 +66,7 @@
             action=formations.Action.JOIN,
             fence=round_.planner.term,
             expected=None,
-            group=f"{formations.WARM_UP_PREFIX}{epoch:x}",
+            group=groupnames.warm_up_name(epoch),
             epoch=epoch,
             model=model.name,
             members=(item.upstream,),
