Hosts and paths are compared in one usual form

Two routes whose hosts differ only in case were both accepted.

Cause: each place had its own form of a host. A request's host came in lower case to the route table, which kept the manifest's spelling, dropped a port by cutting at the first colon, and compared the rest exactly; the identity of a request for crashes had lower case, but kept the port. Escaped characters of a path were the same in the identity of a request and different in the table.

- `requesttargets` has one form, used where a table is read, where a route is looked up and in the identity of a request: lower case, no port, no dot at the end, no spaces around, IPv6 addresses in brackets in their short form, no escapes that are not needed.
What is stored, read back and sent on keeps its spelling.
- A target in absolute form goes before the Host header and is sent on in origin form; before, it got 404.
More than one Host header, or none with HTTP/1.1, gets 400 (RFC 9112, sections 3.2 and 3.2.2).
- Two routes with one host and prefix in two spellings are refused.
A former version acknowledged such manifests: a process that finds one on its disk, or gets it from a peer, uses the route in the usual form, which is the one that got requests before, else the first, and logs the others.
Sent again, it is acknowledged again.

--- a/figford/controllerdaemon.py
+++ b/figford/controllerdaemon.py
@@ -292,6 +292,11 @@
             decided,
         )
 
+    @property
+    def stored_document(self) -> bytes:
+        """Returns the route table that this controller holds, compressed."""
+        return self.state.view.document
+
     def read(self, reply: Reply) -> None:
         """Replies with the latest route table that a quorum confirmed."""
 
--- a/figford/crashes.py
+++ b/figford/crashes.py
@@ -7,13 +7,12 @@
 
 import datetime
 import hashlib
-import re
-import string
 import typing
 
 import attrs
 
 from figford import fleetmessages
+from figford import requesttargets
 from figford import wire
 
 # The connections of a process that ended are all closed within this time.
@@ -25,8 +24,6 @@
 MAX_SUSPECTS = 64
 MAX_PARTS = 32
 PART_NAME_LENGTH = 40
-_ESCAPE = re.compile(rb"%([0-9A-Fa-f]{2})")
-_UNRESERVED = (string.ascii_letters + string.digits + "-._~").encode()
 
 
 def part_names(head: wire.CallHead) -> list[str]:
@@ -48,33 +45,19 @@
     """
 
     caller: str
-    host: bytes
+    host: str
     method: bytes
     target: bytes
     parts: tuple[str, ...]
     body: bytes
 
 
-def host_of(headers: wire.HeaderList) -> bytes:
-    """Returns the host that a request names, in lower case."""
+def host_of(headers: wire.HeaderList) -> str:
+    """Returns the usual form of the host that a request names."""
     for name, value in headers:
         if name.lower() == b"host":
-            return value.lower()
-    return b""
-
-
-def canonical_target(target: bytes) -> bytes:
-    """Returns the same target for all spellings of its characters.
-
-    >>> canonical_target(b"/%7Ea/%2f?b")
-    b'/~a/%2F?b'
-    """
-
-    def spell(escape: re.Match[bytes]) -> bytes:
-        character = bytes([int(escape[1], 16)])
-        return character if character in _UNRESERVED else escape[0].upper()
-
-    return _ESCAPE.sub(spell, target)
+            return requesttargets.normalize_host(value.decode("latin-1"))
+    return ""
 
 
 def request_digest(identity: RequestIdentity) -> str:
@@ -82,9 +65,11 @@
     digest = hashlib.blake2b(digest_size=8)
     for item in (
         identity.caller.encode("utf-8", "replace"),
-        identity.host,
+        identity.host.encode("latin-1"),
         identity.method,
-        canonical_target(identity.target),
+        requesttargets.normalize_escapes(
+            identity.target.decode("latin-1")
+        ).encode("latin-1"),
         ",".join(identity.parts).encode("utf-8", "replace"),
         identity.body,
     ):
--- a/figford/ingress.py
+++ b/figford/ingress.py
@@ -19,6 +19,7 @@
 from figford import forwarder as forwarders
 from figford import forwarding
 from figford import problems
+from figford import requesttargets
 from figford import routes
 from figford import wire
 
@@ -68,11 +69,10 @@
         ingress.check_ready()
         head = ingress.forwarder.dialect.read_call(headers)
         now = ingress.forwarder.clock.now()
-        host = self.requestHeaders.getRawHeaders(b"host", [b""])[0]
-        path = self.uri.partition(b"?")[0].decode("latin-1")
-        route, account = ingress.forwarder.admit(
-            host.decode("latin-1").lower(), path, head
+        found = requesttargets.read(
+            self.uri, headers, needs_host=self.clientproto == b"HTTP/1.1"
         )
+        route, account = ingress.forwarder.admit(found.host, found.path, head)
         body = self.content.read()
         if len(body) > ingress.limits.body_bytes:
             raise errors.TooLarge("the request body exceeds the size limit")
@@ -87,8 +87,8 @@
             account=account,
             head=head,
             method=self.method,
-            target=self.uri,
-            headers=headers,
+            target=found.target,
+            headers=found.headers,
             body=body,
             responder=self,
             arrived_at=now,
--- a/figford/nodes.py
+++ b/figford/nodes.py
@@ -244,13 +244,23 @@
         program. All processes get it, so none may end because of it.
         """
         try:
-            return self.read_table(self.state.view.document)
+            table = self.read_table(self.state.view.document)
         except Exception:
             self.metrics.event("route-table-unreadable")
             _log.exception(
                 "route table unreadable", version=self.state.view.version
             )
             return None
+        for route in table.shadowed:
+            self.metrics.event("route-shadowed")
+            _log.warning(
+                "route not used, as another one has its host and prefix",
+                version=table.version,
+                route=route.name,
+                host=route.host,
+                prefix=route.prefix,
+            )
+        return table
 
     # ---- Links ----------------------------------------------------------
 
--- a/figford/platform/controlpages.py
+++ b/figford/platform/controlpages.py
@@ -11,6 +11,7 @@
 from figford import pages
 from figford.platform import announcing
 from figford.platform import manifest
+from figford import routes
 
 _log = logbook.Logger(__name__)
 
@@ -40,6 +41,25 @@
     def read(self, reply: Reply) -> None:
         """Replies with the latest quorum-confirmed route table, compressed."""
 
+    @property
+    def stored_document(self) -> bytes:
+        """Returns the route table that this controller holds, compressed."""
+
+
+def _read_manifest(port: ControlPort, body: bytes) -> routes.RouteTable:
+    """Returns the route table of a manifest that an operator sent.
+
+    The one that is stored is acknowledged again, though a former version
+    accepted what is refused today. Raises ConfigurationInvalid.
+    """
+    try:
+        return manifest.read(body)
+    except errors.ConfigurationInvalid:
+        packed = port.stored_document
+        if not packed or manifest.unpack(packed) != body:
+            raise
+        return manifest.read(body, stored=True)
+
 
 class ControlRequest(pages.BoundedBody, http.Request):
     """A call from an upstream or an operator."""
@@ -78,7 +98,7 @@
             port.sign_off(announcing.check_name(name))
             self._answer(200, {})
         elif path == _REPLACE_PATH and self.method == b"POST":
-            table = manifest.read(body)
+            table = _read_manifest(port, body)
             port.store(
                 table.version, manifest.pack(body), self._answer_replace
             )
--- a/figford/platform/manifest.py
+++ b/figford/platform/manifest.py
@@ -18,14 +18,15 @@
 }
 
 
-def read(document: bytes) -> routes.RouteTable:
+def read(document: bytes, stored: bool = False) -> routes.RouteTable:
     """Returns the route table of a manifest.
 
-    Raises ConfigurationInvalid if any part of it can't be read.
+    One that is `stored` was acknowledged, maybe by a former version that
+    accepted more. Raises ConfigurationInvalid if any part of it can't be read.
     """
     try:
         manifest = json.loads(document, parse_constant=_refuse_constant)
-        return _table(_mapping(manifest, "manifest"))
+        return _table(_mapping(manifest, "manifest"), stored)
     except (
         ValueError,
         TypeError,
@@ -89,7 +90,7 @@
     return _number(item[name], name) * _MILLISECOND
 
 
-def _table(manifest: dict[str, typing.Any]) -> routes.RouteTable:
+def _table(manifest: dict[str, typing.Any], stored: bool) -> routes.RouteTable:
     tenants = manifest.get("tenants")
     return routes.RouteTable(
         version=_integer(manifest["version"], "version"),
@@ -104,6 +105,7 @@
         ),
         limits=_limits(_mapping(manifest.get("limits") or {}, "limits")),
         has_accounts=tenants is not None,
+        stored=stored,
     )
 
 
--- a/figford/platform/program.py
+++ b/figford/platform/program.py
@@ -17,7 +17,7 @@
 
 def read_table(packed: bytes) -> typing.Any:
     """Returns the route table of a stored manifest."""
-    return manifest.read(manifest.unpack(packed))
+    return manifest.read(manifest.unpack(packed), stored=True)
 
 
 def make_entry() -> nodes.NodeDaemon:
--- a/figford/routes.py
+++ b/figford/routes.py
@@ -12,6 +12,7 @@
 import attrs
 
 from figford import errors
+from figford import requesttargets
 
 
 class RetryMode(enum.Enum):
@@ -158,6 +159,11 @@
     accounts: tuple[Account, ...] = ()
     limits: CallerLimits = CallerLimits()
     has_accounts: bool = False
+    # Whether it was in force before, maybe by a former version that accepted
+    # two spellings of one host or prefix.
+    stored: bool = False
+    # Routes that are not used, as another one has their host and prefix.
+    shadowed: tuple[Route, ...] = attrs.field(init=False, default=())
     service_by_name: dict[str, Service] = attrs.field(init=False)
     _account_by_key: dict[str, Account] = attrs.field(init=False)
     _routes_by_host: dict[str, dict[str, Route]] = attrs.field(init=False)
@@ -183,15 +189,27 @@
 
     def _index_routes(self) -> dict[str, dict[str, Route]]:
         by_host: dict[str, dict[str, Route]] = {}
+        shadowed = []
         for route in self.routes:
             self._check_route(route)
-            by_prefix = by_host.setdefault(route.host, {})
-            if route.prefix in by_prefix:
+            by_prefix = by_host.setdefault(
+                requesttargets.normalize_host(route.host), {}
+            )
+            prefix = requesttargets.normalize_escapes(route.prefix)
+            other = by_prefix.setdefault(prefix, route)
+            if other is route:
+                continue
+            if not self.stored:
                 raise _invalid(
-                    f"routes {by_prefix[route.prefix].name} and"
-                    f" {route.name} have the same host and prefix"
+                    f"routes {other.name} and {route.name} have the same host"
+                    " and prefix"
                 )
-            by_prefix[route.prefix] = route
+            used = (
+                route if _is_usual(route) and not _is_usual(other) else other
+            )
+            by_prefix[prefix] = used
+            shadowed.append(other if used is route else route)
+        object.__setattr__(self, "shadowed", tuple(shadowed))
         return by_host
 
     def _check_route(self, route: Route) -> None:
@@ -217,9 +235,10 @@
 
         `host` may include a port; `path` excludes the query.
         """
-        by_prefix = self._routes_by_host.get(host)
-        if by_prefix is None:
-            by_prefix = self._routes_by_host.get(host.partition(":")[0], {})
+        by_prefix = self._routes_by_host.get(
+            requesttargets.normalize_host(host), {}
+        )
+        path = requesttargets.normalize_escapes(path)
         end = path.rfind("/")
         while end >= 0:
             route = by_prefix.get(path[: end + 1])
@@ -258,5 +277,16 @@
     return shares[-1].service if shares else None
 
 
+def _is_usual(route: Route) -> bool:
+    """Returns whether host and prefix are spelled in their usual form.
+
+    Former versions compared the requests' host in lower case, so that only
+    this route got any.
+    """
+    return route.host == requesttargets.normalize_host(
+        route.host
+    ) and route.prefix == requesttargets.normalize_escapes(route.prefix)
+
+
 def _invalid(detail: str) -> errors.ConfigurationInvalid:
     return errors.ConfigurationInvalid(detail)
--- a/figford/tests/platform/unsafe.py
+++ b/figford/tests/platform/unsafe.py
@@ -14,6 +14,7 @@
 from figford import crashguard
 from figford import permits
 from figford.platform import controlpages
+from figford.platform import manifest
 from figford.platform import program
 from figford import routes
 from figford import sharedbudget
@@ -81,8 +82,15 @@
     sharedbudget.SharedBudget.set_entries = set_and_fill
 
 
+def accept_two_spellings_of_a_host() -> None:
+    """Accepts new manifests by the rules for stored ones."""
+    read = manifest.read
+    manifest.read = lambda document, stored=False: read(document, True)
+
+
 DISABLE_BY_MECHANISM = {
     "callers-apart": tell_callers_not_apart,
+    "hosts-compared": accept_two_spellings_of_a_host,
     "limits": ignore_limits,
     "retries-accrue": give_new_processes_the_reserve,
     "run-once": retry_all_calls,
--- a/figford/tests/test_routes.py
+++ b/figford/tests/test_routes.py
@@ -6,6 +6,7 @@
 
 from figford import errors
 from figford import routes
+from figford.tests import test_requesttargets
 
 SECOND = datetime.timedelta(seconds=1)
 
@@ -77,6 +78,78 @@
         table(route("a", "/a/"), route("b", "/a/"))
 
 
+@pytest.mark.parametrize("configured", test_requesttargets.SPELLINGS)
+@pytest.mark.parametrize("requested", test_requesttargets.SPELLINGS)
+def test_a_route_is_found_by_each_spelling_of_its_host(
+    configured: str, requested: str
+) -> None:
+    """A host with a capital letter in the table got no request."""
+    route_table = table(route("a", "/a/", host=configured))
+    found = route_table.match(requested, "/a/x")
+    assert found is not None and found.host == configured
+
+
+@pytest.mark.parametrize("configured", test_requesttargets.IPV6_SPELLINGS)
+@pytest.mark.parametrize("requested", test_requesttargets.IPV6_SPELLINGS)
+def test_a_route_is_found_by_each_spelling_of_its_address(
+    configured: str, requested: str
+) -> None:
+    """The host of a request ended at its first colon."""
+    route_table = table(route("a", "/a/", host=configured))
+    assert route_table.match(requested, "/a/x") is not None
+
+
+@pytest.mark.parametrize("configured", ["/book/", "/b%6fok/", "/b%6Fok/"])
+@pytest.mark.parametrize("requested", ["/book/x", "/b%6fok/x", "/%62ook/x"])
+def test_a_route_is_found_by_each_spelling_of_its_prefix(
+    configured: str, requested: str
+) -> None:
+    """The identity of a request takes these paths for the same."""
+    route_table = table(route("a", configured))
+    assert route_table.match("h.example", requested) is not None
+    assert route_table.match("h.example", "/b%2Fok/x") is None
+
+
+SAME_ROUTES = [
+    ({"host": "H.Example"}, {}),
+    ({"host": "h.example."}, {}),
+    ({"host": "h.example:8080"}, {}),
+    ({"host": " h.example"}, {}),
+    ({"prefix": "/%61/"}, {}),
+    ({"host": "H.Example"}, {"host": "h.EXAMPLE"}),
+]
+
+
+@pytest.mark.parametrize(("one", "other"), SAME_ROUTES)
+def test_two_routes_with_two_spellings_of_one_host_are_invalid(
+    one: dict, other: dict
+) -> None:
+    with pytest.raises(errors.ConfigurationInvalid, match="same host"):
+        table(
+            route("a", **({"prefix": "/a/"} | one)),
+            route("b", **({"prefix": "/a/"} | other)),
+        )
+
+
+@pytest.mark.parametrize(("one", "other"), SAME_ROUTES)
+@pytest.mark.parametrize("is_reversed", [False, True])
+def test_a_stored_table_uses_the_route_that_was_used_before(
+    one: dict, other: dict, is_reversed: bool
+) -> None:
+    """A former version accepted both and compared hosts in lower case."""
+    both = [
+        route("a", **({"prefix": "/a/"} | one)),
+        route("b", **({"prefix": "/a/"} | other)),
+    ]
+    if is_reversed:
+        both.reverse()
+    route_table = table(*both, stored=True)
+    used = route_table.match("h.example", "/a/x")
+    assert [used, *route_table.shadowed] in (both, both[::-1])
+    # Where neither has the usual form, it is the first.
+    assert used.name == ("b" if not other else both[0].name)
+
+
 def test_two_accounts_with_one_key_are_invalid() -> None:
     accounts = (
         routes.Account("one", ("k1", "k2")),
