A forming group of the own interface follows a changed configuration

What callers saw: with `figford serve`, a configuration that changes the size or the model of a serving group was taken up by open groups (they are drained, released and formed anew), but not by a group that was forming: it loaded to its end, took requests under the former configuration, and was drained then.

Cause: a group that forms keeps the members and the model that it began with, and was only compared with the configuration once it was announced.

Evidence: both cases of test_group_that_forms_for_a_former_configuration_is_ given_up fail without the change. test_group_of_another_size_is_drained_and_ released holds without it: it shows that open groups were right before.

--- a/figford/assembly.py
+++ b/figford/assembly.py
@@ -60,6 +60,12 @@
         factory=dict
     )
 
+    def fits(self, spec: operators.ServingGroup) -> bool:
+        """Returns whether the specification allows the size and model."""
+        return self.model == spec.model and spec.shape.allows(
+            len(self.members)
+        )
+
 
 @attrs.frozen
 class View:
@@ -341,7 +347,9 @@
             name not in fresh or fresh[name].leaving
             for name in forming.members
         )
-        if serving or recovered or lost or round_.now >= forming.deadline:
+        outdated = not forming.fits(round_.wanted[group])
+        late = round_.now >= forming.deadline
+        if serving or recovered or lost or outdated or late:
             # The next round decides again by the announced state.
             del self.forming_by_group[group]
             return
--- a/figford/operators.py
+++ b/figford/operators.py
@@ -72,6 +72,11 @@
         default=0, minimum=0, maximum=64, unit="instances"
     )
 
+    def allows(self, size: int) -> bool:
+        """Returns whether a group may have this many members."""
+        smallest = self.minimum_instances or self.instances
+        return smallest <= size <= self.instances
+
 
 @attrs.frozen(kw_only=True)
 class ServingGroup:
--- a/figford/seats.py
+++ b/figford/seats.py
@@ -56,8 +56,7 @@
 
     def fits(self, spec: operators.ServingGroup) -> bool:
         """Returns whether the specification allows the size and model."""
-        smallest = spec.shape.minimum_instances or spec.shape.instances
-        if not smallest <= self.size <= spec.shape.instances:
+        if not spec.shape.allows(self.size):
             return False
         return all(
             spec.model in item.models
--- a/figford/tests/test_assembly.py
+++ b/figford/tests/test_assembly.py
@@ -134,6 +134,46 @@
     assert len(orders(plan(planner, snapshot, now + STEP))) == 2
 
 
+def with_size(size):
+    return attrs.evolve(spec(), shape=operators.Replica(instances=size))
+
+
+@pytest.mark.parametrize("size", [1, 3, 9])
+def test_group_of_another_size_is_drained_and_released(size):
+    planner, now = started_planner()
+    engines = [seated("a", 5, 0), seated("b", 5, 1), engine("c")]
+    snapshot = view(engines, [with_size(size)])
+    first = plan(planner, snapshot, now)
+    assert not orders(first)
+    assert [item.drain.fence for item in first] == [5]
+    for instance in ENTRIES:
+        planner.drain_reply(
+            messages.DrainReply("chat.north.0", 5, 1, instance, 0), now
+        )
+    sent = orders(plan(planner, snapshot, now + STEP))
+    assert [item.upstream for item in sent] == ["a", "b"]
+    assert all(isinstance(i.order, messages.ReleaseSeat) for i in sent)
+    free = view([engine("a"), engine("b"), engine("c")], [with_size(size)])
+    sent = orders(plan(planner, free, now + 2 * STEP))
+    # No domain has nine engines.
+    assert len(sent) == (size if size <= 3 else 0)
+
+
+@pytest.mark.parametrize(
+    "changed", [with_size(3), attrs.evolve(spec(), model="other")]
+)
+def test_group_that_forms_for_a_former_configuration_is_given_up(changed):
+    """It went on to load, and served before it was drained."""
+    planner, now = started_planner()
+    free = [engine("a"), engine("b"), engine("c")]
+    assert len(orders(plan(planner, view(free, [spec()]), now))) == 2
+    now += STEP
+    plan(planner, view(free, [changed]), now)
+    sent = orders(plan(planner, view(free, [changed]), now + STEP))
+    assert len(sent) == changed.shape.instances
+    assert {item.order.model for item in sent} == {changed.model}
+
+
 def test_broken_group_takes_a_spare_after_the_hold():
     planner, now = started_planner()
     engines = [seated("a", 5, 0), engine("spare")]
