--- a/figford/tests/platform/faultsoak.py
+++ b/figford/tests/platform/faultsoak.py
@@ -60,6 +60,11 @@
 # Attempts whose id begins so may run more than once.
 IDEMPOTENT_PREFIX = "read"
 REFUSED_BY_VERDICT = b"crashes-upstreams"
+# A change of the groups' sizes is drawn so often; the largest ones leave an
+# engine over.
+BETWEEN_SIZES_SECONDS = (5.0, 20.0)
+LARGE_SIZES = (2, 3, 4)
+SMALL_SIZES = (1, 2)
 # Retries of a call wait this long, and entries take this long to notice a
 # fault.
 SETTLE_SECONDS = 12.0
@@ -101,6 +106,11 @@
     upstream_relays: list[list[relay.Relay]] = attrs.field(init=False)
     shared_relays: list[relay.Relay] = attrs.field(init=False)
     disk_lost_at: float = -1e9
+    # The sizes that versions name, and whether one of them is acknowledged.
+    sizes: dict[str, int] = attrs.field(
+        factory=lambda: dict(test_processes.SIZES)
+    )
+    are_sizes_acknowledged: bool = True
     # When each process was last killed, stopped, paused or started.
     disturbed_at_by_name: dict[str, float] = attrs.field(factory=dict)
     _attempts: int = 0
@@ -174,22 +184,41 @@
     def run_operator(self) -> None:
         """Submits versions and reads them back until the run is over."""
         rng = random.Random(f"{self.seed}/operator")
+        change_at = time.monotonic() + rng.uniform(*BETWEEN_SIZES_SECONDS)
         while not self.finished.is_set():
+            if time.monotonic() >= change_at:
+                change_at += rng.uniform(*BETWEEN_SIZES_SECONDS)
+                self.change_sizes(rng)
             self.submit(rng.choice(CONTROLLERS))
             self.read(rng.choice(CONTROLLERS))
             time.sleep(rng.uniform(0.05, 0.5))
 
+    def change_sizes(self, rng: random.Random) -> None:
+        """Lets the next versions name other sizes of groups."""
+        self.sizes = {
+            "large": rng.choice(LARGE_SIZES),
+            "small": rng.choice(SMALL_SIZES),
+        }
+        self.cluster.name_sizes(self.sizes)
+        self.are_sizes_acknowledged = False
+        self.record.outcomes["sizes changed"] += 1
+
     def submit(self, controller: str) -> None:
         """Submits the next version to one controller."""
         record = self.record
         record.submitted_version += 1
-        document = test_processes.manifest(record.submitted_version)
+        document = test_processes.manifest(
+            record.submitted_version, sizes=self.sizes
+        )
         answer = self.cluster.control(
             controller, "/figford/config/replace", document
         )
         record.outcomes[f"submit {answer.status if answer else 'none'}"] += 1
         if answer is not None and answer.status == 200:
             record.acknowledged_version = record.submitted_version
+            if not self.are_sizes_acknowledged:
+                self.cluster.name_sizes(None)
+                self.are_sizes_acknowledged = True
         elif answer is not None and answer.status != 503:
             record.add_violation(
                 f"a valid manifest was answered with {answer.status}"
--- a/figford/tests/platform/standin.py
+++ b/figford/tests/platform/standin.py
@@ -28,6 +28,7 @@
 from figford.tests.platform import crashmeter
 from figford.tests.platform import limitmeter
 from figford.tests.platform import noticemeter
+from figford.tests.platform import sizemeter
 from figford.tools import enginefleet
 from figford.tools import retrymeter
 
@@ -105,6 +106,20 @@
     return datetime.timedelta(seconds=time.monotonic())
 
 
+@attrs.define
+class ConfiguredFleet(enginefleet.EngineFleet):
+    """Engines whose models have the sizes that manifests name."""
+
+    sizes: sizemeter.SizeMeter = attrs.field(factory=sizemeter.SizeMeter)
+
+    def __attrs_post_init__(self) -> None:
+        """Starts with the sizes of the first manifest."""
+        self.sizes.name({m.name: m.size for m in self.models.values()})
+
+    def _allows_size(self, model: str, size: int) -> bool:
+        return self.sizes.allows(model, size, now())
+
+
 def heartbeat(engine: enginefleet.Engine, plain: bool) -> bytes:
     """Returns the body of a heartbeat."""
     report = engine.report()
@@ -192,6 +207,8 @@
             self._set_endless(upstream)
         elif path == "/shed":
             self._set_shedding(upstream)
+        elif path == "/sizes":
+            self._set_sizes(upstream.fleet.sizes)
         else:
             self._count(upstream)
             self._count_repeats(upstream)
@@ -203,6 +220,19 @@
             meter.set_rate(json.loads(self.content.read())["rate"])
         self._answer(200, {"total": meter.total, "most": meter.most})
 
+    def _set_sizes(self, meter: sizemeter.SizeMeter) -> None:
+        """Sets the sizes that a POST names, or that it acknowledges.
+
+        Tells in which groups requests began.
+        """
+        if self.method == b"POST":
+            sizes = json.loads(self.content.read())
+            if sizes is None:
+                meter.acknowledge(now())
+            else:
+                meter.name(sizes)
+        self._answer(200, {"begun": meter.begun})
+
     def _set_crashing(
         self, meter_by_name: dict[str, crashmeter.CrashMeter]
     ) -> None:
@@ -388,6 +418,11 @@
             }
             self._answer(200, answer)
             return
+        violation = upstream.fleet.sizes.record_request(
+            attempt, seat.model, len(seat.members), now()
+        )
+        if violation is not None:
+            print(f"{INVARIANT_BROKEN}: {violation}", flush=True)
         self.setHeader("content-type", "text/event-stream")
         after = int(self.getHeader("last-event-id") or 0)
         text = self.getHeader(INTERVAL_HEADER) or str(EVENT_INTERVAL_SECONDS)
@@ -465,7 +500,7 @@
 
     engine: enginefleet.Engine
     plain: bool
-    fleet: enginefleet.EngineFleet
+    fleet: ConfiguredFleet
     controllers: list[str]
     agent: client.Agent
     port: int
@@ -554,7 +589,7 @@
     by how much that port increases per upstream, and the controllers' IPs.
     """
     first_port, first_reported_port, control_port, port_step, *ips = arguments
-    fleet = enginefleet.EngineFleet(MODELS, random.Random(1))
+    fleet = ConfiguredFleet(MODELS, random.Random(1))
     pool = client.HTTPConnectionPool(reactor)
     agent = client.Agent(reactor, connectTimeout=1, pool=pool)
     start_ms = int(time.time() * 1000)
--- a/figford/tests/platform/test_faultsoak.py
+++ b/figford/tests/platform/test_faultsoak.py
@@ -25,6 +25,7 @@
         ("stored-first", "acknowledged"),
         ("limits", "a limit of"),
         ("verdicts", "after the (fifth|third) crash"),
+        ("sizes", "began in a group of"),
         ("callers-apart", "after the third crash|refused by a verdict"),
     ],
 )
--- a/figford/tests/platform/test_processes.py
+++ b/figford/tests/platform/test_processes.py
@@ -31,21 +31,32 @@
 POLL_SECONDS = 0.05
 
 
-def manifest(version: int, prefix: str = "/book/") -> dict:
-    """Returns a manifest for the stand-in's services."""
+SIZES = {model.name: model.size for model in standin.MODELS.values()}
+
+
+def manifest(
+    version: int,
+    prefix: str = "/book/",
+    sizes: typing.Mapping[str, int] = SIZES,
+) -> dict:
+    """Returns a manifest for the stand-in's services.
+
+    `sizes` names the models and their sizes.
+    """
     base = test_manifest.MANIFEST
     stream, call = base["routes"]
     engine = base["services"][0]["engine"] | {
         "models": [
             {
                 "name": model.name,
-                "size": model.size,
+                "size": sizes[model.name],
                 "share": model.share,
                 "pace": 1.0,
                 "load_s": 0.3,
                 "warm_s": 0.1,
             }
             for model in standin.MODELS.values()
+            if model.name in sizes
         ]
     }
     route = {k: v for k, v in stream.items() if k != "traffic_split"}
@@ -312,6 +323,30 @@
         body = json.dumps(notice).encode()
         self.call(self._upstream_address(index), "POST", "/notices", body)
 
+    def name_sizes(self, sizes: typing.Mapping[str, int] | None) -> None:
+        """Tells the upstreams the sizes of the next manifest.
+
+        None acknowledges the manifest with the newest ones.
+        """
+        body = json.dumps(sizes).encode()
+        self.wait(
+            "an upstream that is up",
+            lambda: any(
+                self.call(
+                    self._upstream_address(index), "POST", "/sizes", body
+                )
+                for index in range(standin.ENGINE_COUNT)
+            ),
+        )
+
+    def begun_in_groups(self) -> list[tuple[str, str, int]]:
+        """Returns attempt, model and size of the groups that streams used."""
+        answer = self.wait(
+            "an upstream that is up",
+            lambda: self.call(self._upstream_address(0), "GET", "/sizes"),
+        )
+        return [tuple(item) for item in json.loads(answer.body)["begun"]]
+
     def shed(
         self,
         index: int,
--- a/figford/tests/platform/unsafe.py
+++ b/figford/tests/platform/unsafe.py
@@ -12,7 +12,9 @@
 from figford import controllerdaemon
 from figford import crashes
 from figford import crashguard
+from figford import groupnames
 from figford import permits
+from figford import planrounds
 from figford.platform import controlpages
 from figford.platform import manifest
 from figford.platform import program
@@ -88,12 +90,19 @@
     manifest.read = lambda document, stored=False: read(document, True)
 
 
+def keep_groups_of_former_sizes() -> None:
+    """Lets groups serve on after the size of their model changed."""
+    groupnames.group_size = lambda group: None
+    planrounds.Round.outdated_cause = lambda self, formation: None
+
+
 DISABLE_BY_MECHANISM = {
     "callers-apart": tell_callers_not_apart,
     "hosts-compared": accept_two_spellings_of_a_host,
     "limits": ignore_limits,
     "retries-accrue": give_new_processes_the_reserve,
     "run-once": retry_all_calls,
+    "sizes": keep_groups_of_former_sizes,
     "stored-first": acknowledge_at_once,
     "verdicts": refuse_no_crashing_requests,
 }
--- a/figford/tools/enginefleet.py
+++ b/figford/tools/enginefleet.py
@@ -228,12 +228,18 @@
         join = self.join_by_group.get(key)
         if order.action is not Action.OPEN or join is None:
             return
-        size = self.models[join.model].size
-        if join.model in self.removed_models or len(join.members) != size:
+        if not self._allows_size(join.model, len(join.members)):
             raise InvariantViolation(
                 f"size of {order.group} differs from its model's"
             )
 
+    def _allows_size(self, model: str, size: int) -> bool:
+        """Returns whether a group of this size may be opened now."""
+        return (
+            model not in self.removed_models
+            and size == self.models[model].size
+        )
+
     def _execute(
         self,
         engine: Engine,
