A kept connection of a caller follows limits that change

What callers saw: a manifest that raised `idle_timeout_ms` was in force, and a connection that was made before it was still closed by the former limit; one that lowered it had no effect there. The same for the length of headers.

Cause: the limits were read once, when the connection was made.

Evidence: all 4 cases of test_a_kept_connection_follows_limits_that_change fail without the change.

--- a/figford/entrydaemon.py
+++ b/figford/entrydaemon.py
@@ -127,6 +127,7 @@
                     table = self.read_route_table()
                     if table is not None:
                         self.forwarder.apply_route_table(table)
+                        self.ingress.apply_limits()
                 case effects.StateChanged():
                     self.state_changed(effect)
 
--- a/figford/ingress.py
+++ b/figford/ingress.py
@@ -179,6 +179,20 @@
         super().connectionMade()
         self.factory.ingress.channels.add(self)
 
+    def requestDone(self, request: http.Request) -> None:
+        """Waits for the next request, by the limits in force."""
+        super().requestDone(request)
+        self.apply_limits()
+
+    def apply_limits(self) -> None:
+        """Applies limits that have changed since the connection was made."""
+        limits = self.factory.ingress.limits
+        self.totalHeadersSize = limits.header_bytes * 2
+        seconds = _idle_seconds(limits)
+        # No timeout runs while a request is in progress.
+        if self.timeOut not in (None, seconds):
+            self.setTimeout(seconds)
+
     def connectionLost(self, reason: typing.Any) -> None:
         """Removes the connection."""
         self.factory.ingress.channels.discard(self)
@@ -202,9 +216,7 @@
         channel.factory = self
         channel.callLater = self.reactor.callLater
         limits = self.ingress.limits
-        channel.timeOut = (
-            limits.idle_timeout.total_seconds() + IDLE_SLACK_SECONDS
-        )
+        channel.timeOut = _idle_seconds(limits)
         channel.totalHeadersSize = limits.header_bytes * 2
         return channel
 
@@ -212,6 +224,11 @@
         """Writes no access log; each call logs its outcome."""
 
 
+def _idle_seconds(limits: routes.CallerLimits) -> float:
+    """Returns how long a connection may be idle."""
+    return limits.idle_timeout.total_seconds() + IDLE_SLACK_SECONDS
+
+
 @attrs.frozen
 class _Stop:
     """The times of a graceful shutdown, see `Ingress.begin_stop`."""
@@ -254,6 +271,11 @@
         """Returns the limits of the route table in force."""
         return self.forwarder.table.limits
 
+    def apply_limits(self) -> None:
+        """Applies the limits of the route table in force to connections."""
+        for channel in self.channels:
+            channel.apply_limits()
+
     def check_ready(self) -> None:
         """Raises Draining while the entry has no route table."""
         if not self.forwarder.table.version:
--- a/figford/tests/test_ingress.py
+++ b/figford/tests/test_ingress.py
@@ -77,6 +77,8 @@
     transport: testing.StringTransport = attrs.field(
         factory=testing.StringTransport
     )
+    # Of the connection's timeouts.
+    timers: task.Clock = attrs.field(factory=task.Clock)
     forwarder: Forwarder = attrs.field(init=False)
     ingress: ingresses.Ingress = attrs.field(init=False)
     channel: ingresses.CallerChannel = attrs.field(init=False)
@@ -85,7 +87,7 @@
         """Connects."""
         self.forwarder = Forwarder(self.clock)
         self.ingress = ingresses.Ingress(self.forwarder, lambda: None)
-        factory = ingresses.CallerFactory(self.ingress, task.Clock())
+        factory = ingresses.CallerFactory(self.ingress, self.timers)
         self.channel = factory.buildProtocol(None)
         self.channel.makeConnection(self.transport)
 
@@ -161,3 +163,31 @@
     caller.answer()
     assert b"onnection: close" in caller.transport.value()
     assert caller.transport.disconnecting
+
+
+def table_with(idle_timeout: datetime.timedelta) -> routes.RouteTable:
+    """Returns a newer table with another limit on idle connections."""
+    limits = routes.CallerLimits(idle_timeout=idle_timeout)
+    return routes.RouteTable(version=2, limits=limits)
+
+
+@pytest.mark.parametrize("is_busy", [False, True])
+@pytest.mark.parametrize("seconds", [4, 60])
+def test_a_kept_connection_follows_limits_that_change(
+    seconds: int, is_busy: bool
+) -> None:
+    """It was closed by the limit in force when it was made."""
+    caller = Caller()
+    caller.send()
+    if not is_busy:
+        caller.answer()
+    caller.forwarder.table = table_with(seconds * SECOND)
+    caller.ingress.apply_limits()
+    if is_busy:
+        # No timeout ends an answer that takes long.
+        caller.timers.advance(2 * seconds)
+        caller.answer()
+    caller.timers.advance(seconds)
+    assert not caller.transport.disconnecting
+    caller.timers.advance(ingresses.IDLE_SLACK_SECONDS + 1)
+    assert caller.transport.disconnecting
