Planner: shortages of instances in a module of their own

Split from groupplanner; the free engines of a service look up its settings once. "Normalized form" is what RFC 3986 calls it.

--- a/figford/crashes.py
+++ b/figford/crashes.py
@@ -53,7 +53,7 @@
 
 
 def host_of(headers: wire.HeaderList) -> str:
-    """Returns the usual form of the host that a request names."""
+    """Returns the normalized form of the host that a request names."""
     for name, value in headers:
         if name.lower() == b"host":
             return requesttargets.normalize_host(value.decode("latin-1"))
--- a/figford/groupplanner.py
+++ b/figford/groupplanner.py
@@ -6,7 +6,6 @@
 head has left, is broken or was restarted; silence proves neither.
 """
 
-import collections
 import datetime
 
 import attrs
@@ -17,7 +16,7 @@
 from figford import groupnames
 from figford import loadrecord
 from figford import planrounds
-from figford import routes
+from figford import shortages as shortage_tables
 from figford import warming
 
 SeatState = fleetmessages.SeatState
@@ -26,9 +25,6 @@
 # reports show the effect of the previous leader's orders.
 TAKEOVER_WAIT = datetime.timedelta(milliseconds=600)
 EPOCHS_PER_TERM = 1 << 20
-# A model that needs more instances than the fleet has is left out of planning
-# after this long.
-SHORTAGE_WAIT = datetime.timedelta(seconds=8)
 
 
 @attrs.define
@@ -44,10 +40,8 @@
     load_record: loadrecord.LoadRecord = attrs.field(
         factory=loadrecord.LoadRecord
     )
-    # Since when the fleet has been too small for one group of a model, by
-    # service, model and size.
-    _short_since: dict[tuple[str, str, int], datetime.timedelta] = attrs.field(
-        factory=dict
+    shortages: shortage_tables.ShortageTable = attrs.field(
+        factory=shortage_tables.ShortageTable
     )
     # When a group was last formed, opened, dissolved or freed.
     changed_at: datetime.timedelta = datetime.timedelta(0)
@@ -75,7 +69,7 @@
         self.formation_by_key.clear()
         self.member_by_name.clear()
         self._freed_by_leave.clear()
-        self._short_since.clear()
+        self.shortages.clear()
         self.load_record.start(heard_predecessor, now)
 
     # ---- Results of orders ----------------------------------------------
@@ -189,7 +183,7 @@
         round_ = planrounds.Round(self, view, now)
         self._note_freed_by_leave(round_)
         self._update_members(view, now)
-        self._record_shortages(view, now)
+        self.shortages.update(view.fleet.values(), view.engines, now)
         self.load_record.prune(view, now)
         self._adopt(round_)
         for formation in list(self.formation_by_key.values()):
@@ -235,31 +229,6 @@
             if unanswered_at and unanswered_at < view.heard_at[name]:
                 member.unanswered_at = None
 
-    def _record_shortages(
-        self, view: formations.View, now: datetime.timedelta
-    ) -> None:
-        """Records which models need more instances than the fleet has."""
-        count = collections.Counter(
-            item.service for item in view.fleet.values() if not item.leaving
-        )
-        self._short_since = {
-            key: self._short_since.get(key, now)
-            for service, engine in view.engines.items()
-            for model in engine.models
-            if count[service] < model.size
-            for key in [(service, model.name, model.size)]
-        }
-
-    def is_unfillable(
-        self, service: str, model: routes.Model, now: datetime.timedelta
-    ) -> bool:
-        """Returns whether the fleet has long been too small for a group.
-
-        Hosts that start at the same time report one after the other.
-        """
-        since = self._short_since.get((service, model.name, model.size))
-        return since is not None and now - since >= SHORTAGE_WAIT
-
     def _adopt(self, round_: planrounds.Round) -> None:
         """Adopts groups that other planners formed, from members' reports."""
         for key, seats in round_.seats_by_key.items():
--- a/figford/planrounds.py
+++ b/figford/planrounds.py
@@ -83,15 +83,9 @@
 
         Left out are models that need more instances than the fleet has.
         """
-        engine = self.view.engines[service]
-        models = tuple(
-            model
-            for model in engine.models
-            if not self.planner.is_unfillable(service, model, self.now)
+        return self.planner.shortages.fillable(
+            service, self.view.engines[service], self.now
         )
-        if len(models) == len(engine.models):
-            return engine
-        return attrs.evolve(engine, models=models)
 
     def is_bare(self, registration: fleetmessages.Registration) -> bool:
         """Returns whether a host has no weights of a configured model."""
@@ -436,17 +430,20 @@
     def available_for(
         self, free: list[fleetmessages.Registration], model: routes.Model
     ) -> list[fleetmessages.Registration]:
-        """Returns the free engines not reserved for another model.
+        """Returns a service's free engines not reserved for another model.
 
         A reservation ends when its model can't be served any more.
         """
-        result = []
-        for item in free:
-            reserved = self.planner.member_by_name[item.upstream].reserved_for
-            engine = self.fillable_engine(item.service)
-            if reserved in ("", model.name) or not engine.model(reserved):
-                result.append(item)
-        return result
+        if not free:
+            return []
+        engine = self.fillable_engine(free[0].service)
+        others = {other.name for other in engine.models} - {model.name}
+        known = self.planner.member_by_name
+        return [
+            item
+            for item in free
+            if known[item.upstream].reserved_for not in others
+        ]
 
     def free_duration(self, name: str) -> datetime.timedelta:
         """Returns how long an engine has been free."""
--- a/figford/requesttargets.py
+++ b/figford/requesttargets.py
@@ -1,8 +1,8 @@
-"""The usual form of hosts and paths, and the target of a request.
+"""The normalized form of hosts and paths, and the target of a request.
 
 Several spellings name the same host or path (RFC 3986, section 6.2.2). They
-compare equal in their usual form; what is sent on and read back stays as it
-was received.
+compare equal in their normalized form; what is sent on and read back stays as
+it was received.
 """
 
 import ipaddress
@@ -36,7 +36,7 @@
 
 
 def normalize_host(host: str) -> str:
-    """Returns the usual form of a host, without the port.
+    """Returns the normalized form of a host, without the port.
 
     Names have no case, and a dot may end them (RFC 9110, section 4.2.3; RFC
     3986, section 3.2.2).
--- a/figford/routes.py
+++ b/figford/routes.py
@@ -205,7 +205,9 @@
                     " and prefix"
                 )
             used = (
-                route if _is_usual(route) and not _is_usual(other) else other
+                route
+                if _is_normalized(route) and not _is_normalized(other)
+                else other
             )
             by_prefix[prefix] = used
             shadowed.append(other if used is route else route)
@@ -277,8 +279,8 @@
     return shares[-1].service if shares else None
 
 
-def _is_usual(route: Route) -> bool:
-    """Returns whether host and prefix are spelled in their usual form.
+def _is_normalized(route: Route) -> bool:
+    """Returns whether host and prefix are spelled in their normalized form.
 
     Former versions compared the requests' host in lower case, so that only
     this route got any.
--- a/figford/tests/test_routes.py
+++ b/figford/tests/test_routes.py
@@ -146,7 +146,7 @@
     route_table = table(*both, stored=True)
     used = route_table.match("h.example", "/a/x")
     assert [used, *route_table.shadowed] in (both, both[::-1])
-    # Where neither has the usual form, it is the first.
+    # Where neither has the normalized form, it is the first.
     assert used.name == ("b" if not other else both[0].name)
 
 
