Evidence: what was sent after a crash is not blamed for it

Callers saw: a sound read got 503 crashes-upstreams, until its probe.

Cause: upstreams are behind a proxy there, which accepts connections for an upstream that has crashed and closes them at once. Whatever broke at an incarnation within 20 ms, or was reported of it within 1 s, was a suspect of its crash, also what had been sent after it. The sound read follows the one that crashes upstreams, so both were at three crashes, and requests with as many are convicted together.

Why this works: a cause comes before its effect. Reports tell when the suspects were sent whose connections were closed within 20 ms; those sent after the first connection broke are none, in whichever order the reports come. What stayed open longer was accepted by the upstream itself and stays a suspect.

--- a/figford/attempts.py
+++ b/figford/attempts.py
@@ -44,9 +44,12 @@
 
     call: Owner
     target: placement.Target
-    active_at: datetime.timedelta
+    started_at: datetime.timedelta
     # Of a stream; begins after the last event that the caller received.
     splitter: eventstream.EventSplitter
+    active_at: datetime.timedelta = attrs.field(
+        default=attrs.Factory(lambda self: self.started_at, takes_self=True)
+    )
     exchange: exchanges.Exchange | None = None
     head: wire.AnswerHead | None = None
     body: bytearray = attrs.field(factory=bytearray)
--- a/figford/crashes.py
+++ b/figford/crashes.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from figford import crashrecords
 from figford import fleetmessages
 from figford import requesttargets
 from figford import wire
@@ -88,6 +89,8 @@
     suspect_by_request: dict[str, fleetmessages.Suspect] = attrs.field(
         factory=dict
     )
+    # When the suspects were sent whose connections were closed at once.
+    closed_sent_at: dict[str, datetime.timedelta] = attrs.field(factory=dict)
     answering: int = 0
 
 
@@ -123,6 +126,7 @@
         incarnation: int,
         address: str,
         suspect: fleetmessages.Suspect | None,
+        sent_at: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
         """Records a broken attempt; `suspect` is None if it had begun."""
@@ -133,8 +137,13 @@
             self._broken[key] = broken
         if suspect is None:
             broken.answering += 1
-        elif len(broken.suspect_by_request) < MAX_SUSPECTS:
+        elif (
+            suspect.request not in broken.suspect_by_request
+            and len(broken.suspect_by_request) < MAX_SUSPECTS
+        ):
             broken.suspect_by_request[suspect.request] = suspect
+            if now - sent_at < crashrecords.ACCEPTED_TIME:
+                broken.closed_sent_at[suspect.request] = sent_at
 
     def take_settled(
         self,
@@ -158,6 +167,10 @@
                 broken.incarnation,
                 now - broken.broken_at,
                 list(broken.suspect_by_request.values()),
+                closed_sent_after={
+                    request: sent_at - broken.broken_at
+                    for request, sent_at in broken.closed_sent_at.items()
+                },
             )
             found.append(Crash(report, broken.answering, broken.address))
         return found
--- a/figford/crashrecords.py
+++ b/figford/crashrecords.py
@@ -16,6 +16,9 @@
 # Parts, and as many requests, so that ever new requests push out no parts.
 MAX_TRAITS = 4096
 SURVIVALS_PER_TRAIT = 8
+# A connection that is still open after this time was accepted by the upstream
+# itself, not closed by what is in between.
+ACCEPTED_TIME = datetime.timedelta(milliseconds=20)
 
 
 @attrs.define
@@ -28,6 +31,41 @@
     )
     # Others don't count yet: the upstream may be alive.
     confirmed: bool = True
+    # When the suspects were sent whose connections were closed at once.
+    _closed_sent_at: dict[str, datetime.timedelta] = attrs.field(factory=dict)
+
+    def add_suspect(
+        self,
+        suspect: fleetmessages.Suspect,
+        closed_sent_at: datetime.timedelta | None,
+    ) -> None:
+        """Adds a request that was beginning.
+
+        `closed_sent_at` is when it was sent if its connection was closed at
+        once, None if the upstream had accepted it.
+        """
+        request = suspect.request
+        is_new = request not in self.suspect_by_request
+        self.suspect_by_request.setdefault(request, suspect)
+        if closed_sent_at is None:
+            self._closed_sent_at.pop(request, None)
+        elif is_new or request in self._closed_sent_at:
+            self._closed_sent_at[request] = min(
+                closed_sent_at,
+                self._closed_sent_at.get(request, closed_sent_at),
+            )
+
+    def remove_late_suspects(self) -> None:
+        """Removes what was sent after the crash, and so did not cause it.
+
+        A proxy accepts connections for an upstream that has crashed, and
+        closes them at once. What an upstream accepted itself stays: the first
+        report may have been of a network fault.
+        """
+        for request, sent_at in list(self._closed_sent_at.items()):
+            if sent_at > self.at:
+                del self._closed_sent_at[request]
+                del self.suspect_by_request[request]
 
 
 @attrs.define
--- a/figford/evidence.py
+++ b/figford/evidence.py
@@ -139,19 +139,30 @@
             self._crash_by_incarnation[key] = crash
             self._newest_crash_at = max(self._newest_crash_at, at)
         crash.confirmed |= report.confirmed
-        before = len(crash.suspect_by_request)
+        crash.at = min(crash.at, at)
+        before = set(crash.suspect_by_request)
         for suspect in report.suspects:
-            if suspect.request in crash.suspect_by_request:
-                continue
-            if len(crash.suspect_by_request) < MAX_SUSPECTS_PER_CRASH:
-                crash.suspect_by_request[suspect.request] = suspect
-                self._crash_count_by_request[suspect.request] += 1
+            if (
+                suspect.request in crash.suspect_by_request
+                or len(crash.suspect_by_request) < MAX_SUSPECTS_PER_CRASH
+            ):
+                sent_after = report.closed_sent_after.get(suspect.request)
+                crash.add_suspect(
+                    suspect, None if sent_after is None else at + sent_after
+                )
+        crash.remove_late_suspects()
+        self._crash_count_by_request.update(crash.suspect_by_request.keys())
+        self._uncount(before)
         self._discard_old(now)
-        return is_new or len(crash.suspect_by_request) > before
+        return is_new or not before.issuperset(crash.suspect_by_request)
 
     def _remove_crash(self, key: CrashKey) -> None:
         crash = self._crash_by_incarnation.pop(key)
-        for request in crash.suspect_by_request:
+        self._uncount(crash.suspect_by_request)
+
+    def _uncount(self, requests: typing.Iterable[str]) -> None:
+        """Counts one crash less of each request."""
+        for request in requests:
             self._crash_count_by_request[request] -= 1
             if not self._crash_count_by_request[request]:
                 del self._crash_count_by_request[request]
--- a/figford/exchanges.py
+++ b/figford/exchanges.py
@@ -18,6 +18,7 @@
 from twisted.internet import error as internet_errors
 from twisted.internet import protocol
 
+from figford import crashrecords
 from figford import settings
 from figford import wire
 
@@ -26,9 +27,7 @@
 CONNECT_TIMEOUT_SECONDS = 0.25
 # After a timer, so that the sockets are read between the two.
 READ_SECONDS = 0.01
-# A connection that is still open after this time was accepted by the upstream
-# itself, not closed by what is in between.
-PROBE_SECONDS = 0.02
+PROBE_SECONDS = crashrecords.ACCEPTED_TIME.total_seconds()
 # Idle connections are closed this long before the upstream would do so.
 KEEP_ALIVE_MARGIN = datetime.timedelta(milliseconds=700)
 DEFAULT_KEEP_ALIVE = datetime.timedelta(seconds=4)
--- a/figford/fleetmessages.py
+++ b/figford/fleetmessages.py
@@ -239,6 +239,11 @@
     age: datetime.timedelta
     suspects: list[Suspect]
     confirmed: bool = True
+    # The suspects whose connections were closed at once, and how long after
+    # the crash each was sent.
+    closed_sent_after: dict[str, datetime.timedelta] = attrs.field(
+        factory=dict
+    )
 
 
 @attrs.frozen
--- a/figford/forwarder.py
+++ b/figford/forwarder.py
@@ -11,6 +11,7 @@
 import logbook
 
 from figford import answerbuffers
+from figford import attempts
 from figford import crashes
 from figford import crashguard
 from figford import endings
@@ -688,15 +689,16 @@
     def attempt_broken(
         self,
         call: forwarding.ForwardedCall,
-        target: placements.Target,
-        has_begun: bool,
+        attempt: attempts.Attempt,
     ) -> None:
         """Records an attempt whose connection broke."""
+        target = attempt.target
         self.guard.collector.record(
             target.upstream,
             target.incarnation,
             target.address,
-            None if has_begun else call.suspect(),
+            None if attempt.has_begun else call.suspect(),
+            attempt.started_at,
             self.clock.now(),
         )
 
--- a/figford/forwarding.py
+++ b/figford/forwarding.py
@@ -709,7 +709,7 @@
         """
         now = self.forwarder.clock.now()
         target = attempt.target
-        self.forwarder.attempt_broken(self, target, attempt.has_begun)
+        self.forwarder.attempt_broken(self, attempt)
         if (
             attempt.has_begun
             or not self.route.repeatable
--- a/figford/tests/test_crashes.py
+++ b/figford/tests/test_crashes.py
@@ -11,6 +11,7 @@
 
 MS = datetime.timedelta(milliseconds=1)
 NOW = datetime.timedelta(seconds=100)
+SENT_AT = NOW - datetime.timedelta(seconds=1)
 SUSPECT = fleetmessages.Suspect("r1", ["a"])
 
 
@@ -20,9 +21,9 @@
 
 def test_a_crash_names_the_requests_that_were_beginning() -> None:
     collector = crashes.CrashCollector()
-    collector.record("u1", 7, "u1:1", SUSPECT, NOW)
-    collector.record("u1", 7, "u1:1", None, NOW + MS)
-    collector.record("u1", 7, "u1:1", SUSPECT, NOW + MS)
+    collector.record("u1", 7, "u1:1", SUSPECT, SENT_AT, NOW)
+    collector.record("u1", 7, "u1:1", None, SENT_AT, NOW + MS)
+    collector.record("u1", 7, "u1:1", SUSPECT, SENT_AT, NOW + MS)
     assert collector.take_settled(lambda _: False, NOW + MS) == []
     now = NOW + crashes.SETTLE_TIME
     report = fleetmessages.CrashReport("u1", 7, crashes.SETTLE_TIME, [SUSPECT])
@@ -32,9 +33,21 @@
     assert collector.take_settled(lambda _: False, now) == []
 
 
+def test_a_crash_tells_which_connections_were_closed_at_once() -> None:
+    """A proxy closes what it accepts for an upstream that has crashed."""
+    collector = crashes.CrashCollector()
+    late = fleetmessages.Suspect("r2", [])
+    collector.record("u1", 7, "u1:1", SUSPECT, SENT_AT, NOW)
+    collector.record("u1", 7, "u1:1", late, NOW + MS, NOW + 2 * MS)
+    now = NOW + crashes.SETTLE_TIME
+    (crash,) = collector.take_settled(lambda _: False, now)
+    assert crash.report.suspects == [SUSPECT, late]
+    assert crash.report.closed_sent_after == {"r2": MS}
+
+
 def test_a_reset_connection_beside_others_is_no_crash() -> None:
     collector = crashes.CrashCollector()
-    collector.record("u1", 7, "u1:1", SUSPECT, NOW)
+    collector.record("u1", 7, "u1:1", SUSPECT, SENT_AT, NOW)
     now = NOW + crashes.SETTLE_TIME
     assert collector.take_settled(lambda _: True, now) == [
         crashes.Reset("u1", 7)
@@ -76,6 +89,6 @@
     assert max(map(len, names)) == crashes.PART_NAME_LENGTH
     for number in range(1000):
         suspect = fleetmessages.Suspect(str(number), names)
-        collector.record("u1", 7, "u1:1", suspect, NOW)
+        collector.record("u1", 7, "u1:1", suspect, SENT_AT, NOW)
     crash = collector.take_settled(lambda _: False, NOW + 1000 * MS)[0]
     assert len(crash.report.suspects) == crashes.MAX_SUSPECTS
--- a/figford/tests/test_crashforwarding.py
+++ b/figford/tests/test_crashforwarding.py
@@ -4,6 +4,7 @@
 
 from figford import crashes
 from figford import crashguard
+from figford import crashrecords
 from figford import evidence
 from figford import exchanges
 from figford import fleetmessages
@@ -387,3 +388,16 @@
     bench.forwarder.guard.answer_query(query, bench.clock.now())
     bench.rule(blamed=False)
     assert len(bench.pool.sent) == 2
+
+
+def test_a_report_tells_what_was_closed_at_once(bench) -> None:
+    """A proxy accepts connections for an upstream that has crashed."""
+    bench.begin()
+    bench.clock.time += crashrecords.ACCEPTED_TIME
+    bench.crash()
+    assert bench.reports[0].closed_sent_after == {}
+    late = bench.other("a2")
+    bench.forwarder.begin(late)
+    bench.clock.time += MS
+    bench.crash()
+    assert bench.reports[1].closed_sent_after == {late.suspect().request: -MS}
--- a/figford/tests/test_crashguard.py
+++ b/figford/tests/test_crashguard.py
@@ -22,7 +22,9 @@
 def crash(guard: crashguard.CrashGuard, number: int, now) -> None:
     """Records a crash under a request with the part "d"."""
     item = fleetmessages.Suspect(f"r{number}", ["a", "d"])
-    guard.collector.record(f"u{number}", 1, f"u{number}:1", item, now)
+    guard.collector.record(
+        f"u{number}", 1, f"u{number}:1", item, now - SECOND, now
+    )
     (found,) = guard.take_settled(lambda _: False, now + SECOND)
     guard.record_crash(found.report, now + SECOND)
 
--- a/figford/tests/test_evidence.py
+++ b/figford/tests/test_evidence.py
@@ -290,3 +290,60 @@
         assert table.add_crash(doubtful(number, "u1"), at)
     assert table.settle_unconfirmed(lambda *_: True)
     assert table.judge(()) == {}
+
+
+def closed_at_once(request: str, sent_after: float) -> dict:
+    """Returns changes to a report: its suspect got no answer at all."""
+    return {
+        "suspects": [suspect(request)],
+        "closed_sent_after": {request: sent_after * SECOND},
+    }
+
+
+@pytest.mark.parametrize("first", [0, 1])
+def test_what_is_sent_after_a_crash_is_not_blamed_for_it(first) -> None:
+    """Sound reads of upstreams that had crashed were refused by a verdict.
+
+    The reports of two entries come in either order.
+    """
+    table = evidence.EvidenceTable()
+    for number in range(3):
+        cause = doubtful(number)
+        late = attrs.evolve(cause, **closed_at_once("r2", -0.001))
+        reports = [(cause, 0), (late, 0.4)]
+        if first:
+            reports.reverse()
+        for report, at in reports:
+            received = attrs.evolve(report, age=(0.5 - at) * SECOND)
+            table.add_crash(received, NOW + (number + 0.5) * SECOND)
+        assert table.blamed_requests(f"u{number}", 1) == ["r1"]
+    table.settle_unconfirmed(lambda *_: True)
+    assert set(table.judge(())) == {"request:r1"}
+    assert table.score("request:r2", ()) == 0.0
+
+
+def test_what_is_closed_at_once_may_have_caused_a_crash() -> None:
+    """It was sent before the first connection broke, or the only one."""
+    table = evidence.EvidenceTable()
+    for number in range(2):
+        fast = attrs.evolve(doubtful(number), **closed_at_once("r2", -0.01))
+        for report in (doubtful(number), fast):
+            table.add_crash(report, NOW + number * SECOND)
+    table.settle_unconfirmed(lambda *_: True)
+    assert table.blamed_requests("u1", 1) == ["r1", "r2"]
+
+
+def test_what_an_upstream_accepted_may_have_caused_its_crash() -> None:
+    """What was taken for a crash before was a network fault."""
+    table = evidence.EvidenceTable()
+    reset = attrs.evolve(doubtful(0), suspects=[suspect("r2")])
+    table.add_crash(reset, NOW)
+    for sent_after in (-0.01, 0.3):
+        closed = attrs.evolve(reset, **closed_at_once("r1", sent_after))
+        table.add_crash(closed, NOW + SECOND / 2)
+    assert table.blamed_requests("u0", 1) == ["r2"]
+    table.add_crash(doubtful(0), NOW + SECOND / 2)
+    assert table.blamed_requests("u0", 1) == ["r2", "r1"]
+    later = attrs.evolve(reset, **closed_at_once("r1", 0.1))
+    table.add_crash(later, NOW + SECOND / 2)
+    assert table.blamed_requests("u0", 1) == ["r2", "r1"]
--- a/figford/tools/crashworld.py
+++ b/figford/tools/crashworld.py
@@ -48,6 +48,7 @@
     caller_retries: int = 1
     attempts: int = 0
     has_begun: bool = False
+    sent_at: datetime.timedelta = 0 * SECOND
 
 
 @attrs.define
@@ -225,6 +226,7 @@
         upstream = self.rng.choice(free)
         request.attempts += 1
         request.has_begun = False
+        request.sent_at = self.now
         upstream.batch.append(request)
         if request.crashing_part is not None:
             self.figures.sent_by_part.setdefault(
@@ -427,6 +429,7 @@
                 upstream.incarnation,
                 upstream.name,
                 None if request.has_begun else request.suspect,
+                request.sent_at,
                 now,
             )
             key = (request.entry, upstream.name, upstream.incarnation)
