Sign-offs name the start that left; later starts are told from it

Cause: a sign-off had only the time of the controller that was called, and each start whose own time was no later counted as the one that left. The two times come from different machines.

A sign-off now carries the newest start that the called controller knew. A later start that a process hears of after the sign-off is another process. Times decide only between starts that were known before it was made, and where no controller knew any, with a margin of 1 s. Of two sign-offs the one of the later start is kept.

--- a/figford/controller.py
+++ b/figford/controller.py
@@ -283,8 +283,9 @@
         self._detect_pause(now)
         known = self.fleet.by_name.get(sign_off.upstream)
         if known is not None:
-            time_ms = max(sign_off.time_ms, known.registration.incarnation)
-            sign_off = attrs.evolve(sign_off, time_ms=time_ms)
+            sign_off = attrs.evolve(
+                sign_off, incarnation=known.registration.incarnation
+            )
         if not self.fleet.sign_off(sign_off, now):
             return []
         return self._tell_sign_offs([sign_off.upstream], None, now)
--- a/figford/fleet.py
+++ b/figford/fleet.py
@@ -44,10 +44,12 @@
     in_touch_since: datetime.timedelta
     signed_off_at: datetime.timedelta | None = None
     heard_sequence: int = attrs.field(init=False)
+    known_since: datetime.timedelta = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Starts with the sequence of the first report."""
+        """Starts with the sequence and time of the first report."""
         self.heard_sequence = self.registration.sequence
+        self.known_since = self.heard_at
 
     def record_sequence(self, sequence: int, now: datetime.timedelta) -> None:
         """Records a report or beat; only a newer one shows a live process."""
@@ -217,7 +219,8 @@
         is_new = self.sign_offs.add(sign_off, now, age)
         known = self.by_name.get(sign_off.upstream)
         if known is None or not sign_off.covers(
-            known.registration.incarnation
+            known.registration.incarnation,
+            was_known=known.known_since <= now - age,
         ):
             return is_new
         return self._mark_signed_off(known, now) or is_new
--- a/figford/signoffs.py
+++ b/figford/signoffs.py
@@ -12,6 +12,8 @@
 
 from figford import bounds
 
+# No process signs off earlier after its start; clocks may differ by as much.
+MIN_LIFE_MS = 1_000
 # A process that signed off has exited long before.
 RETENTION = datetime.timedelta(minutes=10)
 # Above this number the oldest sign-offs are dropped.
@@ -23,22 +25,45 @@
 
 @attrs.frozen
 class SignOff:
-    """That an upstream signed off; the time is in Unix milliseconds."""
+    """That an upstream signed off; the time is in Unix milliseconds.
+
+    `incarnation` is the newest start that the called controller knew. Later
+    ones can only be told by their time, which is that of another machine.
+    """
 
     upstream: str = attrs.field(validator=bounds.is_text)
     time_ms: int = attrs.field(validator=bounds.is_count)
+    incarnation: int | None = attrs.field(
+        default=None, validator=attrs.validators.optional(bounds.is_count)
+    )
 
-    def covers(self, incarnation: int) -> bool:
-        """Returns whether a process that started then signed off.
+    def covers(self, incarnation: int, was_known: bool) -> bool:
+        """Returns whether it is the process that started then that left.
 
-        A process that starts again under its name does so seconds later.
+        `was_known` states whether it was known before the sign-off was made.
 
-        >>> SignOff("u1", 50_000).covers(40_000)
+        >>> SignOff("u1", 50_000, 40_000).covers(40_000, was_known=False)
         True
-        >>> SignOff("u1", 50_000).covers(53_000)
+        >>> SignOff("u1", 50_000, 40_000).covers(49_700, was_known=False)
         False
+        >>> SignOff("u1", 50_000).covers(40_000, was_known=False)
+        True
         """
-        return incarnation <= self.time_ms
+        if self.incarnation is not None and incarnation <= self.incarnation:
+            return True
+        if was_known:
+            return incarnation <= self.time_ms
+        return (
+            self.incarnation is None
+            and incarnation <= self.time_ms - MIN_LIFE_MS
+        )
+
+    def supersedes(self, other: "SignOff") -> bool:
+        """Returns whether it is of a later start, or of the same but later."""
+        starts = (self.incarnation, other.incarnation)
+        if None not in starts and starts[0] != starts[1]:
+            return starts[0] > starts[1]
+        return self.time_ms > other.time_ms
 
 
 def _are_ages(
@@ -82,7 +107,7 @@
         if age > RETENTION:
             return False
         known = self._by_upstream.get(sign_off.upstream)
-        if known is not None and known[0].covers(sign_off.time_ms):
+        if known is not None and not sign_off.supersedes(known[0]):
             return False
         self._by_upstream.pop(sign_off.upstream, None)
         self._by_upstream[sign_off.upstream] = (sign_off, now - age)
@@ -90,9 +115,11 @@
         return True
 
     def covers(self, upstream: str, incarnation: int) -> bool:
-        """Returns whether this start of an upstream has signed off."""
+        """Returns whether a start that was not known has signed off."""
         known = self._by_upstream.get(upstream)
-        return known is not None and known[0].covers(incarnation)
+        return known is not None and known[0].covers(
+            incarnation, was_known=False
+        )
 
     def message(
         self, upstreams: typing.Iterable[str], now: datetime.timedelta
--- a/figford/tests/test_fleet.py
+++ b/figford/tests/test_fleet.py
@@ -249,3 +249,24 @@
     table.evict_ended(late)
     table.report(report(upstream="u2", incarnation=9), late)
     assert [item.upstream for item in table.present()] == ["u2"]
+
+
+def test_a_sign_off_that_is_told_late_is_not_of_the_next_start() -> None:
+    """The clock of the upstream's machine is behind; a link was cut."""
+    sign_off = signoffs.SignOff("u1", 50_000, incarnation=40_000)
+    age = datetime.timedelta(seconds=3)
+    for incarnation, leaves in ((40_000, True), (49_500, False)):
+        table = fleet.FleetTable()
+        table.report(report(incarnation=incarnation), NOW)
+        table.sign_off(sign_off, LATER, age)
+        assert table.by_name["u1"].registration.signed_off == leaves
+
+
+def test_a_sign_off_is_of_a_start_that_its_controller_did_not_know() -> None:
+    """That one had been cut off from the controllers that it reported to."""
+    sign_off = signoffs.SignOff("u1", 50_000, incarnation=40_000)
+    table = fleet.FleetTable()
+    table.report(report(incarnation=49_500), NOW)
+    age = datetime.timedelta(seconds=0.5)
+    table.sign_off(sign_off, LATER, age)
+    assert table.by_name["u1"].registration.signed_off
