Links: protocol version 4 for the fields that were added

Crash reports tell when suspects were sent, and sign-offs the start that left. A process of version 3 refuses a message with a field that it does not know and closes the link each time, so the two must not be linked; with another version the handshake refuses with its own error.

--- a/figford/links.py
+++ b/figford/links.py
@@ -31,7 +31,7 @@
 
 _log = logbook.Logger(__name__)
 
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 MESSAGE_LIMIT_BYTES = 16 << 20
 # Of the handshake, whose sender has not proven who it is.
 HANDSHAKE_LIMIT_BYTES = 64 << 10
